feat: design page, message types and workspace

Cause: the project is empty; every later part stands on the design and on the messages. Ruled out: a store write per start, a replicated log among entry processes, sticky ids (docs/design.md, 4.1). Change: design page, workspace with lints, generated messages with a framing codec, identifiers, the configuration document, store requests and the entry process's inputs and actions.

--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! Agent process beside an endpoint: starts tasks and remembers what started
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operators' command line
--- /dev/null
+++ b/crates/core/src/entry/mod.rs
@@ -0,0 +1,5 @@
+//! Decisions of the entry process.
+
+mod io;
+
+pub use io::{Action, AnswerBody, CallKey, Decisions, Input, Operation, StoreKey};
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Entry process: takes jobs over HTTP and dispatches their tasks
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,5 @@
+//! Ports of the platform and their adapters.
+
+mod port;
+
+pub use port::{Calls, Platform};
--- /dev/null
+++ b/crates/testing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins, demonstration, measurements and integration tests
--- /dev/null
+++ b/crates/wire/src/codec.rs
@@ -0,0 +1,103 @@
+//! Length-delimited framing of [`Frame`] messages.
+
+use bytes::{Bytes, BytesMut};
+use prost::Message;
+use snafu::{ResultExt, Snafu, ensure};
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+use crate::Frame;
+use crate::messages::frame::Body;
+
+/// Version of the protocol that this build speaks.
+pub const PROTOCOL_VERSION: u32 = 1;
+
+/// Largest frame that is sent or accepted, in bytes.
+pub const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
+
+/// Result of the codec.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Reasons why a frame cannot be read or written.
+#[derive(Debug, Snafu)]
+#[non_exhaustive]
+pub enum Error {
+    /// The connection failed, or a frame is longer than [`MAX_FRAME_BYTES`].
+    #[snafu(display("frame i/o failed: {source}"), context(false))]
+    Io {
+        /// Error of the connection or of the length codec.
+        source: std::io::Error,
+    },
+    /// The frame is not a valid message.
+    #[snafu(display("frame cannot be decoded: {source}"))]
+    Decode {
+        /// Error of the decoder.
+        source: prost::DecodeError,
+    },
+    /// The sender speaks another version of the protocol.
+    #[snafu(display(
+        "peer speaks protocol version {found}, this process speaks {PROTOCOL_VERSION}"
+    ))]
+    Version {
+        /// Version in the frame.
+        found: u32,
+    },
+    /// The frame has no body known to this build.
+    #[snafu(display("frame has no known body"))]
+    Empty,
+}
+
+impl Error {
+    /// Stable code for the `Reject` frame.
+    #[must_use]
+    pub fn code(&self) -> &'static str {
+        match self {
+            Self::Io { .. } => "io",
+            Self::Decode { .. } => "bad_frame",
+            Self::Version { .. } => "bad_version",
+            Self::Empty => "unknown_body",
+        }
+    }
+}
+
+/// Codec for `tokio_util::codec::Framed`: a 4-byte big-endian length, then a [`Frame`].
+#[derive(Debug)]
+pub struct FrameCodec {
+    inner: LengthDelimitedCodec,
+}
+
+impl Default for FrameCodec {
+    fn default() -> Self {
+        let inner = LengthDelimitedCodec::builder()
+            .max_frame_length(MAX_FRAME_BYTES)
+            .new_codec();
+        Self { inner }
+    }
+}
+
+impl Decoder for FrameCodec {
+    type Item = Body;
+    type Error = Error;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Body>> {
+        let Some(bytes) = self.inner.decode(src)? else {
+            return Ok(None);
+        };
+        let frame = Frame::decode(bytes.freeze()).context(DecodeSnafu)?;
+        ensure!(
+            frame.version == PROTOCOL_VERSION,
+            VersionSnafu {
+                found: frame.version
+            }
+        );
+        frame.body.map(Some).ok_or(Error::Empty)
+    }
+}
+
+impl Encoder<Body> for FrameCodec {
+    type Error = Error;
+
+    fn encode(&mut self, body: Body, dst: &mut BytesMut) -> Result<()> {
+        let bytes = Bytes::from(Frame::from(body).encode_to_vec());
+        Ok(self.inner.encode(bytes, dst)?)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,7 @@
+//! Messages and framing between the processes of the system.
+
+mod codec;
+mod messages;
+
+pub use codec::{Error, FrameCodec, MAX_FRAME_BYTES, PROTOCOL_VERSION, Result};
+pub use messages::*;
