feat(core): dispatch decisions with the whole public face

Cause: the state machine of the entry process needs the dispatcher. Ruled out: one queue per class scanned for teams over quota; a queue per class and team keeps the choice independent of the number of waiting jobs. Change: queues in deadline order, credits in groups of similar speed, learned run times and speeds, slot reserve, overload and quota check, workers held back, demand, status. Measured: nothing yet beyond the tests. Conclusion: a first working version; the policy is to be measured and improved.

--- /dev/null
+++ b/crates/core/src/dispatch/health.rs
@@ -0,0 +1,88 @@
+//! Evidence on whether a worker fails what it starts, and its trial tasks when it is held back.
+
+use std::time::Duration;
+
+/// Failures in a row after which a worker is held back.
+const FAILURES_IN_A_ROW: u32 = 8;
+
+/// Tasks whose outcome is remembered.
+const WINDOW_TASKS: u32 = 32;
+
+/// Longest time between two trial tasks.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// A worker is trusted again when the time between trials has been halved below this.
+const TRUSTED_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Fleet failure rate below which a failure rate of one worker counts as its own.
+const FLEET_RATE: f64 = 0.10;
+
+/// Evidence of one worker.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Health {
+    in_a_row: u32,
+    outcomes: u32,
+    seen: u32,
+    hold: Option<Hold>,
+}
+
+/// State of a worker that is held back.
+#[derive(Debug, Clone, Copy)]
+struct Hold {
+    interval: Duration,
+    next: Duration,
+}
+
+impl Health {
+    /// Records an outcome and moves the pace of trials when the worker is held back.
+    pub(super) fn record(&mut self, now: Duration, failed: bool) {
+        self.in_a_row = if failed {
+            self.in_a_row.saturating_add(1)
+        } else {
+            0
+        };
+        self.outcomes = (self.outcomes << 1) | u32::from(failed);
+        self.seen = (self.seen + 1).min(WINDOW_TASKS);
+        let Some(hold) = &mut self.hold else { return };
+        hold.interval = if failed {
+            TRIAL_INTERVAL
+        } else {
+            hold.interval / 2
+        };
+        hold.next = now + hold.interval;
+        if hold.interval < TRUSTED_INTERVAL {
+            *self = Self::default();
+        }
+    }
+
+    /// Whether the evidence says that the worker is at fault.
+    pub(super) fn suspect(&self, fleet_rate: f64) -> bool {
+        let often = self.seen == WINDOW_TASKS && self.outcomes.count_ones() * 2 > WINDOW_TASKS;
+        self.in_a_row >= FAILURES_IN_A_ROW || (often && fleet_rate < FLEET_RATE)
+    }
+
+    /// Holds the worker back.
+    pub(super) fn hold(&mut self, now: Duration) {
+        self.hold = Some(Hold {
+            interval: TRIAL_INTERVAL,
+            next: now + TRIAL_INTERVAL,
+        });
+    }
+
+    /// Whether the worker is held back.
+    pub(super) fn held(&self) -> bool {
+        self.hold.is_some()
+    }
+
+    /// When the next trial task may start, if the worker is held back.
+    pub(super) fn next_trial(&self) -> Option<Duration> {
+        self.hold.map(|h| h.next)
+    }
+
+    /// Records that a trial task starts.
+    pub(super) fn trial_started(&mut self, now: Duration) {
+        if let Some(hold) = &mut self.hold {
+            hold.next = now + hold.interval;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/jobs.rs
@@ -0,0 +1,72 @@
+//! Jobs and the places of their tasks.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use slotmap::new_key_type;
+
+use super::queues::QueueKey;
+use super::worker::WorkerKey;
+use crate::ids::JobKey;
+
+new_key_type! {
+    /// A job in the dispatcher's arena.
+    pub(super) struct JobSlot;
+}
+
+/// A job of which tasks wait or run, or may do so again.
+#[derive(Debug)]
+pub(super) struct Job {
+    pub(super) key: JobKey,
+    pub(super) queue: QueueKey,
+    pub(super) arrived: Duration,
+    /// Order among jobs that arrived at the same time.
+    pub(super) seq: u64,
+    /// Waiting tasks in ascending order.
+    pub(super) waiting: VecDeque<u32>,
+    /// Running tasks in ascending order.
+    pub(super) running: Vec<(u32, WorkerKey)>,
+    /// Whether a task has started.
+    pub(super) started: bool,
+    /// Whether the job takes no more tasks.
+    pub(super) cancelled: bool,
+}
+
+impl Job {
+    /// Adds a task to the waiting ones; false when it waits or runs already.
+    pub(super) fn wait(&mut self, index: u32) -> bool {
+        if self.running.binary_search_by_key(&index, |r| r.0).is_ok() {
+            return false;
+        }
+        if self.waiting.back().is_none_or(|last| *last < index) {
+            self.waiting.push_back(index);
+            return true;
+        }
+        match self.waiting.binary_search(&index) {
+            Ok(_) => false,
+            Err(place) => {
+                self.waiting.insert(place, index);
+                true
+            }
+        }
+    }
+
+    /// Records that a task runs on a worker.
+    pub(super) fn run(&mut self, index: u32, worker: WorkerKey) {
+        let place = self.running.partition_point(|r| r.0 < index);
+        self.running.insert(place, (index, worker));
+        self.started = true;
+    }
+
+    /// The worker on which a task runs.
+    pub(super) fn worker_of(&self, index: u32) -> Option<WorkerKey> {
+        let place = self.running.binary_search_by_key(&index, |r| r.0).ok()?;
+        self.running.get(place).map(|r| r.1)
+    }
+
+    /// Removes a running task; returns its worker.
+    pub(super) fn stop(&mut self, index: u32) -> Option<WorkerKey> {
+        let place = self.running.binary_search_by_key(&index, |r| r.0).ok()?;
+        Some(self.running.remove(place).1)
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/placement.rs
@@ -0,0 +1,56 @@
+//! Choice of the worker for a task.
+
+use std::fmt::Debug;
+
+use rand_chacha::ChaCha8Rng;
+
+use super::credits::Credits;
+use super::worker::WorkerKey;
+
+/// The task for which a worker is chosen.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Request {
+    /// Expected run time on a worker of speed 1, in seconds; 0 when unknown.
+    pub run_s: f64,
+    /// High quantile of the run time on a worker of speed 1, in seconds; 0 when unknown.
+    pub high_s: f64,
+    /// Typical run time over all classes, in seconds; 0 when unknown.
+    pub common_s: f64,
+    /// Time until the target is missed, in seconds; negative when it has been missed.
+    pub slack_s: f64,
+}
+
+/// Policy that chooses among the workers with unused credits.
+pub trait Placement: Send + Debug {
+    /// The worker that is to run the task; `None` leaves the task waiting.
+    fn choose(
+        &mut self,
+        request: &Request,
+        credits: &Credits,
+        random: &mut ChaCha8Rng,
+    ) -> Option<WorkerKey>;
+}
+
+/// Gives short and urgent work to the fastest worker, and long work to the slowest worker that
+/// still meets its target.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SpeedMatch;
+
+impl Placement for SpeedMatch {
+    fn choose(
+        &mut self,
+        request: &Request,
+        credits: &Credits,
+        random: &mut ChaCha8Rng,
+    ) -> Option<WorkerKey> {
+        let fastest = credits.fastest()?;
+        let long = request.run_s > request.common_s;
+        let group = if long && request.slack_s > 0.0 {
+            let needed = credits.group_of(request.high_s / request.slack_s);
+            credits.slowest_from(needed).unwrap_or(fastest)
+        } else {
+            fastest
+        };
+        credits.pick(group, random)
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/queues.rs
@@ -0,0 +1,294 @@
+//! Waiting tasks in the order in which they are to start.
+//!
+//! There is one queue for each pair of class and team; within it jobs are in order of arrival.
+//! The heads of all queues are in order of `arrival + target`.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use slotmap::{SlotMap, new_key_type};
+use smol_str::SmolStr;
+
+use super::jobs::JobSlot;
+use super::learning::RunTime;
+
+new_key_type! {
+    /// A class that is configured or has jobs.
+    pub(super) struct ClassKey;
+    /// A team that has a quota or jobs.
+    pub(super) struct TeamKey;
+    /// The jobs of one team in one class.
+    pub(super) struct QueueKey;
+}
+
+/// Target of a class that is not configured (its jobs were admitted before it was deleted).
+const UNCONFIGURED_TARGET: Duration = Duration::from_secs(1);
+
+/// A class.
+#[derive(Debug)]
+pub(super) struct Class {
+    pub(super) name: SmolStr,
+    pub(super) target: Duration,
+    pub(super) configured: bool,
+    pub(super) waiting: u32,
+    pub(super) running: u32,
+    pub(super) run_time: RunTime,
+    pub(super) last_arrival: Option<Duration>,
+}
+
+/// A team.
+#[derive(Debug)]
+pub(super) struct Team {
+    pub(super) name: SmolStr,
+    pub(super) quota: Option<u32>,
+    pub(super) waiting: u32,
+    pub(super) running: u32,
+    /// Queues of the team.
+    queues: u32,
+}
+
+/// Jobs of one team in one class.
+#[derive(Debug)]
+pub(super) struct Queue {
+    pub(super) class: ClassKey,
+    pub(super) team: TeamKey,
+    /// Jobs with waiting tasks, by arrival.
+    waiting: BTreeSet<(Duration, u64, JobSlot)>,
+    /// Jobs with or without waiting tasks.
+    jobs: u32,
+    /// Entry in `Queues::heads`.
+    head: Option<(Duration, u64)>,
+}
+
+/// All classes, teams and queues.
+#[derive(Debug, Default)]
+pub(super) struct Queues {
+    pub(super) classes: SlotMap<ClassKey, Class>,
+    pub(super) teams: SlotMap<TeamKey, Team>,
+    queues: SlotMap<QueueKey, Queue>,
+    class_names: HashMap<SmolStr, ClassKey>,
+    team_names: HashMap<SmolStr, TeamKey>,
+    pairs: HashMap<(ClassKey, TeamKey), QueueKey>,
+    heads: BTreeSet<(Duration, u64, QueueKey)>,
+    /// Shortest target of a configured class.
+    pub(super) shortest: Option<Duration>,
+    pub(super) waiting: u32,
+    pub(super) running: u32,
+}
+
+impl Queues {
+    /// The class of this name if it is known.
+    pub(super) fn find_class(&self, name: &str) -> Option<&Class> {
+        self.classes.get(*self.class_names.get(name)?)
+    }
+
+    /// The team of this name if it is known.
+    pub(super) fn find_team(&self, name: &str) -> Option<&Team> {
+        self.teams.get(*self.team_names.get(name)?)
+    }
+
+    /// The class of this name, made when it is not known.
+    pub(super) fn class(&mut self, name: &str) -> ClassKey {
+        if let Some(key) = self.class_names.get(name) {
+            return *key;
+        }
+        let key = self.classes.insert(Class {
+            name: name.into(),
+            target: UNCONFIGURED_TARGET,
+            configured: false,
+            waiting: 0,
+            running: 0,
+            run_time: RunTime::default(),
+            last_arrival: None,
+        });
+        self.class_names.insert(name.into(), key);
+        key
+    }
+
+    /// The team of this name, made when it is not known.
+    pub(super) fn team(&mut self, name: &str) -> TeamKey {
+        if let Some(key) = self.team_names.get(name) {
+            return *key;
+        }
+        let key = self.teams.insert(Team {
+            name: name.into(),
+            quota: None,
+            waiting: 0,
+            running: 0,
+            queues: 0,
+        });
+        self.team_names.insert(name.into(), key);
+        key
+    }
+
+    /// The queue of a class and team, made when there is none. Counts one more job in it.
+    pub(super) fn join(&mut self, class: ClassKey, team: TeamKey) -> QueueKey {
+        let queues = &mut self.queues;
+        let teams = &mut self.teams;
+        let key = *self.pairs.entry((class, team)).or_insert_with(|| {
+            if let Some(team) = teams.get_mut(team) {
+                team.queues += 1;
+            }
+            let waiting = BTreeSet::new();
+            queues.insert(Queue {
+                class,
+                team,
+                waiting,
+                jobs: 0,
+                head: None,
+            })
+        });
+        if let Some(queue) = self.queues.get_mut(key) {
+            queue.jobs += 1;
+        }
+        key
+    }
+
+    /// Counts one job less in the queue and drops queue and team when nothing refers to them.
+    pub(super) fn leave(&mut self, key: QueueKey) {
+        let Some(queue) = self.queues.get_mut(key) else {
+            return;
+        };
+        queue.jobs = queue.jobs.saturating_sub(1);
+        if queue.jobs > 0 {
+            return;
+        }
+        let (class, team) = (queue.class, queue.team);
+        self.queues.remove(key);
+        self.pairs.remove(&(class, team));
+        if let Some(team) = self.teams.get_mut(team) {
+            team.queues -= 1;
+        }
+        self.drop_unused(class, team);
+    }
+
+    fn drop_unused(&mut self, class: ClassKey, team: TeamKey) {
+        if self
+            .teams
+            .get(team)
+            .is_some_and(|t| t.queues == 0 && t.quota.is_none())
+            && let Some(team) = self.teams.remove(team)
+        {
+            self.team_names.remove(&team.name);
+        }
+        let unused = |c: &Class| !c.configured && c.waiting == 0 && c.running == 0;
+        if self.classes.get(class).is_some_and(unused)
+            && !self.queues.values().any(|q| q.class == class)
+            && let Some(class) = self.classes.remove(class)
+        {
+            self.class_names.remove(&class.name);
+        }
+    }
+
+    /// Class and team of a queue.
+    pub(super) fn pair(&self, key: QueueKey) -> Option<(ClassKey, TeamKey)> {
+        self.queues.get(key).map(|q| (q.class, q.team))
+    }
+
+    /// Adds `tasks` (may be negative) to the waiting counts of a queue's class and team.
+    pub(super) fn count_waiting(&mut self, key: QueueKey, tasks: i64) {
+        let Some((class, team)) = self.pair(key) else {
+            return;
+        };
+        self.waiting = add(self.waiting, tasks);
+        if let Some(class) = self.classes.get_mut(class) {
+            class.waiting = add(class.waiting, tasks);
+        }
+        if let Some(team) = self.teams.get_mut(team) {
+            team.waiting = add(team.waiting, tasks);
+        }
+    }
+
+    /// Adds `tasks` (may be negative) to the running counts of a queue's class and team.
+    pub(super) fn count_running(&mut self, key: QueueKey, tasks: i64) {
+        let Some((class, team)) = self.pair(key) else {
+            return;
+        };
+        self.running = add(self.running, tasks);
+        if let Some(class) = self.classes.get_mut(class) {
+            class.running = add(class.running, tasks);
+        }
+        if let Some(team) = self.teams.get_mut(team) {
+            team.running = add(team.running, tasks);
+        }
+    }
+
+    /// Puts a job that has waiting tasks into its queue.
+    pub(super) fn enter(&mut self, key: QueueKey, arrived: Duration, seq: u64, job: JobSlot) {
+        let Some(queue) = self.queues.get_mut(key) else {
+            return;
+        };
+        if queue.waiting.insert((arrived, seq, job)) {
+            self.refresh(key);
+        }
+    }
+
+    /// Takes a job that has no waiting tasks out of its queue.
+    pub(super) fn exit(&mut self, key: QueueKey, arrived: Duration, seq: u64, job: JobSlot) {
+        let Some(queue) = self.queues.get_mut(key) else {
+            return;
+        };
+        if queue.waiting.remove(&(arrived, seq, job)) {
+            self.refresh(key);
+        }
+    }
+
+    /// Updates the entry of a queue in `heads`.
+    fn refresh(&mut self, key: QueueKey) {
+        let Some(queue) = self.queues.get_mut(key) else {
+            return;
+        };
+        let target = self
+            .classes
+            .get(queue.class)
+            .map_or(UNCONFIGURED_TARGET, |c| c.target);
+        let first = queue.waiting.first();
+        let head = first.map(|(arrived, seq, _)| (arrived.saturating_add(target), *seq));
+        if head == queue.head {
+            return;
+        }
+        if let Some((deadline, seq)) = queue.head {
+            self.heads.remove(&(deadline, seq, key));
+        }
+        if let Some((deadline, seq)) = head {
+            self.heads.insert((deadline, seq, key));
+        }
+        queue.head = head;
+    }
+
+    /// Updates all entries in `heads` after targets have changed.
+    pub(super) fn refresh_all(&mut self) {
+        let keys: Vec<QueueKey> = self.queues.keys().collect();
+        for key in keys {
+            self.refresh(key);
+        }
+    }
+
+    /// Heads of all queues with waiting jobs, earliest deadline first.
+    pub(super) fn heads(&self) -> impl Iterator<Item = (Duration, QueueKey)> + '_ {
+        self.heads
+            .iter()
+            .map(|(deadline, _, key)| (*deadline, *key))
+    }
+
+    /// First job of a queue.
+    pub(super) fn front(&self, key: QueueKey) -> Option<JobSlot> {
+        self.queues
+            .get(key)?
+            .waiting
+            .first()
+            .map(|(_, _, job)| *job)
+    }
+
+    /// Arrival of the oldest waiting job of a class.
+    pub(super) fn oldest(&self, class: ClassKey) -> Option<Duration> {
+        let of_class = self.queues.values().filter(|q| q.class == class);
+        of_class
+            .filter_map(|q| q.waiting.first().map(|(arrived, ..)| *arrived))
+            .min()
+    }
+}
+
+fn add(count: u32, change: i64) -> u32 {
+    u32::try_from(i64::from(count) + change).unwrap_or_default()
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! their threads, sockets and timers; tests run them directly.
 
 pub mod config;
+pub mod dispatch;
 pub mod entry;
 pub mod store;
 
--- /dev/null
+++ b/crates/core/tests/dispatch/main.rs
@@ -0,0 +1,6 @@
+//! Dispatch decisions.
+
+mod bench;
+mod cancel;
+mod credits;
+mod order;
--- /dev/null
+++ b/crates/core/tests/dispatch/order.rs
@@ -0,0 +1,66 @@
+//! Order in which waiting tasks start.
+
+use rstest::rstest;
+
+use crate::bench::{Bench, task};
+
+/// Guards against bulk work that arrived first delaying short work.
+#[rstest]
+fn earliest_deadline_first() {
+    let mut bench = Bench::new();
+    bench.submit("b", "bulk", "t", 2);
+    bench.pass(100);
+    bench.submit("p", "plain", "t", 1);
+    bench.submit("s", "short", "t", 1);
+    bench.worker("w", 4);
+    let started: Vec<_> = bench.start_all().iter().map(|a| a.task).collect();
+    assert_eq!(
+        started,
+        [task("s", 0), task("p", 0), task("b", 0), task("b", 1)]
+    );
+}
+
+/// Guards against bulk work that never starts because newer short work keeps arriving.
+#[rstest]
+fn overdue_bulk_starts() {
+    let mut bench = Bench::new();
+    bench.submit("b", "bulk", "t", 1);
+    bench.pass(59_900);
+    bench.submit("s", "short", "t", 1);
+    bench.worker("w", 1);
+    assert_eq!(bench.start_all()[0].task, task("b", 0));
+}
+
+/// Guards against interleaved jobs, which would delay the end of the first.
+#[rstest]
+fn tasks_of_a_job_follow() {
+    let mut bench = Bench::new();
+    bench.submit("a", "plain", "t", 3);
+    bench.submit("b", "plain", "u", 3);
+    bench.worker("w", 6);
+    let started: Vec<_> = bench.start_all().iter().map(|a| a.task).collect();
+    let expected: Vec<_> = ["a", "b"]
+        .iter()
+        .flat_map(|j| (0..3).map(move |i| task(j, i)))
+        .collect();
+    assert_eq!(started, expected);
+}
+
+/// Guards against a task that did not start going to the end of the queue.
+#[rstest]
+fn requeued_task_keeps_its_place() {
+    let mut bench = Bench::new();
+    bench.submit("a", "plain", "t", 2);
+    bench.submit("b", "plain", "t", 1);
+    bench.worker("w", 2);
+    let started = bench.start_all();
+    let worker = started[0].worker;
+    let ended = knapweedwall_core::dispatch::Ended::NotStarted;
+    bench
+        .dispatcher
+        .ended(bench.now, started[0].task, worker, ended);
+    bench.dispatcher.requeue(bench.now, started[0].task);
+    bench.dispatcher.credit(worker, 2);
+    let again: Vec<_> = bench.start_all().iter().map(|a| a.task).collect();
+    assert_eq!(again, [task("a", 0), task("b", 0)]);
+}
