--- /dev/null
+++ b/crates/core/src/entry/checkpoint.rs
@@ -0,0 +1,325 @@
+//! Compacts the journal: writes an image of the process's shards as an object, then shortens the
+//! journal.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use knapweedwall_wire::{Admit, Checkpoint, CheckpointJob, End, OwnerRow, Roster as RosterRecord};
+use prost::Message;
+use smol_str::SmolStr;
+
+use super::agents::{Agents, Roster};
+use super::io::StoreKey;
+use super::jobs::{Ending, Forgotten, Job, Jobs, Phase};
+use super::rows;
+use super::shards::{Role, Shards};
+use crate::ids::{Instance, JobKey, Shard};
+use crate::store::{Condition, Outcome, Reply, Request, Row, Transaction, Write};
+
+/// Rows after which a checkpoint is written.
+const ROWS: u64 = 500;
+
+/// Pause between two checkpoints.
+const PAUSE: Duration = Duration::from_secs(5);
+
+/// Rows deleted in one transaction.
+const DELETE_ROWS: u64 = 200;
+
+/// Code of the failure kept for a forgotten job that did not end complete.
+pub const FORGOTTEN_FAILURE: &str = "failed";
+
+/// Pause before an unfinished step is repeated.
+const RETRY: Duration = Duration::from_millis(200);
+
+/// What is in flight.
+#[derive(Debug)]
+enum Step {
+    Idle,
+    /// The image is being written.
+    Object {
+        op: StoreKey,
+        seq: u64,
+    },
+    /// The image is durable; the row that names it is to be written, or is being written.
+    Pointer {
+        op: Option<StoreKey>,
+        seq: u64,
+        retry: Duration,
+        rows: Vec<(Shard, OwnerRow)>,
+    },
+    /// Rows up to `to` are being deleted.
+    Delete {
+        op: StoreKey,
+        to: u64,
+    },
+}
+
+/// Progress of the checkpoints of one process.
+#[derive(Debug)]
+pub struct Checkpoints {
+    log: Instance,
+    step: Step,
+    number: u64,
+    version: u64,
+    covered: u64,
+    deleted: u64,
+    next: Duration,
+}
+
+/// What a finished operation means for the caller.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// Nothing to do.
+    None,
+    /// The pointer is durable, and with it these rows of owners, in this version.
+    Durable(u64, Vec<(Shard, OwnerRow)>),
+    /// The pointer was not written, since rows of owners have changed: the present rows.
+    Moved(Vec<(SmolStr, Option<Row>)>),
+}
+
+impl Checkpoints {
+    /// No checkpoint yet.
+    pub fn new(log: Instance) -> Self {
+        Self {
+            log,
+            step: Step::Idle,
+            number: 0,
+            version: 0,
+            covered: 0,
+            deleted: 0,
+            next: Duration::ZERO,
+        }
+    }
+
+    /// Whether a checkpoint is due. `force` is set when shards still name former owners' journals.
+    pub fn is_due(&self, now: Duration, seq: u64, force: bool) -> bool {
+        let grown = seq.saturating_sub(self.covered) >= ROWS;
+        matches!(self.step, Step::Idle) && now >= self.next && (grown || force) && seq > 0
+    }
+
+    /// Starts a checkpoint with the given image.
+    pub fn begin(&mut self, now: Duration, op: StoreKey, seq: u64, image: Bytes) -> Request {
+        self.next = now + PAUSE;
+        // A new number for each attempt: a delayed write of an older image cannot replace it.
+        self.number += 1;
+        self.step = Step::Object { op, seq };
+        Request::PutObject(rows::checkpoint(self.log, self.number), image)
+    }
+
+    /// The transaction that names the new image and drops former sources, if it is time for it.
+    ///
+    /// Both happen at once: a row of an owner that names only this journal always finds an image
+    /// that contains the shard.
+    pub fn point(&mut self, now: Duration, op: StoreKey, shards: &Shards) -> Option<Request> {
+        let Step::Pointer {
+            op: flight @ None,
+            seq,
+            retry,
+            rows,
+        } = &mut self.step
+        else {
+            return None;
+        };
+        if now < *retry {
+            return None;
+        }
+        *flight = Some(op);
+        let mut transaction = Transaction::default();
+        *rows = drop_sources(self.log, shards, &mut transaction);
+        let key = rows::pointer(self.log);
+        transaction.conditions.push(match self.version {
+            0 => Condition::Absent(key.clone()),
+            version => Condition::Version(key.clone(), version),
+        });
+        transaction
+            .writes
+            .push(Write::Put(key, rows::pointer_value(self.number, *seq)));
+        Some(Request::Transact(transaction))
+    }
+
+    /// Takes the outcome of an operation. `None` when `op` is not in flight here.
+    pub fn outcome(&mut self, now: Duration, op: StoreKey, outcome: &Outcome) -> Option<Progress> {
+        match &mut self.step {
+            Step::Object { op: own, seq } if *own == op => {
+                let applied = matches!(outcome, Ok(Reply::Done));
+                let pointer = Step::Pointer {
+                    op: None,
+                    seq: *seq,
+                    retry: now,
+                    rows: Vec::new(),
+                };
+                self.step = if applied { pointer } else { Step::Idle };
+                Some(Progress::None)
+            }
+            Step::Pointer { op: own, retry, .. } if *own == Some(op) => {
+                *own = None;
+                *retry = now + RETRY;
+                Some(self.pointed(outcome))
+            }
+            Step::Delete { op: own, to } if *own == op => {
+                if matches!(outcome, Ok(Reply::Committed(_))) {
+                    self.deleted = *to;
+                }
+                self.step = Step::Idle;
+                Some(Progress::None)
+            }
+            _ => None,
+        }
+    }
+
+    fn pointed(&mut self, outcome: &Outcome) -> Progress {
+        let Step::Pointer { seq, .. } = self.step else {
+            return Progress::None;
+        };
+        match outcome {
+            Ok(Reply::Committed(version)) => self.covered(seq, *version),
+            Ok(Reply::Conflict(rows)) => {
+                let key = rows::pointer(self.log);
+                let own = rows.iter().find(|(name, _)| *name == key);
+                match own.and_then(|(_, row)| row.as_ref()) {
+                    // An earlier attempt with a lost reply took effect.
+                    Some(row) if row.value == rows::pointer_value(self.number, seq) => {
+                        self.covered(seq, row.version)
+                    }
+                    _ => Progress::Moved(rows.clone()),
+                }
+            }
+            // The transaction is conditional, so it is repeated until its outcome is known.
+            _ => Progress::None,
+        }
+    }
+
+    fn covered(&mut self, seq: u64, version: u64) -> Progress {
+        self.version = version;
+        self.covered = seq;
+        match std::mem::replace(&mut self.step, Step::Idle) {
+            Step::Pointer { rows, .. } => Progress::Durable(version, rows),
+            _ => Progress::None,
+        }
+    }
+
+    /// Deletes journal rows that the newest checkpoint contains, some at a time.
+    pub fn delete(&mut self, op: StoreKey) -> Option<Request> {
+        if !matches!(self.step, Step::Idle) || self.deleted >= self.covered {
+            return None;
+        }
+        let to = self.covered.min(self.deleted + DELETE_ROWS);
+        let mut writes = Vec::new();
+        for seq in self.deleted + 1..=to {
+            writes.push(Write::Delete(rows::journal(self.log, seq)));
+        }
+        self.step = Step::Delete { op, to };
+        Some(Request::Transact(Transaction {
+            conditions: Vec::new(),
+            writes,
+        }))
+    }
+}
+
+/// Image of the shards that this process owns, up to the durable journal row `seq`.
+pub fn image(seq: u64, jobs: &Jobs, agents: &Agents, shards: &Shards) -> Bytes {
+    let mut checkpoint = Checkpoint {
+        seq,
+        ..Checkpoint::default()
+    };
+    for shard in shards.owned().keys() {
+        checkpoint.shards.push(shard.0);
+    }
+    for (_, agent) in agents.iter() {
+        if agent.roster == Roster::Durable {
+            let instance = agent.info.instance.0;
+            let name = agent.info.name.to_string();
+            checkpoint.roster.push(RosterRecord { instance, name });
+        }
+    }
+    for job in jobs.iter_open() {
+        if job.phase == Phase::Active {
+            checkpoint.jobs.push(open(job));
+        }
+    }
+    for held in jobs.iter_held() {
+        let admit = Admit {
+            job: held.id.key().to_bytes(),
+            id: held.id.to_string(),
+            digest: held.digest,
+            expires_ms: held.expires_ms,
+            ..Admit::default()
+        };
+        let end = Some(held.record());
+        checkpoint.jobs.push(CheckpointJob {
+            shard: held.shard.0,
+            admit: Some(admit),
+            end,
+        });
+    }
+    for (key, forgotten) in jobs.iter_forgotten() {
+        checkpoint.jobs.push(ended(key, forgotten));
+    }
+    checkpoint.encode_to_vec().into()
+}
+
+fn open(job: &Job) -> CheckpointJob {
+    CheckpointJob {
+        shard: job.shard.0,
+        admit: Some(job.admit.clone()),
+        end: None,
+    }
+}
+
+/// A forgotten job has no id in its admission; `expires_ms` says how long it is remembered.
+fn ended(key: JobKey, forgotten: Forgotten) -> CheckpointJob {
+    let admit = Admit {
+        job: key.to_bytes(),
+        digest: forgotten.digest,
+        expires_ms: forgotten.until_ms,
+        ..Admit::default()
+    };
+    let code = if forgotten.complete {
+        ""
+    } else {
+        FORGOTTEN_FAILURE
+    };
+    let end = End {
+        job: key.to_bytes(),
+        code: code.to_owned(),
+        ..End::default()
+    };
+    CheckpointJob {
+        shard: forgotten.shard.0,
+        admit: Some(admit),
+        end: Some(end),
+    }
+}
+
+/// How the journal describes an ended job.
+pub fn ending(end: &End) -> Ending {
+    if end.code.is_empty() {
+        return Ending::Complete(end.results.clone());
+    }
+    Ending::Failed(super::answer::Cause::new(&end.code, &end.text))
+}
+
+/// Adds what makes this process's journal the only source of its shards; returns the new rows.
+fn drop_sources(
+    log: Instance,
+    shards: &Shards,
+    transaction: &mut Transaction,
+) -> Vec<(Shard, OwnerRow)> {
+    let mut changed = Vec::new();
+    for (shard, info) in shards.iter() {
+        if info.role != Role::Serving || info.row.sources == [log.0] {
+            continue;
+        }
+        let mut row = info.row.clone();
+        row.sources = vec![log.0];
+        let key = rows::owner(shard);
+        transaction
+            .conditions
+            .push(Condition::Version(key.clone(), info.version));
+        transaction
+            .writes
+            .push(Write::Put(key, row.encode_to_vec().into()));
+        changed.push((shard, row));
+    }
+    changed
+}
--- /dev/null
+++ b/crates/core/src/entry/commit.rs
@@ -0,0 +1,241 @@
+//! What follows from the outcomes of journal writes and checkpoints.
+
+use knapweedwall_wire::{Admit, End, JournalRecord, Roster as RosterRecord, journal_record::Body};
+use smol_str::SmolStr;
+
+use super::agents::{AgentKey, Roster};
+use super::checkpoint::{self, Progress};
+use super::io::{Action, StoreKey};
+use super::jobs::{Job, Phase, TaskState};
+use super::journal::{self, Guard, Verdict};
+use super::machine::{Machine, Purpose};
+use super::shards::{self, Role};
+use super::tasks::deliver;
+use crate::clock::Now;
+use crate::ids::{Instance, JobKey, Shard};
+use crate::store::{Outcome, Request, Row};
+
+impl Machine {
+    /// Starts the next journal write, if there is one and it is time for it.
+    pub(super) fn write_journal(&mut self, now: Now, out: &mut Vec<Action>) {
+        let op = self.next_op();
+        let jobs = &mut self.jobs;
+        let mark = |record: &JournalRecord| {
+            let Some(Body::Admit(admit)) = &record.body else {
+                return;
+            };
+            let Ok(key) = JobKey::from_bytes(&admit.job) else {
+                return;
+            };
+            if let Some(job) = jobs.open(key) {
+                job.phase = Phase::Written;
+            }
+        };
+        let Some(transaction) = self.journal.next(now.mono, op, self.shards.owned(), mark) else {
+            return;
+        };
+        self.ownership.write_sent(now.mono);
+        self.ops.insert(op, Purpose::Journal);
+        out.push(Action::Store(op, Request::Transact(transaction)));
+    }
+
+    pub(super) fn take_journal(
+        &mut self,
+        now: Now,
+        op: StoreKey,
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        let failure = outcome.is_err().then(|| journal::describe(&outcome));
+        match self.journal.outcome(now.mono, op, outcome) {
+            None => {}
+            Some(Verdict::Again) => {
+                let text = failure.unwrap_or_default().to_string();
+                self.log(
+                    out,
+                    110,
+                    "journal write will be repeated",
+                    true,
+                    vec![("error", text)],
+                );
+            }
+            Some(Verdict::Durable(records, covered)) => {
+                self.ownership.write_done();
+                for record in records {
+                    self.durable(now, record, &covered, out);
+                }
+                for key in std::mem::take(&mut self.ownership.cancels) {
+                    self.cancel_now(now, key, out);
+                }
+            }
+            Some(Verdict::Moved(rows)) => self.take_moved(now, &rows, out),
+            Some(Verdict::Foreign) => {
+                self.log(
+                    out,
+                    111,
+                    "another process writes to this journal",
+                    true,
+                    Vec::new(),
+                );
+                out.push(Action::Exit);
+            }
+        }
+    }
+
+    /// Learns rows of owners that a write found changed, and gives up what is lost.
+    pub(super) fn take_moved(
+        &mut self,
+        now: Now,
+        rows: &[(SmolStr, Option<Row>)],
+        out: &mut Vec<Action>,
+    ) {
+        for (_, row) in rows {
+            let Some((shard, owner)) = row.as_ref().and_then(shards::decode) else {
+                continue;
+            };
+            let version = row.as_ref().map_or(0, |row| row.version);
+            self.learn_owner(now, shard, version, owner, out);
+        }
+        let held = &self.shards;
+        self.journal
+            .strip(|shard| !held.owned().contains_key(&shard));
+    }
+
+    fn durable(
+        &mut self,
+        now: Now,
+        record: JournalRecord,
+        covered: &[Shard],
+        out: &mut Vec<Action>,
+    ) {
+        match record.body {
+            Some(Body::Admit(admit)) => self.admitted(now, &admit),
+            Some(Body::End(end)) => self.settle(now, &end, out),
+            Some(Body::RosterAdd(roster)) => self.rostered(now, &roster, covered),
+            _ => {}
+        }
+    }
+
+    /// A job's record is durable: its tasks may start.
+    fn admitted(&mut self, now: Now, admit: &Admit) {
+        let Ok(key) = JobKey::from_bytes(&admit.job) else {
+            return;
+        };
+        let Some(job) = self.jobs.open(key) else {
+            return;
+        };
+        if job.phase == Phase::Active {
+            return;
+        }
+        job.phase = Phase::Active;
+        let indices = waiting(job);
+        let (class, team, arrived) = (&job.admit.class, &job.admit.team, job.arrived);
+        self.dispatcher
+            .push(now, key, class, team, arrived, &indices);
+    }
+
+    /// A job's end is durable: it may be told, and the agents may forget the job's tasks.
+    fn settle(&mut self, now: Now, end: &End, out: &mut Vec<Action>) {
+        let Ok(key) = JobKey::from_bytes(&end.job) else {
+            return;
+        };
+        let Some(held) = self.jobs.held(key) else {
+            return;
+        };
+        held.durable = true;
+        deliver(now, held, out);
+        for agent in std::mem::take(&mut held.agents) {
+            self.agents.settle(agent, end.job.clone());
+        }
+    }
+
+    /// Asks the journal for the right to send starts to an agent.
+    pub(super) fn enrol(&mut self, now: Now, key: AgentKey) {
+        let Some(agent) = self.agents.get_mut(key) else {
+            return;
+        };
+        agent.roster = Roster::Writing;
+        let instance = agent.info.instance.0;
+        let name = agent.info.name.to_string();
+        let body = Some(Body::RosterAdd(RosterRecord { instance, name }));
+        // The write is conditional on the ownership of all shards: a process that has lost one
+        // cannot extend the list of agents that its successor has already read.
+        self.journal
+            .push(now.mono, JournalRecord { shard: 0, body }, Guard::All, true);
+    }
+
+    fn rostered(&mut self, now: Now, roster: &RosterRecord, covered: &[Shard]) {
+        let Some(key) = self.agents.by_instance(Instance(roster.instance)) else {
+            return;
+        };
+        let complete = self
+            .shards
+            .owned()
+            .keys()
+            .all(|shard| covered.contains(shard));
+        if !complete {
+            return self.enrol(now, key);
+        }
+        if let Some(agent) = self.agents.get_mut(key) {
+            agent.roster = Roster::Durable;
+        }
+        self.try_employ(key);
+    }
+
+    /// Writes checkpoints and shortens the journal.
+    pub(super) fn run_checkpoints(&mut self, now: Now, out: &mut Vec<Action>) {
+        let log = self.settings.instance;
+        let mut force = false;
+        for (_, info) in self.shards.iter() {
+            if info.role == Role::Serving {
+                force |= info.row.sources != [log.0];
+            } else if info.row.sources.contains(&log.0) || info.role != Role::Foreign {
+                // The present checkpoint may be the only image of that shard until its new owner
+                // has written one of its own.
+                return;
+            }
+        }
+        let seq = self.journal.durable_seq();
+        let op = self.next_op();
+        let request = if self.checkpoints.is_due(now.mono, seq, force) {
+            let image = checkpoint::image(seq, &self.jobs, &self.agents, &self.shards);
+            Some(self.checkpoints.begin(now.mono, op, seq, image))
+        } else {
+            let point = self.checkpoints.point(now.mono, op, &self.shards);
+            point.or_else(|| self.checkpoints.delete(op))
+        };
+        if let Some(request) = request {
+            self.ops.insert(op, Purpose::Checkpoint);
+            out.push(Action::Store(op, request));
+        }
+    }
+
+    pub(super) fn take_checkpoint(
+        &mut self,
+        now: Now,
+        op: StoreKey,
+        outcome: &Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        match self.checkpoints.outcome(now.mono, op, outcome) {
+            None | Some(Progress::None) => {}
+            Some(Progress::Durable(version, rows)) => {
+                for (shard, row) in rows {
+                    self.learn_owner(now, shard, version, row, out);
+                }
+            }
+            Some(Progress::Moved(rows)) => self.take_moved(now, &rows, out),
+        }
+    }
+}
+
+/// Indices of tasks that provably did not start.
+pub(super) fn waiting(job: &Job) -> Vec<u32> {
+    let mut indices = Vec::new();
+    for (index, state) in (0_u32..).zip(&job.tasks) {
+        if *state == TaskState::Waiting {
+            indices.push(index);
+        }
+    }
+    indices
+}
--- a/crates/core/src/entry/io.rs
+++ b/crates/core/src/entry/io.rs
@@ -132,4 +132,8 @@
 pub trait Decisions: Send {
     /// Takes one input and appends the actions that follow from it, in order.
     fn step(&mut self, now: Now, input: Input, out: &mut Vec<Action>);
+
+    /// Ends a turn: called once after the inputs that were ready together, so that frames for one
+    /// link and records for the journal are batched. Also does what is due at `now`.
+    fn flush(&mut self, now: Now, out: &mut Vec<Action>);
 }
--- /dev/null
+++ b/crates/core/src/entry/journal.rs
@@ -0,0 +1,395 @@
+//! Group commit of journal records.
+//!
+//! One write is in flight at a time and takes all records that wait, up to a size. Its row is put
+//! only if absent, so a write whose reply was lost is repeated unchanged until its outcome is
+//! known: the row can be written once.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use bytes::Bytes;
+use knapweedwall_wire::{JournalBatch, JournalRecord};
+use prost::Message;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{Rng, SeedableRng};
+use smol_str::{SmolStr, format_smolstr};
+
+use super::io::StoreKey;
+use super::rows;
+use crate::ids::{Instance, Shard};
+use crate::store::{Condition, Failure, Outcome, Reply, Transaction, Write};
+
+/// Largest batch, in bytes. One record may be larger, up to [`MAX_RECORD_BYTES`].
+const MAX_BATCH_BYTES: usize = 512 * 1024;
+
+/// Largest record, in bytes; leaves room for the row's overhead below the store's limit.
+pub const MAX_RECORD_BYTES: usize = 900 * 1024;
+
+/// Most records that wait; more are not taken.
+const MAX_WAITING: usize = 4_096;
+
+/// Most bytes of records that wait.
+const MAX_WAITING_BYTES: usize = 32 * 1024 * 1024;
+
+/// Writes that may be sent without a pause after an idle time.
+const BURST_WRITES: f64 = 4.0;
+
+/// How long records that no caller waits for may wait for others, to share a write.
+const LAZY_DELAY: Duration = Duration::from_millis(50);
+
+/// First and longest pause before a write is repeated.
+const RETRY_RANGE: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
+
+/// A record with what must hold for it to be written.
+#[derive(Debug, Clone)]
+struct Waiting {
+    record: JournalRecord,
+    guard: Guard,
+    bytes: usize,
+    since: Duration,
+    urgent: bool,
+}
+
+/// Which shards must still be owned when a record is written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Guard {
+    /// This shard.
+    Shard(Shard),
+    /// All shards that the process owns.
+    All,
+    /// None.
+    Free,
+}
+
+/// The write in flight.
+#[derive(Debug)]
+struct Flight {
+    op: Option<StoreKey>,
+    records: Vec<Waiting>,
+    value: Bytes,
+    covered: Vec<Shard>,
+    attempts: u32,
+    retry: Duration,
+}
+
+/// What became of a write.
+#[derive(Debug)]
+pub enum Verdict {
+    /// The outcome is not known, or nothing was applied; the write will be repeated.
+    Again,
+    /// These records are durable, and every attempt was conditional on the ownership of all of
+    /// these shards if it held a record with [`Guard::All`].
+    Durable(Vec<JournalRecord>, Vec<Shard>),
+    /// These shards' rows have changed: the present rows. The write goes on without them if they
+    /// are lost.
+    Moved(Vec<(SmolStr, Option<crate::store::Row>)>),
+    /// The row holds something else: another process writes to this log.
+    Foreign,
+}
+
+/// The journal of this process.
+#[derive(Debug)]
+pub struct Journal {
+    log: Instance,
+    seq: u64,
+    waiting: VecDeque<Waiting>,
+    bytes: usize,
+    flight: Option<Flight>,
+    tokens: f64,
+    refilled: Duration,
+    rate: f64,
+    jitter: ChaCha8Rng,
+    writes: u64,
+}
+
+impl Journal {
+    /// An empty journal with the writer's instance as its name.
+    pub fn new(log: Instance, rate: f64) -> Self {
+        Self {
+            log,
+            seq: 0,
+            waiting: VecDeque::new(),
+            bytes: 0,
+            flight: None,
+            tokens: BURST_WRITES,
+            refilled: Duration::ZERO,
+            rate,
+            jitter: ChaCha8Rng::seed_from_u64(log.0),
+            writes: 0,
+        }
+    }
+
+    /// Sets the writes a second that this process may use.
+    pub fn set_rate(&mut self, rate: f64) {
+        self.rate = rate.max(1.0);
+    }
+
+    /// Whether a record of `bytes` can be taken for a new job.
+    pub fn has_room(&self, bytes: usize) -> bool {
+        self.waiting.len() < MAX_WAITING && self.bytes + bytes <= MAX_WAITING_BYTES
+    }
+
+    /// Number of the last row that is known durable; 0 for none.
+    pub fn durable_seq(&self) -> u64 {
+        self.seq
+    }
+
+    /// Rows written so far.
+    pub fn writes(&self) -> u64 {
+        self.writes
+    }
+
+    /// Records that wait or are in flight.
+    pub fn depth(&self) -> usize {
+        self.waiting.len()
+            + self
+                .flight
+                .as_ref()
+                .map_or(0, |flight| flight.records.len())
+    }
+
+    /// Whether no record waits or is in flight.
+    pub fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && self.flight.is_none()
+    }
+
+    /// Adds a record. `urgent` records go out with the next write; others may wait a little.
+    pub fn push(&mut self, now: Duration, record: JournalRecord, guard: Guard, urgent: bool) {
+        let bytes = record.encoded_len();
+        self.bytes += bytes;
+        self.waiting.push_back(Waiting {
+            record,
+            guard,
+            bytes,
+            since: now,
+            urgent,
+        });
+    }
+
+    /// Removes records that wait, are not in flight and satisfy `drop`.
+    pub fn withdraw(&mut self, drop: impl Fn(&JournalRecord) -> bool) {
+        self.waiting.retain(|waiting| {
+            let gone = drop(&waiting.record);
+            if gone {
+                self.bytes -= waiting.bytes;
+            }
+            !gone
+        });
+    }
+
+    /// Starts the next write, or repeats the one in flight, if it is time.
+    ///
+    /// `versions` gives the version of the row of each shard that this process owns; records of
+    /// other shards are dropped. Calls `sent` for each record that goes into its first write.
+    pub fn next(
+        &mut self,
+        now: Duration,
+        op: StoreKey,
+        versions: &BTreeMap<Shard, u64>,
+        mut sent: impl FnMut(&JournalRecord),
+    ) -> Option<Transaction> {
+        self.refill(now);
+        if self.tokens < 1.0 {
+            return None;
+        }
+        match &self.flight {
+            None => {
+                if !self.is_due(now) {
+                    return None;
+                }
+                self.fill(versions, &mut sent);
+            }
+            Some(flight) if flight.op.is_some() || flight.retry > now => return None,
+            Some(_) => {}
+        }
+        let key = rows::journal(self.log, self.seq + 1);
+        let flight = self.flight.as_mut()?;
+        flight.op = Some(op);
+        flight.attempts += 1;
+        self.tokens -= 1.0;
+        let mut conditions = vec![Condition::Absent(key.clone())];
+        conditions.extend(guards(&flight.records, versions));
+        Some(Transaction {
+            conditions,
+            writes: vec![Write::Put(key, flight.value.clone())],
+        })
+    }
+
+    /// Takes the outcome of a write. `None` when `op` is not the write in flight.
+    pub fn outcome(&mut self, now: Duration, op: StoreKey, outcome: Outcome) -> Option<Verdict> {
+        let flight = self.flight.as_mut()?;
+        if flight.op != Some(op) {
+            return None;
+        }
+        flight.op = None;
+        let verdict = match outcome {
+            Ok(Reply::Committed(_)) => self.durable(),
+            Ok(Reply::Conflict(rows)) => self.conflict(rows),
+            Ok(_) | Err(Failure::NotApplied(_) | Failure::Unknown(_)) => {
+                self.delay(now);
+                Verdict::Again
+            }
+        };
+        Some(verdict)
+    }
+
+    /// Takes the records of lost shards out of the write in flight and returns them.
+    ///
+    /// An earlier attempt with these records cannot take effect any more, since the rows that it
+    /// is conditional on have newer versions.
+    pub fn strip(&mut self, lost: impl Fn(Shard) -> bool) -> Vec<JournalRecord> {
+        let Some(mut flight) = self.flight.take() else {
+            return Vec::new();
+        };
+        let mut gone = Vec::new();
+        let mut kept = Vec::new();
+        for waiting in flight.records {
+            match waiting.guard {
+                Guard::Shard(shard) if lost(shard) => gone.push(waiting.record),
+                _ => kept.push(waiting),
+            }
+        }
+        flight.records = kept;
+        flight.value = encode(&flight.records);
+        if !flight.records.is_empty() {
+            self.flight = Some(flight);
+        }
+        gone
+    }
+
+    fn refill(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.refilled);
+        self.refilled = now;
+        self.tokens = (self.tokens + passed.as_secs_f64() * self.rate).min(BURST_WRITES);
+    }
+
+    fn is_due(&self, now: Duration) -> bool {
+        let Some(first) = self.waiting.front() else {
+            return false;
+        };
+        now.saturating_sub(first.since) >= LAZY_DELAY || self.waiting.iter().any(|w| w.urgent)
+    }
+
+    fn fill(&mut self, versions: &BTreeMap<Shard, u64>, sent: &mut impl FnMut(&JournalRecord)) {
+        let mut records = Vec::new();
+        let mut size = 0;
+        while let Some(waiting) = self.waiting.front() {
+            if !records.is_empty() && size + waiting.bytes > MAX_BATCH_BYTES {
+                break;
+            }
+            let Some(waiting) = self.waiting.pop_front() else {
+                break;
+            };
+            self.bytes -= waiting.bytes;
+            if matches!(waiting.guard, Guard::Shard(shard) if !versions.contains_key(&shard)) {
+                continue;
+            }
+            sent(&waiting.record);
+            size += waiting.bytes;
+            records.push(waiting);
+        }
+        if records.is_empty() {
+            return;
+        }
+        let value = encode(&records);
+        let covered = versions.keys().copied().collect();
+        let retry = Duration::ZERO;
+        self.flight = Some(Flight {
+            op: None,
+            records,
+            value,
+            covered,
+            attempts: 0,
+            retry,
+        });
+    }
+
+    fn durable(&mut self) -> Verdict {
+        let Some(flight) = self.flight.take() else {
+            return Verdict::Again;
+        };
+        self.seq += 1;
+        self.writes += 1;
+        let mut records = Vec::with_capacity(flight.records.len());
+        for waiting in flight.records {
+            records.push(waiting.record);
+        }
+        Verdict::Durable(records, flight.covered)
+    }
+
+    fn conflict(&mut self, rows: Vec<(SmolStr, Option<crate::store::Row>)>) -> Verdict {
+        let key = rows::journal(self.log, self.seq + 1);
+        let Some(flight) = &self.flight else {
+            return Verdict::Again;
+        };
+        for (name, row) in &rows {
+            if *name != key {
+                continue;
+            }
+            let applied = row.as_ref().is_some_and(|row| row.value == flight.value);
+            return if applied {
+                self.durable()
+            } else {
+                Verdict::Foreign
+            };
+        }
+        Verdict::Moved(rows)
+    }
+
+    fn delay(&mut self, now: Duration) {
+        let Some(flight) = self.flight.as_mut() else {
+            return;
+        };
+        let doubled = RETRY_RANGE.0 * 2_u32.saturating_pow(flight.attempts.min(10));
+        let pause = doubled.min(RETRY_RANGE.1);
+        // Half of the pause is random, so that processes do not repeat their writes together.
+        let share = f64::from(self.jitter.next_u32()) / f64::from(u32::MAX);
+        flight.retry = now + pause.mul_f64(0.5 + share / 2.0);
+    }
+}
+
+fn encode(waiting: &[Waiting]) -> Bytes {
+    let mut batch = JournalBatch::default();
+    for waiting in waiting {
+        batch.records.push(waiting.record.clone());
+    }
+    batch.encode_to_vec().into()
+}
+
+fn guards(records: &[Waiting], versions: &BTreeMap<Shard, u64>) -> Vec<Condition> {
+    let mut shards = Vec::new();
+    for waiting in records {
+        match waiting.guard {
+            Guard::Shard(shard) => shards.push(shard),
+            Guard::All => shards.extend(versions.keys().copied()),
+            Guard::Free => {}
+        }
+    }
+    shards.sort_unstable();
+    shards.dedup();
+    let mut conditions = Vec::with_capacity(shards.len());
+    for shard in shards {
+        // A shard without a version was lost since; version 0 never exists, so the write fails
+        // and the records are taken out.
+        let version = versions.get(&shard).copied().unwrap_or_default();
+        conditions.push(Condition::Version(rows::owner(shard), version));
+    }
+    conditions
+}
+
+/// Reads a journal row.
+///
+/// # Errors
+/// The decoder's error when the row is not a batch.
+pub fn decode(value: &[u8]) -> Result<JournalBatch, prost::DecodeError> {
+    JournalBatch::decode(value)
+}
+
+/// Short description of a failure for the log.
+pub fn describe(outcome: &Outcome) -> SmolStr {
+    match outcome {
+        Ok(reply) => format_smolstr!("{reply:?}"),
+        Err(Failure::NotApplied(text)) => format_smolstr!("not applied: {text}"),
+        Err(Failure::Unknown(text)) => format_smolstr!("outcome unknown: {text}"),
+    }
+}
--- /dev/null
+++ b/crates/core/src/entry/links.rs
@@ -0,0 +1,427 @@
+//! Connections to agents and other entry processes: who is there, who is gone, who leaves.
+
+use std::time::Duration;
+
+use knapweedwall_wire::{
+    ConfigUpdate, EntryAddress, Heartbeat, JournalRecord, Leaving, Roster as RosterRecord,
+    ShardEpoch, frame::Body, journal_record::Body as RecordBody,
+};
+use smol_str::SmolStr;
+
+use super::agents::{AgentKey, Roster};
+use super::io::Action;
+use super::journal::Guard;
+use super::machine::Machine;
+use super::shards::Role as ShardRole;
+use crate::clock::Now;
+use crate::ids::{Instance, Shard};
+use crate::peer::{LinkKey, PeerInfo, Role};
+
+/// Pause between two heartbeats.
+const HEARTBEAT: Duration = Duration::from_millis(250);
+
+/// Heartbeats to agents are sent once in so many.
+const AGENT_SHARE: u64 = 4;
+
+/// Pause between two attempts to connect to known addresses.
+const DIAL_PAUSE: Duration = Duration::from_secs(1);
+
+/// Pause between two `Settled` frames to one agent.
+const SETTLE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Silence after which an agent's connection is closed.
+const AGENT_SILENCE: Duration = Duration::from_secs(3);
+
+/// Times of periodic work on connections.
+#[derive(Debug, Default)]
+pub struct LinkTimes {
+    counter: u64,
+    beat: Duration,
+    dial: Duration,
+    settle: Duration,
+    addresses: Vec<SmolStr>,
+    heard: std::collections::HashMap<LinkKey, Duration>,
+}
+
+impl Machine {
+    pub(super) fn link_up(
+        &mut self,
+        now: Now,
+        link: LinkKey,
+        peer: PeerInfo,
+        entries: &[(SmolStr, SmolStr)],
+        out: &mut Vec<Action>,
+    ) {
+        self.times.heard.insert(link, now.mono);
+        match peer.role {
+            Role::Entry => self.entry_up(now, link, peer, entries, out),
+            Role::Agent => self.agent_up(now, link, peer, out),
+        }
+    }
+
+    fn entry_up(
+        &mut self,
+        now: Now,
+        link: LinkKey,
+        peer: PeerInfo,
+        entries: &[(SmolStr, SmolStr)],
+        out: &mut Vec<Action>,
+    ) {
+        if peer.instance == self.settings.instance {
+            out.push(Action::Close(link, "own_connection"));
+            return;
+        }
+        for (_, address) in entries {
+            self.learn_address(address);
+        }
+        self.learn_address(&peer.address);
+        let fields = vec![("peer", peer.name.to_string())];
+        self.log(out, 140, "entry process connected", false, fields);
+        if let Some(old) = self.peers.connect(now.mono, link, peer) {
+            self.lose_routes(now, old, out);
+            out.push(Action::Close(old, "replaced"));
+        }
+        self.share_config(link, out);
+        self.set_write_rate(now);
+    }
+
+    fn agent_up(&mut self, now: Now, link: LinkKey, peer: PeerInfo, out: &mut Vec<Action>) {
+        self.replace_agent(now, &peer, out);
+        let instance = peer.instance;
+        let fields = vec![
+            ("agent", peer.name.to_string()),
+            ("slots", peer.slots.to_string()),
+        ];
+        let (key, known) = self.agents.connect(link, peer);
+        if known {
+            self.dismiss(key);
+        }
+        self.log(out, 141, "agent connected", false, fields);
+        let mut shards = self.shards_at(key);
+        shards.extend(self.inquiries_for(instance));
+        self.fence(key, shards.into_iter(), out);
+        let roster = self.agents.get(key).map(|agent| agent.roster);
+        if roster == Some(Roster::Absent) {
+            self.enrol(now, key);
+        }
+        self.try_employ(key);
+    }
+
+    /// A new instance of an agent proves that the former one is gone.
+    fn replace_agent(&mut self, now: Now, peer: &PeerInfo, out: &mut Vec<Action>) {
+        let mut former = Vec::new();
+        for (key, agent) in self.agents.iter() {
+            if agent.info.name == peer.name && agent.info.instance != peer.instance {
+                former.push(key);
+            }
+        }
+        for key in former {
+            self.lose_agent(now, key, out);
+        }
+    }
+
+    /// Gives an agent work, once the journal and the agent itself allow it.
+    pub(super) fn try_employ(&mut self, key: AgentKey) {
+        let Some(agent) = self.agents.get_mut(key) else {
+            return;
+        };
+        let Some(link) = agent.link else { return };
+        let ready = agent.roster == Roster::Durable && agent.syncs.is_empty() && !agent.leaving;
+        if !ready || agent.worker.is_some() {
+            return;
+        }
+        let (name, zone) = (agent.info.name.clone(), agent.info.zone.clone());
+        let worker = self
+            .dispatcher
+            .worker_up(link, name, zone, agent.info.slots);
+        agent.worker = Some(worker);
+        let credits = std::mem::take(&mut agent.credits);
+        self.ownership.workers.insert(worker, key);
+        if credits > 0 {
+            self.dispatcher.credit(worker, credits);
+        }
+    }
+
+    /// Gives an agent no more work.
+    fn dismiss(&mut self, key: AgentKey) {
+        let Some(agent) = self.agents.get_mut(key) else {
+            return;
+        };
+        if let Some(worker) = agent.worker.take() {
+            self.dispatcher.worker_down(worker);
+            self.ownership.workers.remove(&worker);
+        }
+    }
+
+    pub(super) fn link_down(&mut self, now: Now, link: LinkKey, out: &mut Vec<Action>) {
+        self.times.heard.remove(&link);
+        if self.peers.disconnect(link) {
+            self.log(out, 142, "entry process disconnected", true, Vec::new());
+        }
+        self.lose_routes(now, link, out);
+        self.set_write_rate(now);
+        let Some(key) = self.agents.disconnect(now.mono, link) else {
+            return;
+        };
+        self.dismiss(key);
+        let name = self
+            .agents
+            .get(key)
+            .map(|agent| agent.info.name.to_string());
+        let fields = vec![("agent", name.unwrap_or_default())];
+        self.log(out, 143, "agent disconnected", true, fields);
+    }
+
+    fn lose_routes(&mut self, now: Now, link: LinkKey, out: &mut Vec<Action>) {
+        for routed in self.routing.disconnect(link) {
+            self.route(now, routed, out);
+        }
+    }
+
+    /// Gives up agents that have been away for too long.
+    pub(super) fn lose_agents(&mut self, now: Now, out: &mut Vec<Action>) {
+        let mut gone = Vec::new();
+        for (key, agent) in self.agents.iter() {
+            if agent
+                .lost
+                .is_some_and(|at| now.since(at) >= self.settings.doubt_timeout)
+            {
+                gone.push(key);
+            }
+        }
+        for key in gone {
+            self.lose_agent(now, key, out);
+        }
+    }
+
+    fn lose_agent(&mut self, now: Now, key: AgentKey, out: &mut Vec<Action>) {
+        self.dismiss(key);
+        self.doubt(now, key, out);
+        let Some(agent) = self.agents.remove(key) else {
+            return;
+        };
+        self.miss(agent.info.instance);
+        if let Some(link) = agent.link {
+            out.push(Action::Close(link, "replaced"));
+        }
+        if agent.roster != Roster::Absent {
+            let instance = agent.info.instance.0;
+            let name = agent.info.name.to_string();
+            let body = Some(RecordBody::RosterRemove(RosterRecord { instance, name }));
+            let record = JournalRecord { shard: 0, body };
+            self.journal.push(now.mono, record, Guard::Free, false);
+        }
+        let fields = vec![("agent", agent.info.name.to_string())];
+        self.log(
+            out,
+            144,
+            "agent is gone; its unfinished tasks are in doubt",
+            true,
+            fields,
+        );
+    }
+
+    /// Notes a sign of life.
+    pub(super) fn hear(&mut self, now: Now, link: LinkKey) {
+        if let Some(heard) = self.times.heard.get_mut(&link) {
+            *heard = now.mono;
+        }
+        if self.agents.by_link(link).is_some() {
+            return;
+        }
+        if let Some(peer) = self.peers.by_link(link) {
+            peer.heard = now.mono;
+        }
+    }
+
+    pub(super) fn take_heartbeat(
+        &mut self,
+        now: Now,
+        link: LinkKey,
+        heartbeat: Heartbeat,
+        out: &mut Vec<Action>,
+    ) {
+        if let Some(key) = self.agents.by_link(link) {
+            let worker = self.agents.get(key).and_then(|agent| agent.worker);
+            if let Some(worker) = worker {
+                self.dispatcher
+                    .worker_slots(worker, heartbeat.slots, heartbeat.busy);
+            }
+            return;
+        }
+        for entry in &heartbeat.entries {
+            self.learn_address(&entry.address);
+        }
+        if heartbeat.config_version < self.document.version {
+            self.share_config(link, out);
+        }
+        let Some(peer) = self.peers.by_link(link) else {
+            return;
+        };
+        let instance = peer.info.instance;
+        for owned in &heartbeat.owned {
+            self.check_owned(now, instance, owned);
+        }
+    }
+
+    /// Has the owners' rows read when a peer says that it owns what this process believes another
+    /// to own.
+    fn check_owned(&mut self, _now: Now, instance: Instance, owned: &ShardEpoch) {
+        let shard = Shard(owned.shard);
+        let epoch = self.shards.epoch(shard).0;
+        if owned.epoch > epoch || (owned.epoch == epoch && !self.shards.is_owner(shard, instance)) {
+            self.ownership.refresh();
+        }
+    }
+
+    pub(super) fn take_leaving(&mut self, link: LinkKey) {
+        if let Some(peer) = self.peers.by_link(link) {
+            peer.leaving = true;
+        }
+        let Some(key) = self.agents.by_link(link) else {
+            return;
+        };
+        if let Some(agent) = self.agents.get_mut(key) {
+            agent.leaving = true;
+            if let Some(worker) = agent.worker {
+                // Its running tasks still report; only its credits are void.
+                self.dispatcher.recall(worker, u32::MAX);
+            }
+        }
+    }
+
+    /// Tells the other entry processes that this one leaves.
+    pub(super) fn announce_leaving(&self, out: &mut Vec<Action>) {
+        for peer in self.peers.iter() {
+            if let Some(link) = peer.link {
+                out.push(Action::Send(link, Body::Leaving(Leaving {})));
+            }
+        }
+    }
+
+    fn share_config(&self, link: LinkKey, out: &mut Vec<Action>) {
+        if self.document.version == 0 {
+            return;
+        }
+        let document = serde_json::to_vec(&self.document)
+            .unwrap_or_default()
+            .into();
+        let update = ConfigUpdate {
+            version: self.document.version,
+            document,
+        };
+        out.push(Action::Send(link, Body::ConfigUpdate(update)));
+    }
+
+    fn learn_address(&mut self, address: &str) {
+        let known = self.times.addresses.iter().any(|known| known == address);
+        if !known && !address.is_empty() && address != self.settings.address {
+            self.times.addresses.push(address.into());
+        }
+    }
+
+    /// Shares the store's writes among the living entry processes.
+    fn set_write_rate(&mut self, now: Now) {
+        let living = 1 + self.peers.staying(now.mono).count();
+        let share =
+            f64::from(self.settings.write_rate) / f64::from(u32::try_from(living).unwrap_or(1));
+        self.journal.set_rate(share);
+    }
+
+    /// Heartbeats, connections to known addresses, silent agents, settled jobs.
+    pub(super) fn run_links(&mut self, now: Now, out: &mut Vec<Action>) {
+        if now.mono >= self.times.settle {
+            self.times.settle = now.mono + SETTLE_PAUSE;
+            self.agents.flush_settled(out);
+        }
+        if now.mono >= self.times.dial {
+            self.times.dial = now.mono + DIAL_PAUSE;
+            self.dial(now, out);
+        }
+        if now.mono >= self.times.beat {
+            self.times.beat = now.mono + HEARTBEAT;
+            self.times.counter += 1;
+            self.beat(out);
+            self.close_silent(now, out);
+            self.set_write_rate(now);
+        }
+    }
+
+    fn dial(&mut self, now: Now, out: &mut Vec<Action>) {
+        for seed in self.settings.seeds.clone() {
+            self.learn_address(&seed);
+        }
+        for address in &self.times.addresses {
+            let linked = self
+                .peers
+                .iter()
+                .any(|peer| peer.info.address == *address && peer.is_alive(now.mono));
+            if !linked {
+                out.push(Action::Connect(address.clone()));
+            }
+        }
+    }
+
+    fn beat(&self, out: &mut Vec<Action>) {
+        let mut heartbeat = Heartbeat {
+            counter: self.times.counter,
+            config_version: self.document.version,
+            ..Heartbeat::default()
+        };
+        for (shard, info) in self.shards.iter() {
+            if info.role == ShardRole::Serving {
+                heartbeat.owned.push(ShardEpoch {
+                    shard: shard.0,
+                    epoch: info.row.epoch,
+                });
+            }
+        }
+        heartbeat.entries = self.known_entries();
+        for peer in self.peers.iter() {
+            if let Some(link) = peer.link {
+                out.push(Action::Send(link, Body::Heartbeat(heartbeat.clone())));
+            }
+        }
+        if !self.times.counter.is_multiple_of(AGENT_SHARE) {
+            return;
+        }
+        for (_, agent) in self.agents.iter() {
+            if let Some(link) = agent.link {
+                out.push(Action::Send(link, Body::Heartbeat(heartbeat.clone())));
+            }
+        }
+    }
+
+    fn known_entries(&self) -> Vec<EntryAddress> {
+        let name = self.settings.name.to_string();
+        let mut entries = vec![EntryAddress {
+            name,
+            address: self.settings.address.to_string(),
+        }];
+        for peer in self.peers.iter() {
+            if peer.link.is_some() {
+                let name = peer.info.name.to_string();
+                entries.push(EntryAddress {
+                    name,
+                    address: peer.info.address.to_string(),
+                });
+            }
+        }
+        entries
+    }
+
+    fn close_silent(&mut self, now: Now, out: &mut Vec<Action>) {
+        let mut silent = Vec::new();
+        for (_, agent) in self.agents.iter() {
+            let Some(link) = agent.link else { continue };
+            let heard = self.times.heard.get(&link).copied().unwrap_or_default();
+            if now.since(heard) >= AGENT_SILENCE {
+                silent.push(link);
+            }
+        }
+        for link in silent {
+            out.push(Action::Close(link, "silent"));
+            self.link_down(now, link, out);
+        }
+    }
+}
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -1,5 +1,28 @@
 //! Decisions of the entry process.
 
+mod agents;
+mod answer;
+mod checkpoint;
+mod commit;
 mod io;
+mod jobs;
+mod journal;
+mod links;
+mod machine;
+mod operate;
+mod ownership;
+mod peers;
+mod recovery;
+mod routing;
+mod rows;
+mod settings;
+mod shards;
+mod submit;
+mod takeover;
+mod tasks;
+mod waiters;
 
+pub use answer::{Ran, refused};
 pub use io::{Action, AnswerBody, CallKey, Decisions, Input, Operation, StoreKey};
+pub use machine::Machine;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/core/src/entry/operate.rs
@@ -0,0 +1,410 @@
+//! Operators' requests: the configuration, its history, and the state of the system.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use knapweedwall_wire::ConfigUpdate;
+use serde::Serialize;
+use serde_json::json;
+use smol_str::{SmolStr, format_smolstr};
+
+use super::answer::{self, Ran, Reply as Answer};
+use super::io::{Action, CallKey, Operation};
+use super::machine::{Machine, Purpose};
+use super::rows;
+use super::shards::Role;
+use crate::clock::Now;
+use crate::config::{Audit, Change, Document, Error};
+use crate::dispatch::Status as DispatchStatus;
+use crate::store::{Condition, Outcome, Reply, Request, Row, Transaction, Write};
+
+/// Pause between two reads of the configuration.
+const READ_PAUSE: Duration = Duration::from_secs(1);
+
+/// Time after which an operator whose change has no known outcome is told so.
+const CHANGE_LIMIT: Duration = Duration::from_secs(10);
+
+/// Pause before a change with an unknown outcome is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Rows read for the history.
+const HISTORY_ROWS: u32 = 1_000;
+
+/// A request in progress.
+#[derive(Debug)]
+struct Running {
+    call: CallKey,
+    since: Duration,
+    retry: Option<Duration>,
+    kind: Kind,
+}
+
+#[derive(Debug)]
+enum Kind {
+    History(u32),
+    Change(Box<Proposal>),
+}
+
+/// A change on its way to the store.
+#[derive(Debug)]
+struct Proposal {
+    audit: Audit,
+    next: Document,
+    /// Version of the row that the change replaces; 0 for none.
+    version: u64,
+}
+
+/// Requests of operators that wait for the store.
+#[derive(Debug, Default)]
+pub struct Operations {
+    running: HashMap<u64, Running>,
+    number: u64,
+    version: u64,
+    reading: bool,
+    next_read: Duration,
+}
+
+/// One process as shown to operators.
+#[derive(Debug, Serialize)]
+struct EntryStatus {
+    name: SmolStr,
+    zone: SmolStr,
+    alive: bool,
+    leaving: bool,
+}
+
+/// State of the system as shown to operators.
+#[derive(Debug, Serialize)]
+struct Status {
+    name: SmolStr,
+    zone: SmolStr,
+    config_version: u64,
+    stopping: bool,
+    store_slow: bool,
+    shards: u32,
+    shards_served: usize,
+    open_jobs: usize,
+    known_jobs: usize,
+    journal_depth: usize,
+    journal_writes: u64,
+    entries: Vec<EntryStatus>,
+    dispatch: DispatchStatus,
+}
+
+impl Machine {
+    pub(super) fn operate(
+        &mut self,
+        now: Now,
+        call: CallKey,
+        operation: Operation,
+        out: &mut Vec<Action>,
+    ) {
+        match operation {
+            Operation::Show => reply(call, &answer::json(200, &self.document), out),
+            Operation::Status => reply(call, &answer::json(200, &self.status(now)), out),
+            Operation::History(limit) => {
+                self.begin(now, call, Kind::History(limit), out);
+            }
+            Operation::Change {
+                change,
+                expected,
+                who,
+                origin,
+            } => {
+                self.change(now, call, change, expected, (who, origin), out);
+            }
+        }
+    }
+
+    fn status(&self, now: Now) -> Status {
+        let mut entries = Vec::new();
+        for peer in self.peers.iter() {
+            entries.push(EntryStatus {
+                name: peer.info.name.clone(),
+                zone: peer.info.zone.clone(),
+                alive: peer.is_alive(now.mono),
+                leaving: peer.leaving,
+            });
+        }
+        let served = self
+            .shards
+            .iter()
+            .filter(|(_, info)| info.role == Role::Serving)
+            .count();
+        Status {
+            name: self.name(),
+            zone: self.settings.zone.clone(),
+            config_version: self.document.version,
+            stopping: self.stopping.is_some(),
+            store_slow: self.ownership.is_store_slow(now.mono),
+            shards: self.shards.count(),
+            shards_served: served,
+            open_jobs: self.jobs.open_count(),
+            known_jobs: self.jobs.known_count(),
+            journal_depth: self.journal.depth(),
+            journal_writes: self.journal.writes(),
+            entries,
+            dispatch: self.dispatcher.status(now),
+        }
+    }
+
+    fn change(
+        &mut self,
+        now: Now,
+        call: CallKey,
+        change: Change,
+        expected: Option<u64>,
+        (who, origin): (SmolStr, SmolStr),
+        out: &mut Vec<Action>,
+    ) {
+        let version = self.document.version;
+        if expected.is_some_and(|expected| expected != version) {
+            return reply(call, &self.conflict(), out);
+        }
+        let next = match self.document.apply(&change) {
+            Ok(next) => next,
+            Err(error) => return reply(call, &declined(&error), out),
+        };
+        let token = format_smolstr!("{}-{}", self.settings.instance, self.operations.number);
+        let before = self.document.before(&change);
+        let at_ms = now.wall_ms;
+        let audit = Audit {
+            version: next.version,
+            at_ms,
+            who,
+            origin,
+            token,
+            change,
+            before,
+        };
+        let proposal = Proposal {
+            audit,
+            next,
+            version: self.operations.version,
+        };
+        self.begin(now, call, Kind::Change(Box::new(proposal)), out);
+    }
+
+    fn begin(&mut self, now: Now, call: CallKey, kind: Kind, out: &mut Vec<Action>) {
+        self.operations.number += 1;
+        let number = self.operations.number;
+        let running = Running {
+            call,
+            since: now.mono,
+            retry: None,
+            kind,
+        };
+        self.start_op(Purpose::Operate(number), running.request(), out);
+        self.operations.running.insert(number, running);
+    }
+
+    pub(super) fn take_operation(
+        &mut self,
+        now: Now,
+        number: u64,
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(running) = self.operations.running.get_mut(&number) else {
+            return;
+        };
+        let answered = match (&running.kind, outcome) {
+            (Kind::History(limit), Ok(Reply::Rows(rows, _))) => Some(history(&rows, *limit)),
+            (Kind::Change(proposal), Ok(Reply::Committed(version))) => {
+                let next = proposal.next.clone();
+                let answer = answer::json(200, &json!({ "version": next.version }));
+                self.adopt(next, Some(version), out);
+                Some(answer)
+            }
+            (Kind::Change(proposal), Ok(Reply::Conflict(rows))) => {
+                let audit = &proposal.audit;
+                let key = rows::audit(audit.version);
+                let own = is_own(audit, &rows, &key);
+                let version = audit.version;
+                self.learn_config(&rows, out);
+                let accepted = answer::json(200, &json!({ "version": version }));
+                Some(if own { accepted } else { self.conflict() })
+            }
+            // The transaction is conditional, so it is repeated until its outcome is known.
+            _ => {
+                running.retry = Some(now.mono + RETRY_PAUSE);
+                None
+            }
+        };
+        if let Some(answered) = answered
+            && let Some(running) = self.operations.running.remove(&number)
+        {
+            reply(running.call, &answered, out);
+        }
+    }
+
+    /// Reads the configuration, and repeats requests whose outcome is unknown.
+    pub(super) fn run_operations(&mut self, now: Now, out: &mut Vec<Action>) {
+        if !self.operations.reading && now.mono >= self.operations.next_read {
+            self.operations.reading = true;
+            self.operations.next_read = now.mono + READ_PAUSE;
+            self.start_op(Purpose::Config, Request::Get(rows::CONFIG.into()), out);
+        }
+        let mut again = Vec::new();
+        let mut over = Vec::new();
+        for (number, running) in &mut self.operations.running {
+            if running.retry.is_none_or(|at| at > now.mono) {
+                continue;
+            }
+            if now.since(running.since) >= CHANGE_LIMIT {
+                over.push(*number);
+                continue;
+            }
+            running.retry = None;
+            again.push((*number, running.request()));
+        }
+        for (number, request) in again {
+            self.start_op(Purpose::Operate(number), request, out);
+        }
+        for number in over {
+            if let Some(running) = self.operations.running.remove(&number) {
+                let text = "the store does not answer; read the history to learn the outcome";
+                reply(
+                    running.call,
+                    &answer::refused(503, "unknown", text, Ran::Unknown),
+                    out,
+                );
+            }
+        }
+    }
+
+    pub(super) fn take_config(&mut self, outcome: Outcome, out: &mut Vec<Action>) {
+        self.operations.reading = false;
+        match outcome {
+            Ok(Reply::Row(Some(row))) => self.take_document(&row, out),
+            Ok(Reply::Row(None)) => self.ownership.configured(),
+            _ => {}
+        }
+    }
+
+    /// Takes a newer document that another process passed on.
+    pub(super) fn take_update(&mut self, update: &ConfigUpdate, out: &mut Vec<Action>) {
+        if update.version <= self.document.version {
+            return;
+        }
+        if let Ok(document) = serde_json::from_slice::<Document>(&update.document) {
+            self.adopt(document, None, out);
+        }
+    }
+
+    fn take_document(&mut self, row: &Row, out: &mut Vec<Action>) {
+        match serde_json::from_slice::<Document>(&row.value) {
+            Ok(document) => self.adopt(document, Some(row.version), out),
+            Err(error) => {
+                let fields = vec![("error", error.to_string())];
+                self.log(out, 150, "the configuration row is not valid", true, fields);
+            }
+        }
+    }
+
+    /// Takes a document unless a newer one is known. `row` is the version of its row, if read.
+    fn adopt(&mut self, document: Document, row: Option<u64>, out: &mut Vec<Action>) {
+        if document.version < self.document.version {
+            return;
+        }
+        if let Some(row) = row {
+            self.operations.version = self.operations.version.max(row);
+        }
+        self.ownership.configured();
+        if document.version == self.document.version {
+            return;
+        }
+        let fields = vec![("version", document.version.to_string())];
+        self.log(out, 151, "configuration in force", false, fields);
+        self.dispatcher.configure(&document);
+        self.document = document;
+    }
+
+    fn learn_config(&mut self, rows: &[(SmolStr, Option<Row>)], out: &mut Vec<Action>) {
+        for (key, row) in rows {
+            if let Some(row) = row
+                && key == rows::CONFIG
+            {
+                self.take_document(row, out);
+            }
+        }
+    }
+
+    fn conflict(&self) -> Answer {
+        let error = json!({
+            "code": "conflict",
+            "text": "the configuration has a newer version",
+            "ran": Ran::None,
+        });
+        answer::json(409, &json!({ "error": error, "current": self.document }))
+    }
+}
+
+impl Running {
+    fn request(&self) -> Request {
+        match &self.kind {
+            Kind::History(_) => Request::Scan {
+                prefix: rows::AUDIT.into(),
+                after: "".into(),
+                limit: HISTORY_ROWS,
+            },
+            Kind::Change(proposal) => proposal.transaction(),
+        }
+    }
+}
+
+impl Proposal {
+    fn transaction(&self) -> Request {
+        let config = SmolStr::from(rows::CONFIG);
+        let key = rows::audit(self.audit.version);
+        let condition = match self.version {
+            0 => Condition::Absent(config.clone()),
+            version => Condition::Version(config.clone(), version),
+        };
+        let next = Write::Put(config, encode(&self.next));
+        let audit = Write::Put(key.clone(), encode(&self.audit));
+        Request::Transact(Transaction {
+            conditions: vec![condition, Condition::Absent(key)],
+            writes: vec![next, audit],
+        })
+    }
+}
+
+fn encode<T: Serialize>(value: &T) -> Bytes {
+    serde_json::to_vec(value).unwrap_or_default().into()
+}
+
+/// Whether the audit row in the store is the one of this request: its reply was lost.
+fn is_own(audit: &Audit, rows: &[(SmolStr, Option<Row>)], key: &SmolStr) -> bool {
+    for (name, row) in rows {
+        let Some(row) = row else { continue };
+        if name == key
+            && let Ok(found) = serde_json::from_slice::<Audit>(&row.value)
+        {
+            return found.token == audit.token;
+        }
+    }
+    false
+}
+
+fn history(rows: &[Row], limit: u32) -> Answer {
+    let mut records = Vec::new();
+    for row in rows.iter().rev().take(limit as usize) {
+        if let Ok(audit) = serde_json::from_slice::<Audit>(&row.value) {
+            records.push(audit);
+        }
+    }
+    answer::json(200, &records)
+}
+
+fn declined(error: &Error) -> Answer {
+    match error {
+        Error::Value { .. } => answer::refused(400, "bad_value", &error.to_string(), Ran::None),
+        Error::Missing { .. } => answer::refused(404, "not_found", &error.to_string(), Ran::None),
+    }
+}
+
+fn reply(call: CallKey, answer: &Answer, out: &mut Vec<Action>) {
+    out.push(Action::Reply(call, answer.status, answer.body.clone()));
+}
--- /dev/null
+++ b/crates/core/src/entry/ownership.rs
@@ -0,0 +1,526 @@
+//! Which shards this process owns: start-up, claims, releases, and the death of other owners.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::time::Duration;
+
+use knapweedwall_wire::{LiveRow, OwnerRow};
+use prost::Message;
+
+use super::agents::AgentKey;
+use super::io::Action;
+use super::machine::{Machine, Purpose};
+use super::recovery::Recovery;
+use super::routing::{Ask, Routed};
+use super::shards::{self, Role};
+use super::waiters::Waiter;
+use super::{peers, rows};
+use crate::clock::Now;
+use crate::dispatch::WorkerKey;
+use crate::ids::{Instance, JobId, JobKey, Shard};
+use crate::store::{Condition, Outcome, Reply, Request, Transaction, Write};
+
+/// Time after start for which claims wait for other processes to be seen.
+const SETTLE: Duration = Duration::from_millis(1_000);
+
+/// Pause between two rounds of ownership work.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Pause between two reads of the owners' rows.
+const SCAN_PAUSE: Duration = Duration::from_secs(3);
+
+/// Delay of a claim for each rank above the process's own.
+const RANK_DELAY: Duration = Duration::from_millis(500);
+
+/// Pause between two writes of the own liveness counter.
+const LIVE_PAUSE: Duration = Duration::from_secs(1);
+
+/// Time for which another process must have been the better owner before a shard goes there.
+const HANDOVER_DELAY: Duration = Duration::from_secs(3);
+
+/// Time without an answer after which the store counts as slow.
+const SLOW: Duration = Duration::from_secs(1);
+
+/// Most shards in the table.
+const MAX_SHARDS: u32 = 4_096;
+
+/// Bookkeeping of ownership.
+#[derive(Debug, Default)]
+pub struct Ownership {
+    /// Agents by their keys in the dispatcher.
+    pub workers: HashMap<WorkerKey, AgentKey>,
+    /// Jobs to cancel once their admission is known.
+    pub cancels: Vec<JobKey>,
+    counted: bool,
+    scanned: bool,
+    configured: bool,
+    counting: bool,
+    scanning: bool,
+    next_count: Duration,
+    next_scan: Duration,
+    next_round: Duration,
+    next_live: Duration,
+    counter: u64,
+    releasing: bool,
+    writing: Option<Duration>,
+    failed: Option<Duration>,
+}
+
+impl Ownership {
+    /// Whether the number of shards, the owners and the configuration have been read.
+    pub fn is_booted(&self) -> bool {
+        self.counted && self.scanned && self.configured
+    }
+
+    /// Notes that a configuration is known.
+    pub fn configured(&mut self) {
+        self.configured = true;
+    }
+
+    /// Has the owners' rows read soon.
+    pub fn refresh(&mut self) {
+        self.next_scan = Duration::ZERO;
+    }
+
+    /// Notes that a journal write was sent.
+    pub fn write_sent(&mut self, now: Duration) {
+        self.writing.get_or_insert(now);
+    }
+
+    /// Notes that a journal write is durable.
+    pub fn write_done(&mut self) {
+        self.writing = None;
+    }
+
+    /// Notes whether the store answers.
+    pub fn observe_store(&mut self, now: Duration, outcome: &Outcome) {
+        if outcome.is_ok() {
+            self.failed = None;
+        } else {
+            self.failed.get_or_insert(now);
+        }
+    }
+
+    /// Whether the store has not taken writes for a while.
+    pub fn is_store_slow(&self, now: Duration) -> bool {
+        let over = |since: Duration| now.saturating_sub(since) >= SLOW;
+        self.writing.is_some_and(over) || self.failed.is_some()
+    }
+}
+
+impl Machine {
+    /// Reads what is missing, claims what is free, hands over what another should own.
+    pub(super) fn run_ownership(&mut self, now: Now, out: &mut Vec<Action>) {
+        self.boot(now, out);
+        if !self.ownership.counted || now.mono < self.ownership.next_round {
+            return;
+        }
+        self.ownership.next_round = now.mono + PAUSE;
+        self.write_live(now, out);
+        self.watch_owners(now, out);
+        self.claim_free(now, out);
+        self.hand_over(now, out);
+    }
+
+    fn boot(&mut self, now: Now, out: &mut Vec<Action>) {
+        if !self.ownership.counted && !self.ownership.counting {
+            if now.mono >= self.ownership.next_count {
+                self.ownership.counting = true;
+                self.ownership.next_count = now.mono + PAUSE * 4;
+                self.start_op(Purpose::ShardCount, Request::Get(rows::SHARDS.into()), out);
+            }
+            return;
+        }
+        if self.ownership.counted
+            && !self.ownership.scanning
+            && now.mono >= self.ownership.next_scan
+        {
+            self.ownership.scanning = true;
+            self.ownership.next_scan = now.mono + SCAN_PAUSE;
+            let request = Request::Scan {
+                prefix: rows::OWNERS.into(),
+                after: "".into(),
+                limit: MAX_SHARDS,
+            };
+            self.start_op(Purpose::Owners, request, out);
+        }
+    }
+
+    pub(super) fn take_shard_count(&mut self, outcome: Outcome, out: &mut Vec<Action>) {
+        self.ownership.counting = false;
+        match outcome {
+            Ok(Reply::Row(Some(row))) => {
+                let text = std::str::from_utf8(&row.value).unwrap_or_default();
+                let Ok(count @ 1..=MAX_SHARDS) = text.parse::<u32>() else {
+                    self.log(
+                        out,
+                        120,
+                        "the row of the number of shards is not valid",
+                        true,
+                        vec![],
+                    );
+                    return;
+                };
+                self.shards.init(count);
+                self.ownership.counted = true;
+            }
+            Ok(Reply::Row(None)) => {
+                self.ownership.counting = true;
+                let key = rows::SHARDS;
+                let value = self.settings.shards.to_string().into();
+                let transaction = Transaction {
+                    conditions: vec![Condition::Absent(key.into())],
+                    writes: vec![Write::Put(key.into(), value)],
+                };
+                self.start_op(Purpose::ShardCount, Request::Transact(transaction), out);
+            }
+            // After a write, and after a failure, the row is read again.
+            _ => {}
+        }
+    }
+
+    pub(super) fn take_owners(&mut self, now: Now, outcome: Outcome, out: &mut Vec<Action>) {
+        self.ownership.scanning = false;
+        let Ok(Reply::Rows(found, _)) = outcome else {
+            self.ownership.next_scan = now.mono + PAUSE * 4;
+            return;
+        };
+        for row in &found {
+            let Some((shard, owner)) = shards::decode(row) else {
+                continue;
+            };
+            self.learn_owner(now, shard, row.version, owner, out);
+        }
+        self.ownership.scanned = true;
+    }
+
+    /// Takes a row of an owner and draws the consequences.
+    pub(super) fn learn_owner(
+        &mut self,
+        now: Now,
+        shard: Shard,
+        version: u64,
+        row: OwnerRow,
+        out: &mut Vec<Action>,
+    ) {
+        let own = self.settings.instance;
+        let news = self.shards.learn(shard, version, row);
+        let ours = self.shards.is_owner(shard, own);
+        match self.shards.role(shard) {
+            Role::Loading | Role::Serving | Role::Draining | Role::Releasing if news && !ours => {
+                let fields = vec![("shard", shard.to_string())];
+                self.log(out, 121, "a shard has a newer owner", true, fields);
+                self.give_up(now, shard, out);
+            }
+            // A claim whose reply was lost has taken effect.
+            Role::Foreign if ours => self.load(now, vec![shard]),
+            _ => {}
+        }
+    }
+
+    /// Drops a shard that another process owns, or may own.
+    fn give_up(&mut self, now: Now, shard: Shard, out: &mut Vec<Action>) {
+        self.shards.set_role(shard, Role::Foreign);
+        self.inquiries.remove(&shard);
+        self.journal
+            .withdraw(|record| Shard(record.shard) == shard && record_of_job(record));
+        for recovery in &mut self.recoveries {
+            recovery.shards.remove(&shard);
+        }
+        let (open, ended) = self.jobs.take_shard(shard);
+        for job in open {
+            self.dispatcher.cancel(job.key);
+            self.dispatcher.remove(job.key);
+            for waiter in job.waiters {
+                // The new owner attaches the submission to the job, if it was admitted.
+                let ask = Ask::Submit(Box::new(job.admit.clone()));
+                self.reroute(now, waiter, &job.id, ask, out);
+            }
+        }
+        for held in ended {
+            for waiter in held.waiters {
+                self.reroute(now, waiter, &held.id, Ask::Query, out);
+            }
+        }
+    }
+
+    fn reroute(&mut self, now: Now, waiter: Waiter, id: &JobId, ask: Ask, out: &mut Vec<Action>) {
+        let (id, key) = (id.clone(), id.key());
+        let routed = Routed {
+            waiter,
+            id,
+            key,
+            ask,
+            hops: 0,
+            since: now.mono,
+            sent: true,
+        };
+        self.route(now, routed, out);
+    }
+
+    fn write_live(&mut self, now: Now, out: &mut Vec<Action>) {
+        if now.mono < self.ownership.next_live {
+            return;
+        }
+        self.ownership.next_live = now.mono + LIVE_PAUSE;
+        self.ownership.counter += 1;
+        let instance = self.settings.instance.0;
+        let row = LiveRow {
+            instance,
+            counter: self.ownership.counter,
+        };
+        let write = Write::Put(rows::live(&self.settings.name), row.encode_to_vec().into());
+        let transaction = Transaction {
+            conditions: Vec::new(),
+            writes: vec![write],
+        };
+        self.start_op(Purpose::Live, Request::Transact(transaction), out);
+    }
+
+    /// Reads the counters of owners that are silent.
+    fn watch_owners(&mut self, now: Now, out: &mut Vec<Action>) {
+        let mut silent = HashMap::new();
+        for (_, info) in self.shards.iter() {
+            let owner = Instance(info.row.owner);
+            let known = owner.0 == 0 || owner == self.settings.instance;
+            if known || self.peers.link_of(now.mono, owner).is_some() {
+                continue;
+            }
+            silent.insert(owner, info.row.name.clone());
+        }
+        self.watches
+            .retain(|instance, _| silent.contains_key(instance));
+        for (instance, name) in silent {
+            let watch = self.watches.entry(instance).or_default();
+            if watch.is_due(now.mono) {
+                let request = Request::Get(rows::live(&name));
+                self.start_op(Purpose::Watch(instance), request, out);
+            }
+        }
+    }
+
+    pub(super) fn take_watch(&mut self, now: Now, instance: Instance, outcome: &Outcome) {
+        let Some(watch) = self.watches.get_mut(&instance) else {
+            return;
+        };
+        let Ok(Reply::Row(row)) = outcome else { return };
+        let found = row
+            .as_ref()
+            .and_then(|row| LiveRow::decode(row.value.as_ref()).ok());
+        let found = found.map(|live| (Instance(live.instance), live.counter));
+        watch.take(now.mono, instance, found);
+    }
+
+    fn is_claimable(&self, owner: Instance, name: &str) -> bool {
+        owner.0 == 0
+            || self.watches.get(&owner).is_some_and(peers::Watch::is_dead)
+            || self.peers.is_replaced(name, owner)
+            || (name == self.settings.name && owner != self.settings.instance)
+    }
+
+    /// Claims shards that nobody owns, best-ranked process first.
+    fn claim_free(&mut self, now: Now, out: &mut Vec<Action>) {
+        if !self.ownership.scanned || self.stopping.is_some() || now.mono < SETTLE {
+            return;
+        }
+        let mut chosen = Vec::new();
+        let mut free = Vec::new();
+        for (shard, info) in self.shards.iter() {
+            let owner = Instance(info.row.owner);
+            if info.role != Role::Foreign || !self.is_claimable(owner, &info.row.name) {
+                continue;
+            }
+            let since = info.claimable.unwrap_or(now.mono);
+            free.push((shard, since));
+            let rank = self.peers.rank(now.mono, &self.settings.name, shard);
+            if now.since(since) >= RANK_DELAY * rank {
+                chosen.push(shard);
+            }
+        }
+        for (shard, since) in free {
+            if let Some(info) = self.shards.get_mut(shard) {
+                info.claimable = Some(since);
+            }
+        }
+        if !chosen.is_empty() {
+            self.claim(chosen, out);
+        }
+    }
+
+    fn claim(&mut self, shards: Vec<Shard>, out: &mut Vec<Action>) {
+        let mut transaction = Transaction::default();
+        for &shard in &shards {
+            let Some(info) = self.shards.get(shard) else {
+                continue;
+            };
+            let key = rows::owner(shard);
+            transaction.conditions.push(match info.version {
+                0 => Condition::Absent(key.clone()),
+                version => Condition::Version(key.clone(), version),
+            });
+            let row = self.claimed(&info.row);
+            transaction
+                .writes
+                .push(Write::Put(key, row.encode_to_vec().into()));
+        }
+        for &shard in &shards {
+            self.shards.set_role(shard, Role::Claiming);
+        }
+        self.start_op(Purpose::Claim(shards), Request::Transact(transaction), out);
+    }
+
+    fn claimed(&self, former: &OwnerRow) -> OwnerRow {
+        let own = self.settings.instance.0;
+        let mut sources = former.sources.clone();
+        if !sources.contains(&own) {
+            sources.push(own);
+        }
+        OwnerRow {
+            owner: own,
+            name: self.settings.name.to_string(),
+            address: self.settings.address.to_string(),
+            epoch: former.epoch + 1,
+            sources,
+        }
+    }
+
+    pub(super) fn take_claim(
+        &mut self,
+        now: Now,
+        shards: &[Shard],
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        for &shard in shards {
+            self.shards.set_role(shard, Role::Foreign);
+        }
+        match outcome {
+            Ok(Reply::Committed(version)) => {
+                for &shard in shards {
+                    let Some(info) = self.shards.get(shard) else {
+                        continue;
+                    };
+                    let row = self.claimed(&info.row);
+                    self.shards.learn(shard, version, row);
+                }
+                let fields = vec![("shards", shards.len().to_string())];
+                self.log(out, 122, "shards claimed", false, fields);
+                self.load(now, shards.to_vec());
+            }
+            Ok(Reply::Conflict(rows)) => self.take_moved(now, &rows, out),
+            // The claim may have taken effect; the rows tell.
+            _ => self.ownership.refresh(),
+        }
+    }
+
+    /// Starts to read the records of claimed shards.
+    fn load(&mut self, now: Now, shards: Vec<Shard>) {
+        let mut logs = VecDeque::new();
+        for &shard in &shards {
+            self.shards.set_role(shard, Role::Loading);
+            let Some(info) = self.shards.get(shard) else {
+                continue;
+            };
+            for &source in &info.row.sources {
+                let log = Instance(source);
+                let unused = log == self.settings.instance && self.journal.durable_seq() == 0;
+                if !unused && !logs.contains(&log) {
+                    logs.push_back(log);
+                }
+            }
+        }
+        let shards: HashSet<Shard> = shards.into_iter().collect();
+        self.recoveries.push(Recovery::new(now.mono, shards, logs));
+    }
+
+    /// Releases shards that another process should own, or all of them before a planned stop.
+    fn hand_over(&mut self, now: Now, out: &mut Vec<Action>) {
+        if self.ownership.releasing {
+            return;
+        }
+        let Some(shard) = self.next_release(now) else {
+            return;
+        };
+        let Some(info) = self.shards.get(shard) else {
+            return;
+        };
+        let mut row = info.row.clone();
+        (row.owner, row.name, row.address) = (0, String::new(), String::new());
+        let key = rows::owner(shard);
+        let transaction = Transaction {
+            conditions: vec![Condition::Version(key.clone(), info.version)],
+            writes: vec![Write::Put(key, row.encode_to_vec().into())],
+        };
+        self.shards.set_role(shard, Role::Releasing);
+        self.ownership.releasing = true;
+        self.start_op(Purpose::Release(shard), Request::Transact(transaction), out);
+    }
+
+    fn next_release(&self, now: Now) -> Option<Shard> {
+        let mut others = self.peers.staying(now.mono).peekable();
+        others.peek()?;
+        let settled = self.recoveries.is_empty()
+            && others.all(|peer| now.since(peer.since) >= HANDOVER_DELAY);
+        for (shard, info) in self.shards.iter() {
+            if info.role == Role::Draining {
+                return Some(shard);
+            }
+            if info.role != Role::Serving || self.inquiries.contains_key(&shard) {
+                continue;
+            }
+            let better = self.peers.rank(now.mono, &self.settings.name, shard) > 0;
+            if self.stopping.is_some() || (settled && better) {
+                return Some(shard);
+            }
+        }
+        None
+    }
+
+    pub(super) fn take_release(
+        &mut self,
+        now: Now,
+        shard: Shard,
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        self.ownership.releasing = false;
+        match outcome {
+            Ok(Reply::Committed(version)) => {
+                let Some(info) = self.shards.get(shard) else {
+                    return;
+                };
+                let mut row = info.row.clone();
+                (row.owner, row.name, row.address) = (0, String::new(), String::new());
+                let fields = vec![("shard", shard.to_string())];
+                self.log(out, 123, "shard released", false, fields);
+                self.learn_owner(now, shard, version, row, out);
+            }
+            Ok(Reply::Conflict(rows)) => {
+                self.shards.set_role(shard, Role::Draining);
+                self.take_moved(now, &rows, out);
+            }
+            // The release may have taken effect; until that is known the shard takes no work.
+            _ => {
+                self.shards.set_role(shard, Role::Draining);
+                self.ownership.refresh();
+            }
+        }
+    }
+
+    /// Whether a planned stop is complete.
+    pub(super) fn is_finished(&self, now: Now) -> bool {
+        let Some(since) = self.stopping else {
+            return false;
+        };
+        if self.shards.owned().is_empty() {
+            return self.routing.len() == 0;
+        }
+        let idle = self.jobs.open_count() == 0 && self.journal.is_idle();
+        let alone = self.peers.staying(now.mono).next().is_none();
+        (alone && idle) || now.since(since) >= self.settings.stop_limit
+    }
+}
+
+fn record_of_job(record: &knapweedwall_wire::JournalRecord) -> bool {
+    use knapweedwall_wire::journal_record::Body;
+    matches!(record.body, Some(Body::Admit(_) | Body::End(_)))
+}
--- /dev/null
+++ b/crates/core/src/entry/recovery.rs
@@ -0,0 +1,252 @@
+//! Reads the records of claimed shards from the journals of their former owners.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::time::Duration;
+
+use knapweedwall_wire::{Admit, Checkpoint, End, JournalRecord, journal_record::Body};
+use prost::Message;
+use smol_str::SmolStr;
+
+use super::io::StoreKey;
+use super::{journal, rows};
+use crate::ids::{Instance, JobKey, Shard};
+use crate::store::{Outcome, Reply, Request, Row};
+
+/// Rows in one read.
+const PAGE_ROWS: u32 = 200;
+
+/// Pause before a failed read is repeated.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// What the journals say of one job.
+#[derive(Debug, Clone, Default)]
+pub struct Record {
+    /// Its admission.
+    pub admit: Option<Admit>,
+    /// Its end.
+    pub end: Option<End>,
+    /// Its shard.
+    pub shard: Shard,
+}
+
+/// What the reader waits for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Step {
+    /// The row that names the newest checkpoint.
+    Pointer,
+    /// The checkpoint of this number, which contains the journal up to row `seq`.
+    Checkpoint { number: u64, seq: u64 },
+    /// The rows after `after`; the reading began with the checkpoint of this number.
+    Rows { number: u64, after: SmolStr },
+    /// The pointer again: if a newer checkpoint came meanwhile, rows that were not read yet may
+    /// have been deleted, and the journal is read from the start.
+    Verify(u64),
+}
+
+/// Reads the journals of former owners for shards that were claimed together.
+#[derive(Debug)]
+pub struct Recovery {
+    /// Shards to read.
+    pub shards: HashSet<Shard>,
+    /// Jobs found.
+    pub jobs: HashMap<JobKey, Record>,
+    /// Agent instances that may have started tasks of the shards.
+    pub roster: HashSet<Instance>,
+    /// Monotonic time at which the claim was durable.
+    pub since: Duration,
+    logs: VecDeque<Instance>,
+    step: Step,
+    op: Option<StoreKey>,
+    retry: Duration,
+    broken: u64,
+}
+
+impl Recovery {
+    /// A reader of `logs`, oldest first.
+    pub fn new(now: Duration, shards: HashSet<Shard>, logs: VecDeque<Instance>) -> Self {
+        Self {
+            shards,
+            jobs: HashMap::new(),
+            roster: HashSet::new(),
+            since: now,
+            logs,
+            step: Step::Pointer,
+            op: None,
+            retry: Duration::ZERO,
+            broken: 0,
+        }
+    }
+
+    /// Whether everything has been read.
+    pub fn is_done(&self) -> bool {
+        self.logs.is_empty()
+    }
+
+    /// Rows that could not be decoded.
+    pub fn broken(&self) -> u64 {
+        self.broken
+    }
+
+    /// The next read, unless one is in flight or everything has been read.
+    pub fn next(&mut self, now: Duration, op: StoreKey) -> Option<Request> {
+        let log = *self.logs.front()?;
+        if self.op.is_some() || now < self.retry {
+            return None;
+        }
+        self.op = Some(op);
+        let request = match &self.step {
+            Step::Pointer | Step::Verify(_) => Request::Get(rows::pointer(log)),
+            Step::Checkpoint { number, .. } => Request::GetObject(rows::checkpoint(log, *number)),
+            Step::Rows { after, .. } => Request::Scan {
+                prefix: rows::journal_prefix(log),
+                after: after.clone(),
+                limit: PAGE_ROWS,
+            },
+        };
+        Some(request)
+    }
+
+    /// Takes the outcome of a read. `false` when `op` is not the read in flight.
+    pub fn outcome(&mut self, now: Duration, op: StoreKey, outcome: Outcome) -> bool {
+        if self.op != Some(op) {
+            return false;
+        }
+        self.op = None;
+        match outcome {
+            Ok(Reply::Row(row)) => self.take_pointer(row.as_ref()),
+            Ok(Reply::Object(object)) => self.take_checkpoint(object.as_deref()),
+            Ok(Reply::Rows(found, more)) => self.take_rows(&found, more),
+            // Reads have no effect, so they are repeated until the store answers.
+            _ => self.retry = now + RETRY,
+        }
+        true
+    }
+
+    fn take_pointer(&mut self, row: Option<&Row>) {
+        let found = row.and_then(|row| rows::pointer_numbers(&row.value));
+        let (number, seq) = found.unwrap_or_default();
+        self.step = match self.step {
+            Step::Verify(began) if began == number => {
+                self.logs.pop_front();
+                Step::Pointer
+            }
+            _ if number == 0 => Step::Rows {
+                number,
+                after: SmolStr::default(),
+            },
+            _ => Step::Checkpoint { number, seq },
+        };
+    }
+
+    fn take_checkpoint(&mut self, object: Option<&[u8]>) {
+        let (Some(log), Step::Checkpoint { number, seq }) = (self.logs.front(), &self.step) else {
+            return;
+        };
+        let (log, number, seq) = (*log, *number, *seq);
+        match object.map(Checkpoint::decode) {
+            Some(Ok(checkpoint)) => {
+                self.apply_checkpoint(checkpoint);
+                self.step = Step::Rows {
+                    number,
+                    after: rows::journal(log, seq),
+                };
+            }
+            Some(Err(_)) => {
+                self.broken += 1;
+                self.step = Step::Rows {
+                    number,
+                    after: SmolStr::default(),
+                };
+            }
+            // A newer checkpoint has replaced this one.
+            None => self.step = Step::Pointer,
+        }
+    }
+
+    fn apply_checkpoint(&mut self, checkpoint: Checkpoint) {
+        for roster in checkpoint.roster {
+            self.roster.insert(Instance(roster.instance));
+        }
+        for job in checkpoint.jobs {
+            let shard = Shard(job.shard);
+            if !self.shards.contains(&shard) {
+                continue;
+            }
+            if let Some(admit) = job.admit {
+                self.admit(shard, admit);
+            }
+            if let Some(end) = job.end {
+                self.end(shard, end);
+            }
+        }
+    }
+
+    fn take_rows(&mut self, found: &[Row], more: bool) {
+        for row in found {
+            match journal::decode(&row.value) {
+                Ok(batch) => {
+                    for record in batch.records {
+                        self.apply(record);
+                    }
+                }
+                Err(_) => self.broken += 1,
+            }
+        }
+        let Step::Rows { number, .. } = self.step else {
+            return;
+        };
+        self.step = match found.last() {
+            Some(last) if more => Step::Rows {
+                number,
+                after: last.key.clone(),
+            },
+            _ => Step::Verify(number),
+        };
+    }
+
+    fn apply(&mut self, record: JournalRecord) {
+        let shard = Shard(record.shard);
+        match record.body {
+            Some(Body::RosterAdd(roster)) => {
+                self.roster.insert(Instance(roster.instance));
+            }
+            Some(Body::RosterRemove(roster)) => {
+                self.roster.remove(&Instance(roster.instance));
+            }
+            Some(Body::Admit(admit)) if self.shards.contains(&shard) => self.admit(shard, admit),
+            Some(Body::End(end)) if self.shards.contains(&shard) => self.end(shard, end),
+            _ => {}
+        }
+    }
+
+    fn admit(&mut self, shard: Shard, admit: Admit) {
+        let Ok(key) = JobKey::from_bytes(&admit.job) else {
+            self.broken += 1;
+            return;
+        };
+        let record = self.jobs.entry(key).or_default();
+        record.shard = shard;
+        record.admit = Some(admit);
+    }
+
+    fn end(&mut self, shard: Shard, end: End) {
+        let Ok(key) = JobKey::from_bytes(&end.job) else {
+            self.broken += 1;
+            return;
+        };
+        let record = self.jobs.entry(key).or_default();
+        record.shard = shard;
+        record.end = Some(end);
+    }
+}
+
+/// Tasks of a shard that wait for agents to say whether they started them.
+#[derive(Debug)]
+pub struct Inquiry {
+    /// Agents that have not answered.
+    pub awaiting: HashSet<Instance>,
+    /// Whether an agent is gone for good.
+    pub missing: bool,
+    /// Monotonic time after which agents that have not answered count as gone.
+    pub until: Duration,
+}
--- /dev/null
+++ b/crates/core/src/entry/submit.rs
@@ -0,0 +1,389 @@
+//! Callers' requests: submissions, queries and cancels, at the owner and on the way to it.
+
+use std::time::Duration;
+
+use knapweedwall_wire::{
+    Admit, CancelJob, JournalRecord, Query, Reply as ReplyFrame, Submit, journal_record::Body,
+};
+
+use super::answer::{self, Cause, Ran, Reply};
+use super::io::{Action, CallKey};
+use super::jobs::{Ending, Found, Job, Phase};
+use super::journal::{Guard, MAX_RECORD_BYTES};
+use super::machine::Machine;
+use super::routing::{Ask, MAX_HOPS, Routed};
+use super::shards::Role;
+use super::tasks::deliver;
+use super::waiters::{Target, Waiter};
+use crate::clock::Now;
+use crate::ids::{Instance, JobId, JobKey, Shard};
+use crate::peer::LinkKey;
+use prost::Message;
+
+/// Least time for which a submission waits for the store before it is refused.
+const MIN_STORE_WAIT: Duration = Duration::from_secs(2);
+
+/// What a rerouted request needs besides its job.
+fn routed(now: Now, waiter: Waiter, id: JobId, ask: Ask, hops: u32) -> Routed {
+    let key = id.key();
+    Routed {
+        waiter,
+        id,
+        key,
+        ask,
+        hops,
+        since: now.mono,
+        sent: false,
+    }
+}
+
+impl Machine {
+    pub(super) fn call_submit(
+        &mut self,
+        now: Now,
+        call: CallKey,
+        admit: Admit,
+        wait: Duration,
+        out: &mut Vec<Action>,
+    ) {
+        let waiter = Waiter {
+            target: Target::Call(call),
+            until: now.mono + wait,
+        };
+        self.accept_submit(now, waiter, admit, 0, out);
+    }
+
+    pub(super) fn call_query(
+        &mut self,
+        now: Now,
+        call: CallKey,
+        id: JobId,
+        wait: Duration,
+        out: &mut Vec<Action>,
+    ) {
+        let waiter = Waiter {
+            target: Target::Call(call),
+            until: now.mono + wait,
+        };
+        self.route(now, routed(now, waiter, id, Ask::Query, 0), out);
+    }
+
+    pub(super) fn call_cancel(
+        &mut self,
+        now: Now,
+        call: CallKey,
+        id: JobId,
+        wait: Duration,
+        out: &mut Vec<Action>,
+    ) {
+        let waiter = Waiter {
+            target: Target::Call(call),
+            until: now.mono + wait,
+        };
+        self.route(now, routed(now, waiter, id, Ask::Cancel, 0), out);
+    }
+
+    pub(super) fn take_submit(
+        &mut self,
+        now: Now,
+        link: LinkKey,
+        submit: Submit,
+        out: &mut Vec<Action>,
+    ) {
+        let waiter = peer_waiter(now, link, submit.number, submit.wait_ms);
+        let admit = submit.admit.unwrap_or_default();
+        self.accept_submit(now, waiter, admit, submit.hops, out);
+    }
+
+    pub(super) fn take_query(
+        &mut self,
+        now: Now,
+        link: LinkKey,
+        query: &Query,
+        out: &mut Vec<Action>,
+    ) {
+        let waiter = peer_waiter(now, link, query.number, query.wait_ms);
+        let Ok(id) = JobId::parse(&query.id) else {
+            return;
+        };
+        self.route(now, routed(now, waiter, id, Ask::Query, query.hops), out);
+    }
+
+    pub(super) fn take_cancel(
+        &mut self,
+        now: Now,
+        link: LinkKey,
+        cancel: &CancelJob,
+        out: &mut Vec<Action>,
+    ) {
+        let waiter = peer_waiter(now, link, cancel.number, cancel.wait_ms);
+        let Ok(id) = JobId::parse(&cancel.id) else {
+            return;
+        };
+        self.route(now, routed(now, waiter, id, Ask::Cancel, cancel.hops), out);
+    }
+
+    /// Passes a reply of the owner on to the one who asked.
+    pub(super) fn take_reply(&mut self, link: LinkKey, reply: ReplyFrame, out: &mut Vec<Action>) {
+        let Some(routed) = self.routing.reply(link, reply.number) else {
+            return;
+        };
+        let status = u16::try_from(reply.status).unwrap_or(500);
+        let mut reply = Reply {
+            status,
+            body: reply.body,
+        };
+        // An earlier copy of the request, whose reply was lost, may have had effect.
+        if routed.sent && matches!(routed.ask, Ask::Submit(_)) && status >= 400 {
+            reply = answer::unknown();
+        }
+        out.push(routed.waiter.answer(&reply));
+    }
+
+    fn accept_submit(
+        &mut self,
+        now: Now,
+        waiter: Waiter,
+        mut admit: Admit,
+        hops: u32,
+        out: &mut Vec<Action>,
+    ) {
+        let Ok(id) = JobId::parse(&admit.id) else {
+            let reply = answer::refused(400, "bad_id", "the job id is not valid", Ran::None);
+            out.push(waiter.answer(&reply));
+            return;
+        };
+        admit.job = id.key().to_bytes();
+        self.route(
+            now,
+            routed(now, waiter, id, Ask::Submit(Box::new(admit)), hops),
+            out,
+        );
+    }
+
+    /// Serves a request here, passes it on to the owner, or keeps it until there is one.
+    pub(super) fn route(&mut self, now: Now, routed: Routed, out: &mut Vec<Action>) {
+        if self.shards.count() == 0 {
+            self.routing.park(routed);
+            return;
+        }
+        let shard = routed.key.shard(self.shards.count());
+        match self.shards.role(shard) {
+            Role::Serving => return self.serve(now, shard, routed, out),
+            Role::Foreign => {}
+            _ => return self.routing.park(routed),
+        }
+        let owner = self.shards.get(shard).map_or(0, |info| info.row.owner);
+        match self.peers.link_of(now.mono, Instance(owner)) {
+            Some(link) if owner != 0 && routed.hops < MAX_HOPS => {
+                let frame = routed.clone();
+                let number = self.routing.send(link, routed);
+                out.push(Action::Send(link, frame.frame(number, now.mono)));
+            }
+            _ => self.routing.park(routed),
+        }
+    }
+
+    /// Tries parked requests again; refuses those that have waited too long.
+    pub(super) fn retry_routes(&mut self, now: Now, out: &mut Vec<Action>) {
+        for routed in self.routing.unpark() {
+            if now.since(routed.since) < self.settings.route_limit {
+                self.route(now, routed, out);
+                continue;
+            }
+            let reply = if routed.sent {
+                answer::unknown()
+            } else {
+                answer::unreachable()
+            };
+            out.push(routed.waiter.answer(&reply));
+        }
+    }
+
+    fn serve(&mut self, now: Now, shard: Shard, routed: Routed, out: &mut Vec<Action>) {
+        let waiter = routed.waiter;
+        match routed.ask {
+            Ask::Submit(admit) => self.submit(now, shard, routed.id, waiter, *admit, out),
+            Ask::Query => self.query(now, routed.key, waiter, out),
+            Ask::Cancel => self.cancel(now, routed.key, waiter, out),
+        }
+    }
+
+    fn submit(
+        &mut self,
+        now: Now,
+        shard: Shard,
+        id: JobId,
+        waiter: Waiter,
+        mut admit: Admit,
+        out: &mut Vec<Action>,
+    ) {
+        let key = id.key();
+        if let Some(found) = self.jobs.find(key) {
+            if found.digest() == admit.digest {
+                return self.query(now, key, waiter, out);
+            }
+            let text = "the id belongs to a job with other content; none of this content ran";
+            out.push(waiter.answer(&answer::refused(409, "id_reused", text, Ran::None)));
+            return;
+        }
+        admit.admitted_ms = now.wall_ms;
+        if let Err(reply) = self.check(now, &admit) {
+            out.push(waiter.answer(&reply));
+            return;
+        }
+        let record = JournalRecord {
+            shard: shard.0,
+            body: Some(Body::Admit(admit.clone())),
+        };
+        self.journal
+            .push(now.mono, record, Guard::Shard(shard), true);
+        let mut job = Job::new(id, shard, admit, now.mono, Phase::Queued);
+        job.waiters.push(waiter);
+        self.jobs.insert(job);
+        self.deadlines.add(waiter.until, key);
+    }
+
+    /// Checks a new submission before anything is recorded.
+    fn check(&self, now: Now, admit: &Admit) -> Result<(), Reply> {
+        if admit.expires_ms != 0 && admit.expires_ms <= now.wall_ms {
+            let text = "the time of this id is over; an earlier submission may have run";
+            return Err(answer::refused(410, "expired", text, Ran::Unknown));
+        }
+        if self.stopping.is_some() {
+            let text = "this process is stopping and no other can take the job";
+            return Err(answer::refused(503, "stopping", text, Ran::None));
+        }
+        let bytes = admit.encoded_len();
+        if bytes > MAX_RECORD_BYTES {
+            let text = "the job is larger than 900 KiB";
+            return Err(answer::refused(413, "too_large", text, Ran::None));
+        }
+        if !self.journal.has_room(bytes) {
+            let text = "the store does not take admissions fast enough";
+            return Err(answer::refused(503, "store_unavailable", text, Ran::None));
+        }
+        let tasks = u32::try_from(admit.tasks.len()).unwrap_or(u32::MAX);
+        self.dispatcher
+            .admit(now, &admit.class, &admit.team, tasks)
+            .map_err(answer::refusal)
+    }
+
+    /// Answers a waiter now, if the job has ended, else when it ends.
+    fn query(&mut self, now: Now, key: JobKey, waiter: Waiter, out: &mut Vec<Action>) {
+        match self.jobs.find(key) {
+            None => {
+                let text = "no job of this id was admitted, or its time is over";
+                out.push(waiter.answer(&answer::refused(404, "unknown_job", text, Ran::None)));
+            }
+            Some(Found::Open(job)) => {
+                job.waiters.push(waiter);
+                self.deadlines.add(waiter.until, key);
+            }
+            Some(Found::Held(held)) => {
+                held.waiters.push(waiter);
+                if held.is_final() {
+                    deliver(now, held, out);
+                } else {
+                    self.deadlines.add(waiter.until, key);
+                }
+            }
+            Some(Found::Forgotten(forgotten)) => {
+                let id = key.to_string();
+                out.push(waiter.answer(&answer::collected(&id, forgotten.complete)));
+            }
+        }
+    }
+
+    fn cancel(&mut self, now: Now, key: JobKey, waiter: Waiter, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.open(key) else {
+            return self.query(now, key, waiter, out);
+        };
+        job.waiters.push(waiter);
+        self.deadlines.add(waiter.until, key);
+        self.cancel_now(now, key, out);
+    }
+
+    /// Ends an open job as cancelled: tasks that wait are dropped, tasks that run are stopped.
+    ///
+    /// A job whose record is in flight may be admitted, so its cancel waits until that is known.
+    pub(super) fn cancel_now(&mut self, now: Now, key: JobKey, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.open(key) else {
+            return;
+        };
+        if job.phase == Phase::Written {
+            self.ownership.cancels.push(key);
+            return;
+        }
+        if job.phase == Phase::Queued {
+            self.journal.withdraw(|record| is_admission(record, key));
+        }
+        for agent in job.witnesses() {
+            self.agents.cancel(agent, key.to_bytes());
+        }
+        let cause = Cause::new("cancelled", "the job was cancelled by a caller");
+        self.end_job(now, key, Ending::Failed(cause), out);
+    }
+
+    /// Answers waiters whose time is over.
+    pub(super) fn expire_waiters(&mut self, now: Now, out: &mut Vec<Action>) {
+        while let Some(key) = self.deadlines.pop(now.mono) {
+            let (reply, waiters) = match self.jobs.find(key) {
+                Some(Found::Open(job)) if job.phase == Phase::Active => {
+                    (answer::running(job.id.as_str()), &mut job.waiters)
+                }
+                Some(Found::Open(job)) => (answer::pending(job.id.as_str()), &mut job.waiters),
+                Some(Found::Held(held)) => (answer::running(held.id.as_str()), &mut held.waiters),
+                _ => continue,
+            };
+            waiters.retain(|waiter| {
+                let over = waiter.until <= now.mono;
+                if over {
+                    out.push(waiter.answer(&reply));
+                }
+                !over
+            });
+        }
+    }
+
+    /// Refuses submissions that waited too long for the store and are in no write that was sent.
+    pub(super) fn expire_submissions(&mut self, now: Now, out: &mut Vec<Action>) {
+        if !self.ownership.is_store_slow(now.mono) {
+            return;
+        }
+        let mut late = Vec::new();
+        for job in self.jobs.iter_open() {
+            if job.phase != Phase::Queued {
+                continue;
+            }
+            let class = self.document.classes.get(job.admit.class.as_str());
+            let limit = class.map_or(MIN_STORE_WAIT, |class| class.target.max(MIN_STORE_WAIT));
+            if now.since(job.arrived) > limit {
+                late.push(job.key);
+            }
+        }
+        let text = "the store did not take the admission in time; it was never sent";
+        let reply = answer::refused(503, "store_unavailable", text, Ran::None);
+        for key in late {
+            self.journal.withdraw(|record| is_admission(record, key));
+            let Some(job) = self.jobs.discard(key) else {
+                continue;
+            };
+            for waiter in job.waiters {
+                out.push(waiter.answer(&reply));
+            }
+        }
+    }
+}
+
+fn peer_waiter(now: Now, link: LinkKey, number: u64, wait_ms: u32) -> Waiter {
+    let wait = Duration::from_millis(u64::from(wait_ms));
+    Waiter {
+        target: Target::Peer(link, number),
+        until: now.mono + wait,
+    }
+}
+
+fn is_admission(record: &JournalRecord, key: JobKey) -> bool {
+    matches!(&record.body, Some(Body::Admit(admit)) if admit.job == key.to_bytes())
+}
--- /dev/null
+++ b/crates/core/src/entry/takeover.rs
@@ -0,0 +1,352 @@
+//! Takeover of shards: jobs are rebuilt from the journals, agents are fenced and asked what they
+//! started, and what stays unaccounted is put in doubt.
+
+use std::collections::{HashMap, HashSet};
+
+use knapweedwall_wire::{Admit, End, Fence, FenceReport, frame::Body};
+
+use super::agents::{AgentKey, Sync};
+use super::answer::{Cause, Counts, IN_DOUBT};
+use super::checkpoint;
+use super::commit::waiting;
+use super::io::{Action, StoreKey};
+use super::jobs::{Ending, Forgotten, Held, Job, Phase, TaskState, Witnesses};
+use super::machine::{Machine, Purpose};
+use super::recovery::{Inquiry, Record, Recovery};
+use super::shards::Role;
+use crate::clock::Now;
+use crate::ids::{Epoch, Instance, JobId, JobKey, Shard, TaskRef};
+use crate::peer::LinkKey;
+use crate::store::Outcome;
+
+impl Machine {
+    /// Goes on with reading journals and with inquiries that wait for agents.
+    pub(super) fn run_takeover(&mut self, now: Now, out: &mut Vec<Action>) {
+        let mut recoveries = std::mem::take(&mut self.recoveries);
+        let mut done = Vec::new();
+        let mut index = 0;
+        while index < recoveries.len() {
+            if recoveries[index].is_done() {
+                done.push(recoveries.swap_remove(index));
+                continue;
+            }
+            let op = self.next_op();
+            if let Some(request) = recoveries[index].next(now.mono, op) {
+                self.ops.insert(op, Purpose::Recovery);
+                out.push(Action::Store(op, request));
+            }
+            index += 1;
+        }
+        self.recoveries = recoveries;
+        for recovery in done {
+            self.recovered(now, recovery, out);
+        }
+        self.end_inquiries(now, out);
+    }
+
+    pub(super) fn take_recovery(
+        &mut self,
+        now: Now,
+        op: StoreKey,
+        outcome: &Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        for recovery in &mut self.recoveries {
+            if recovery.outcome(now.mono, op, outcome.clone()) {
+                break;
+            }
+        }
+        self.run_takeover(now, out);
+    }
+
+    /// All records have been read: serves the shards and asks the agents.
+    fn recovered(&mut self, now: Now, recovery: Recovery, out: &mut Vec<Action>) {
+        if recovery.broken() > 0 {
+            let fields = vec![("rows", recovery.broken().to_string())];
+            self.log(out, 130, "journal rows could not be decoded", true, fields);
+        }
+        let jobs = recovery.jobs.len();
+        for (key, record) in recovery.jobs {
+            if recovery.shards.contains(&record.shard) {
+                self.rebuild(now, key, record);
+            }
+        }
+        for &shard in &recovery.shards {
+            self.shards.set_role(shard, Role::Serving);
+            let until = now.mono + self.settings.doubt_timeout;
+            let awaiting = recovery.roster.clone();
+            self.inquiries.insert(
+                shard,
+                Inquiry {
+                    awaiting,
+                    missing: false,
+                    until,
+                },
+            );
+        }
+        let millis = now.since(recovery.since).as_millis().to_string();
+        let fields = vec![
+            ("shards", recovery.shards.len().to_string()),
+            ("jobs", jobs.to_string()),
+            ("agents", recovery.roster.len().to_string()),
+            ("read_ms", millis),
+        ];
+        self.log(out, 131, "shards served", false, fields);
+        for instance in recovery.roster {
+            if let Some(agent) = self.agents.by_instance(instance) {
+                self.fence(agent, recovery.shards.iter().copied(), out);
+            }
+        }
+        self.end_inquiries(now, out);
+    }
+
+    fn rebuild(&mut self, now: Now, key: JobKey, record: Record) {
+        let shard = record.shard;
+        match (record.admit, record.end) {
+            (Some(admit), Some(end)) => self.rebuild_ended(now, key, shard, &admit, &end),
+            (Some(admit), None) => {
+                let Ok(id) = JobId::parse(&admit.id) else {
+                    return;
+                };
+                let mut job = Job::new(id, shard, admit, now.mono, Phase::Active);
+                job.tasks.fill(TaskState::Unaccounted);
+                self.jobs.insert(job);
+            }
+            (None, _) => {}
+        }
+    }
+
+    fn rebuild_ended(&mut self, now: Now, key: JobKey, shard: Shard, admit: &Admit, end: &End) {
+        let Ok(id) = JobId::parse(&admit.id) else {
+            // Checkpoints keep no id of jobs whose answers are no longer held.
+            let forgotten = Forgotten {
+                shard,
+                digest: admit.digest,
+                until_ms: admit.expires_ms,
+                complete: end.code.is_empty(),
+            };
+            self.jobs.remember(key, forgotten);
+            return;
+        };
+        self.jobs.hold(Held {
+            shard,
+            id,
+            digest: admit.digest,
+            ended_ms: end.ended_ms,
+            expires_ms: admit.expires_ms,
+            ending: checkpoint::ending(end),
+            counts: Counts {
+                started: end.started,
+                skipped: end.not_started,
+            },
+            since: now.mono,
+            delivered: None,
+            agents: Witnesses::new(),
+            durable: true,
+            waiters: smallvec::SmallVec::new(),
+        });
+    }
+
+    /// Raises the epoch of shards at an agent and asks what it knows of them.
+    pub(super) fn fence(
+        &mut self,
+        key: AgentKey,
+        shards: impl Iterator<Item = Shard>,
+        out: &mut Vec<Action>,
+    ) {
+        for shard in shards {
+            let epoch = self.shards.epoch(shard).0;
+            let Some(agent) = self.agents.get_mut(key) else {
+                return;
+            };
+            let Some(link) = agent.link else { return };
+            agent.syncs.insert(shard, Sync::default());
+            out.push(Action::Send(
+                link,
+                Body::Fence(Fence {
+                    shard: shard.0,
+                    epoch,
+                }),
+            ));
+        }
+    }
+
+    /// Asks an agent again about a shard, unless a report is on its way.
+    pub(super) fn ask_again(&mut self, key: AgentKey, shard: Shard, out: &mut Vec<Action>) {
+        let asked = self
+            .agents
+            .get(key)
+            .is_some_and(|agent| agent.syncs.contains_key(&shard));
+        if !asked && self.shards.role(shard) == Role::Serving {
+            self.fence(key, std::iter::once(shard), out);
+        }
+    }
+
+    pub(super) fn take_fence_report(
+        &mut self,
+        now: Now,
+        link: LinkKey,
+        report: FenceReport,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(key) = self.agents.by_link(link) else {
+            return;
+        };
+        let shard = Shard(report.shard);
+        if Epoch(report.epoch) > self.shards.epoch(shard) {
+            return self.ownership.refresh();
+        }
+        let mut seen = Vec::new();
+        for task in &report.tasks {
+            if let Ok(job) = JobKey::from_bytes(&task.job) {
+                seen.push(TaskRef {
+                    job,
+                    index: task.index,
+                });
+            }
+        }
+        let Some(agent) = self.agents.get_mut(key) else {
+            return;
+        };
+        let Some(sync) = agent.syncs.get_mut(&shard) else {
+            return;
+        };
+        sync.seen.extend(seen);
+        for task in report.tasks {
+            self.take_task(now, key, task, out);
+        }
+        if report.last {
+            self.synced(now, key, shard, out);
+        }
+    }
+
+    /// An agent has said everything that it knows of a shard.
+    fn synced(&mut self, now: Now, key: AgentKey, shard: Shard, out: &mut Vec<Action>) {
+        let Some(agent) = self.agents.get_mut(key) else {
+            return;
+        };
+        let Some(sync) = agent.syncs.remove(&shard) else {
+            return;
+        };
+        let instance = agent.info.instance;
+        // A start that the agent does not know was lost with an earlier connection.
+        for task in self.running_at(key, shard) {
+            if !sync.seen.contains(&task) {
+                self.return_task(now, task);
+            }
+        }
+        if let Some(inquiry) = self.inquiries.get_mut(&shard) {
+            inquiry.awaiting.remove(&instance);
+        }
+        self.end_inquiries(now, out);
+        self.try_employ(key);
+    }
+
+    fn running_at(&self, agent: AgentKey, shard: Shard) -> Vec<TaskRef> {
+        let mut tasks = Vec::new();
+        for job in self.jobs.iter_open() {
+            if job.shard != shard {
+                continue;
+            }
+            for (index, state) in (0_u32..).zip(&job.tasks) {
+                if *state == TaskState::Running(agent) {
+                    tasks.push(TaskRef {
+                        job: job.key,
+                        index,
+                    });
+                }
+            }
+        }
+        tasks
+    }
+
+    /// Shards with tasks that run at an agent as far as this process knows.
+    pub(super) fn shards_at(&self, agent: AgentKey) -> HashSet<Shard> {
+        let mut shards = HashSet::new();
+        for job in self.jobs.iter_open() {
+            if job.tasks.contains(&TaskState::Running(agent)) {
+                shards.insert(job.shard);
+            }
+        }
+        shards
+    }
+
+    /// Shards whose inquiries wait for an instance.
+    pub(super) fn inquiries_for(&self, instance: Instance) -> Vec<Shard> {
+        let mut shards = Vec::new();
+        for (shard, inquiry) in &self.inquiries {
+            if inquiry.awaiting.contains(&instance) {
+                shards.push(*shard);
+            }
+        }
+        shards
+    }
+
+    /// An agent instance is gone for good: inquiries no longer wait for it.
+    pub(super) fn miss(&mut self, instance: Instance) {
+        for inquiry in self.inquiries.values_mut() {
+            if inquiry.awaiting.remove(&instance) {
+                inquiry.missing = true;
+            }
+        }
+    }
+
+    /// Decides on the unaccounted tasks of shards for which all agents have answered or are gone.
+    fn end_inquiries(&mut self, now: Now, out: &mut Vec<Action>) {
+        let mut ended = Vec::new();
+        for (shard, inquiry) in &mut self.inquiries {
+            if now.mono >= inquiry.until && !inquiry.awaiting.is_empty() {
+                inquiry.awaiting.clear();
+                inquiry.missing = true;
+            }
+            if inquiry.awaiting.is_empty() {
+                ended.push((*shard, inquiry.missing));
+            }
+        }
+        if ended.is_empty() {
+            return;
+        }
+        let ended: HashMap<Shard, bool> = ended.into_iter().collect();
+        for shard in ended.keys() {
+            self.inquiries.remove(shard);
+        }
+        self.decide_unaccounted(now, &ended, out);
+    }
+
+    fn decide_unaccounted(
+        &mut self,
+        now: Now,
+        ended: &HashMap<Shard, bool>,
+        out: &mut Vec<Action>,
+    ) {
+        let mut open = Vec::new();
+        for job in self.jobs.iter_open() {
+            if let Some(missing) = ended.get(&job.shard) {
+                let unaccounted = job.tasks.contains(&TaskState::Unaccounted);
+                open.push((job.key, *missing && unaccounted));
+            }
+        }
+        for (key, doubtful) in open {
+            if doubtful {
+                let text = "an agent that may have started tasks of the job is gone";
+                self.end_job(now, key, Ending::Failed(Cause::new(IN_DOUBT, text)), out);
+                continue;
+            }
+            let Some(job) = self.jobs.open(key) else {
+                continue;
+            };
+            if job.phase != Phase::Active || !job.tasks.contains(&TaskState::Unaccounted) {
+                continue;
+            }
+            for state in &mut job.tasks {
+                if *state == TaskState::Unaccounted {
+                    *state = TaskState::Waiting;
+                }
+            }
+            let indices = waiting(job);
+            let (class, team, arrived) = (&job.admit.class, &job.admit.team, job.arrived);
+            self.dispatcher
+                .push(now, key, class, team, arrived, &indices);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/entry/tasks.rs
@@ -0,0 +1,304 @@
+//! Tasks of admitted jobs: starts, agents' reports, and the end of a job.
+
+use bytes::Bytes;
+use knapweedwall_wire::{
+    Demand, JournalRecord, Outcome, Report, Return, TaskReport, TaskStart, frame::Body,
+    journal_record::Body as RecordBody,
+};
+
+use super::agents::AgentKey;
+use super::answer::{Cause, IN_DOUBT};
+use super::io::Action;
+use super::jobs::{Ending, Held, Phase, TaskState};
+use super::journal::Guard;
+use super::machine::Machine;
+use super::shards::Role;
+use crate::clock::Now;
+use crate::dispatch::{Assignment, Ended};
+use crate::ids::{JobKey, Shard, TaskRef};
+use crate::peer::LinkKey;
+
+/// Most starts in one turn, so that reports are read in between.
+const MAX_STARTS: usize = 4_096;
+
+impl Machine {
+    /// Starts waiting tasks while there are credits, and tells agents of demand.
+    pub(super) fn dispatch(&mut self, now: Now, out: &mut Vec<Action>) {
+        for _ in 0..MAX_STARTS {
+            let Some(assignment) = self.dispatcher.next(now) else {
+                break;
+            };
+            self.start(now, assignment);
+        }
+        let mut demands = Vec::new();
+        self.dispatcher.demand(now, &mut demands);
+        for (link, waiting, slack_ms) in demands {
+            out.push(Action::Send(
+                link,
+                Body::Demand(Demand { waiting, slack_ms }),
+            ));
+        }
+    }
+
+    fn start(&mut self, now: Now, assignment: Assignment) {
+        let Assignment { task, worker } = assignment;
+        let agent = self.ownership.workers.get(&worker).copied();
+        let start = self.task_start(task);
+        let (Some(agent), Some(start)) = (agent, start) else {
+            self.dispatcher.ended(now, task, worker, Ended::NotStarted);
+            self.dispatcher.cancel(task.job);
+            return;
+        };
+        if !self.agents.start(agent, start) {
+            self.dispatcher.ended(now, task, worker, Ended::NotStarted);
+            self.dispatcher.requeue(now, task);
+            return;
+        }
+        if let Some(job) = self.jobs.open(task.job) {
+            job.tasks[task.index as usize] = TaskState::Running(agent);
+        }
+    }
+
+    /// The start of a task, if its job is open and the task provably has not been started.
+    fn task_start(&mut self, task: TaskRef) -> Option<TaskStart> {
+        let job = self.jobs.open(task.job)?;
+        let content = job.admit.tasks.get(task.index as usize)?;
+        let waits = job.tasks.get(task.index as usize) == Some(&TaskState::Waiting);
+        let shard = job.shard;
+        if job.phase != Phase::Active || !waits || self.shards.role(shard) != Role::Serving {
+            return None;
+        }
+        let limit = self.settings.run_limit.as_millis();
+        Some(TaskStart {
+            job: task.job.to_bytes(),
+            index: task.index,
+            shard: shard.0,
+            epoch: self.shards.epoch(shard).0,
+            class: job.admit.class.clone(),
+            payload: content.payload.clone(),
+            limit_ms: u32::try_from(limit).unwrap_or(u32::MAX),
+            non_idempotent: content.non_idempotent,
+        })
+    }
+
+    pub(super) fn take_report(
+        &mut self,
+        now: Now,
+        link: LinkKey,
+        report: Report,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(agent) = self.agents.by_link(link) else {
+            return;
+        };
+        for task in report.tasks {
+            self.take_task(now, agent, task, out);
+        }
+        self.take_credits(link, report.credits);
+    }
+
+    /// Takes what an agent says of one task.
+    pub(super) fn take_task(
+        &mut self,
+        now: Now,
+        agent: AgentKey,
+        report: TaskReport,
+        out: &mut Vec<Action>,
+    ) {
+        let Ok(job) = JobKey::from_bytes(&report.job) else {
+            return;
+        };
+        let task = TaskRef {
+            job,
+            index: report.index,
+        };
+        let outcome = report.outcome();
+        self.account(now, agent, task, outcome, report.run_us);
+        let state = self
+            .jobs
+            .open(job)
+            .and_then(|job| job.tasks.get(task.index as usize));
+        match state {
+            Some(TaskState::Running(of)) if *of == agent => {}
+            Some(TaskState::Unaccounted) => {}
+            _ => return,
+        }
+        match outcome {
+            Outcome::Running => self.set_task(task, TaskState::Running(agent)),
+            Outcome::Done => self.finish_task(now, agent, task, report.payload, out),
+            Outcome::Failed | Outcome::Cancelled => {
+                self.set_task(task, TaskState::Running(agent));
+                let text = String::from_utf8_lossy(&report.payload);
+                let text = format!("task {}: {} {text}", report.index, report.code);
+                let cause = Cause::new("task_failed", text.trim_end());
+                self.end_job(now, job, Ending::Failed(cause), out);
+            }
+            Outcome::NoSlot | Outcome::LedgerFull | Outcome::Leaving | Outcome::Unreachable => {
+                self.return_task(now, task)
+            }
+            // A newer owner has fenced the agent; its row says who.
+            Outcome::Superseded => self.ownership.refresh(),
+            // The agent knows an earlier start of this task, so it asks the agent for it.
+            Outcome::Duplicate => self.ask_again(agent, Shard(report.shard), out),
+            Outcome::Unspecified => {}
+        }
+    }
+
+    /// Tells the dispatcher that a worker has ended a task.
+    fn account(&mut self, now: Now, agent: AgentKey, task: TaskRef, outcome: Outcome, run_us: u32) {
+        let Some(worker) = self.agents.get(agent).and_then(|agent| agent.worker) else {
+            return;
+        };
+        let run = std::time::Duration::from_micros(u64::from(run_us));
+        let ended = match outcome {
+            Outcome::Running | Outcome::Unspecified => return,
+            Outcome::Done => Ended::Done { run },
+            Outcome::Failed => Ended::Failed { run },
+            Outcome::Unreachable => Ended::NotStarted,
+            // These say nothing about the worker.
+            _ => Ended::Lost,
+        };
+        self.dispatcher.ended(now, task, worker, ended);
+    }
+
+    pub(super) fn set_task(&mut self, task: TaskRef, state: TaskState) {
+        let Some(job) = self.jobs.open(task.job) else {
+            return;
+        };
+        if let Some(slot) = job.tasks.get_mut(task.index as usize) {
+            *slot = state;
+        }
+    }
+
+    /// Puts a task that provably was not started back among those that wait.
+    pub(super) fn return_task(&mut self, now: Now, task: TaskRef) {
+        self.set_task(task, TaskState::Waiting);
+        self.dispatcher.requeue(now, task);
+    }
+
+    fn finish_task(
+        &mut self,
+        now: Now,
+        agent: AgentKey,
+        task: TaskRef,
+        result: Bytes,
+        out: &mut Vec<Action>,
+    ) {
+        self.set_task(task, TaskState::Done(agent, result));
+        let Some(job) = self.jobs.open(task.job) else {
+            return;
+        };
+        job.done += 1;
+        if !job.is_complete() {
+            return;
+        }
+        let mut results = Vec::with_capacity(job.tasks.len());
+        for state in &job.tasks {
+            if let TaskState::Done(_, result) = state {
+                results.push(result.clone());
+            }
+        }
+        self.end_job(now, task.job, Ending::Complete(results), out);
+    }
+
+    /// Ends a job: has the end written to the journal and answers who waits, as soon as it may.
+    pub(super) fn end_job(&mut self, now: Now, key: JobKey, ending: Ending, out: &mut Vec<Action>) {
+        self.dispatcher.cancel(key);
+        self.dispatcher.remove(key);
+        let admitted = self
+            .jobs
+            .open(key)
+            .is_some_and(|job| job.phase != Phase::Queued);
+        let Some(held) = self.jobs.end(now, key, ending) else {
+            return;
+        };
+        held.durable = !admitted;
+        if held.is_final() {
+            deliver(now, held, out);
+        }
+        if admitted {
+            let urgent = !held.is_final();
+            let body = Some(RecordBody::End(held.record()));
+            let (shard, guard) = (held.shard, Guard::Shard(held.shard));
+            self.journal.push(
+                now.mono,
+                JournalRecord {
+                    shard: shard.0,
+                    body,
+                },
+                guard,
+                urgent,
+            );
+        }
+    }
+
+    /// Ends jobs of which no task could be started in time.
+    pub(super) fn fail_unstartable(&mut self, now: Now, out: &mut Vec<Action>) {
+        let mut expired = Vec::new();
+        self.dispatcher.expired(now, &mut expired);
+        for key in expired {
+            let cause = Cause::new("never_runnable", "no task could be started in time");
+            self.end_job(now, key, Ending::Failed(cause), out);
+        }
+    }
+
+    /// Ends jobs that have a task at an agent whose memory is lost.
+    pub(super) fn doubt(&mut self, now: Now, agent: AgentKey, out: &mut Vec<Action>) {
+        let mut doubtful = Vec::new();
+        for job in self.jobs.iter_open() {
+            if job.tasks.contains(&TaskState::Running(agent)) {
+                doubtful.push(job.key);
+            }
+        }
+        for key in doubtful {
+            let cause = Cause::new(IN_DOUBT, "an agent that started tasks of the job is gone");
+            self.end_job(now, key, Ending::Failed(cause), out);
+        }
+    }
+
+    pub(super) fn take_credits(&mut self, link: LinkKey, credits: u32) {
+        if credits == 0 {
+            return;
+        }
+        let Some(key) = self.agents.by_link(link) else {
+            return;
+        };
+        let Some(agent) = self.agents.get_mut(key) else {
+            return;
+        };
+        match agent.worker {
+            Some(worker) => self.dispatcher.credit(worker, credits),
+            None => agent.credits += credits,
+        }
+    }
+
+    pub(super) fn take_recall(&mut self, link: LinkKey, credits: u32, out: &mut Vec<Action>) {
+        let Some(key) = self.agents.by_link(link) else {
+            return;
+        };
+        let Some(agent) = self.agents.get_mut(key) else {
+            return;
+        };
+        let back = match agent.worker {
+            Some(worker) => self.dispatcher.recall(worker, credits),
+            None => {
+                let back = credits.min(agent.credits);
+                agent.credits -= back;
+                back
+            }
+        };
+        out.push(Action::Send(link, Body::Return(Return { credits: back })));
+    }
+}
+
+/// Answers those who wait for an ended job.
+pub(super) fn deliver(now: Now, held: &mut Held, out: &mut Vec<Action>) {
+    if held.waiters.is_empty() {
+        return;
+    }
+    let reply = held.reply();
+    held.delivered.get_or_insert(now.mono);
+    for waiter in std::mem::take(&mut held.waiters) {
+        out.push(waiter.answer(&reply));
+    }
+}
--- /dev/null
+++ b/crates/core/src/entry/waiters.rs
@@ -0,0 +1,73 @@
+//! Who waits for an answer, and until when.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use knapweedwall_wire::{Reply as ReplyFrame, frame::Body};
+
+use super::answer::Reply;
+use super::io::{Action, CallKey};
+use crate::ids::JobKey;
+use crate::peer::LinkKey;
+
+/// Where an answer goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Target {
+    /// An HTTP request at this process.
+    Call(CallKey),
+    /// A request that another entry process passed on, with its number there.
+    Peer(LinkKey, u64),
+}
+
+/// Someone who waits for an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Waiter {
+    /// Where the answer goes.
+    pub target: Target,
+    /// Monotonic time until which the waiter waits.
+    pub until: Duration,
+}
+
+impl Waiter {
+    /// The action that answers the waiter.
+    pub fn answer(self, reply: &Reply) -> Action {
+        match self.target {
+            Target::Call(call) => Action::Reply(call, reply.status, reply.body.clone()),
+            Target::Peer(link, number) => Action::Send(link, frame(number, reply)),
+        }
+    }
+}
+
+fn frame(number: u64, reply: &Reply) -> Body {
+    let body = Bytes::clone(&reply.body);
+    Body::Reply(ReplyFrame {
+        number,
+        status: u32::from(reply.status),
+        body,
+    })
+}
+
+/// Times at which waiters of jobs give up.
+#[derive(Debug, Default)]
+pub struct Deadlines {
+    due: BinaryHeap<Reverse<(Duration, JobKey)>>,
+}
+
+impl Deadlines {
+    /// Notes that a waiter of `job` waits until `until`.
+    pub fn add(&mut self, until: Duration, job: JobKey) {
+        self.due.push(Reverse((until, job)));
+    }
+
+    /// The next job with a waiter whose time is over at `now`.
+    pub fn pop(&mut self, now: Duration) -> Option<JobKey> {
+        let Reverse((until, job)) = self.due.peek().copied()?;
+        if until > now {
+            return None;
+        }
+        self.due.pop();
+        Some(job)
+    }
+}
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -90,7 +90,9 @@
 }
 
 /// Part of the job space that one entry process owns at a time.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display, From, Into)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display, From, Into, Default,
+)]
 pub struct Shard(pub u32);
 
 /// Fencing token of a shard; grows with each change of owner.
