feat(agent): decisions with ledger, fencing and slot credits

Cause: an agent must never start a task twice, must tell a successor everything it knows of a shard, and must hand its slots to the entry processes that need them. Ruled out: checking the epoch before the ledger (a refusal other than duplicate says that the task did not start, so a known task is refused as duplicate first); keeping an entry for a request that never left (its owner may start the task elsewhere, and a later fence report would contradict that). Change: module core::agent with the machine, its ledger, epochs, links, credits, stop and metrics; event numbers 201 to 216.

--- /dev/null
+++ b/crates/core/src/agent/fence.rs
@@ -0,0 +1,60 @@
+//! Fences and their answers.
+
+use knapweedwall_wire::{Fence, FenceReport, TaskReport, frame::Body};
+
+use super::event::{WithField, info, warning};
+use super::io::Action;
+use super::links::{PART_BYTES, report_bytes};
+use super::machine::Agent;
+use crate::ids::{Epoch, Shard};
+use crate::peer::LinkKey;
+
+impl Agent {
+    /// Raises the epoch of a shard and answers with everything known of it; always `true`.
+    pub(super) fn fence(&mut self, link: LinkKey, fence: Fence, out: &mut Vec<Action>) -> bool {
+        let Fence { shard, epoch } = fence;
+        self.metrics.fences.inc();
+        // Refusals of earlier starts go out first: after the answer the owner may start their
+        // tasks again.
+        self.links.flush(link, out);
+        if let Err(known) = self.shards.raise(Shard(shard), Epoch(epoch), link) {
+            let event = warning(212, "fence refused: epoch superseded");
+            let event = event.with("shard", shard).with("epoch", epoch);
+            out.push(Action::Log(event.with("known", known)));
+            send_part(link, shard, known.0, Vec::new(), true, out);
+            return true;
+        }
+        let event = info(213, "shard fenced").with("shard", shard);
+        out.push(Action::Log(event.with("epoch", epoch)));
+        let mut part = Vec::new();
+        let mut bytes = 0;
+        for report in self.ledger.reports_of(Shard(shard)) {
+            let more = report_bytes(&report);
+            if bytes + more > PART_BYTES {
+                send_part(link, shard, epoch, std::mem::take(&mut part), false, out);
+                bytes = 0;
+            }
+            bytes += more;
+            part.push(report);
+        }
+        send_part(link, shard, epoch, part, true, out);
+        true
+    }
+}
+
+fn send_part(
+    link: LinkKey,
+    shard: u32,
+    epoch: u64,
+    tasks: Vec<TaskReport>,
+    last: bool,
+    out: &mut Vec<Action>,
+) {
+    let report = FenceReport {
+        shard,
+        epoch,
+        tasks,
+        last,
+    };
+    out.push(Action::Send(link, Body::FenceReport(report)));
+}
--- /dev/null
+++ b/crates/core/src/agent/leave.rs
@@ -0,0 +1,49 @@
+//! The planned stop.
+
+use std::time::Duration;
+
+use knapweedwall_wire::{Leaving, frame::Body};
+
+use super::event::{WithField, info, warning};
+use super::io::Action;
+use super::machine::Agent;
+
+impl Agent {
+    /// Announces the stop on all links and takes back all credits.
+    pub(super) fn stop(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if self.stopped.is_some() {
+            return;
+        }
+        self.stopped = Some(now);
+        let event = info(214, "leaving: no more starts are taken");
+        let event = event.with("running", self.runs.len());
+        out.push(Action::Log(event.with("unsettled", self.ledger.len())));
+        for link in self.links.keys() {
+            self.credits.leave(link);
+            out.push(Action::Send(link, Body::Leaving(Leaving {})));
+        }
+    }
+
+    /// Lets the process exit once everything is settled, or when the time for it is over.
+    pub(super) fn leave_when_done(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let Some(since) = self.stopped else {
+            return;
+        };
+        if self.exited {
+            return;
+        }
+        let done = self.runs.is_empty() && self.ledger.len() == 0;
+        if !done && now.saturating_sub(since) < self.settings.stop_limit {
+            return;
+        }
+        self.exited = true;
+        let event = if done {
+            info(215, "left: everything is settled")
+        } else {
+            warning(216, "left with unsettled tasks: the stop limit is over")
+        };
+        let event = event.with("running", self.runs.len());
+        out.push(Action::Log(event.with("unsettled", self.ledger.len())));
+        out.push(Action::Exit);
+    }
+}
--- /dev/null
+++ b/crates/core/src/agent/ledger.rs
@@ -0,0 +1,232 @@
+//! What was started on the endpoint and is not settled yet.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use knapweedwall_wire::{Outcome, TaskReport};
+use slotmap::{SlotMap, new_key_type};
+
+use super::io::RunKey;
+use super::run::MAX_RESULT_BYTES;
+use super::settled::SettledJobs;
+use crate::ids::{JobKey, Shard, TaskRef};
+
+/// Memory of an entry without its result: arena slot, index node and spare capacity.
+const ENTRY_BYTES: usize = 256;
+
+new_key_type! {
+    /// One entry of the ledger.
+    pub(super) struct EntryKey;
+}
+
+/// Bounds of the ledger. A start that does not fit is refused as `ledger_full`.
+#[derive(Debug, Clone, Copy)]
+pub struct LedgerLimits {
+    /// Most entries.
+    pub entries: usize,
+    /// Most memory, in bytes; a running task counts with the largest result.
+    pub bytes: usize,
+    /// Most keys of settled jobs; the oldest are dropped first.
+    pub settled: usize,
+}
+
+impl Default for LedgerLimits {
+    fn default() -> Self {
+        Self {
+            entries: 65_536,
+            bytes: 64 * 1024 * 1024,
+            settled: 262_144,
+        }
+    }
+}
+
+/// State of a started task.
+#[derive(Debug)]
+pub(super) enum State {
+    /// It runs on the endpoint.
+    Running(RunKey),
+    /// It ended.
+    Ended(End),
+}
+
+/// How a task ended.
+#[derive(Debug, Clone)]
+pub(super) struct End {
+    pub(super) outcome: Outcome,
+    pub(super) payload: Bytes,
+    pub(super) run_us: u32,
+    pub(super) code: &'static str,
+}
+
+/// One started task.
+#[derive(Debug)]
+pub(super) struct Entry {
+    pub(super) task: TaskRef,
+    pub(super) shard: Shard,
+    pub(super) state: State,
+    /// The job is settled; the entry goes when the task ends.
+    settled: bool,
+}
+
+impl Entry {
+    /// The entry as it is reported to an owner.
+    pub(super) fn report(&self) -> TaskReport {
+        let mut report = TaskReport {
+            job: self.task.job.to_bytes(),
+            index: self.task.index,
+            shard: self.shard.0,
+            outcome: Outcome::Running.into(),
+            ..TaskReport::default()
+        };
+        if let State::Ended(end) = &self.state {
+            report.outcome = end.outcome.into();
+            report.payload = end.payload.clone();
+            report.run_us = end.run_us;
+            report.code = end.code.to_owned();
+        }
+        report
+    }
+}
+
+/// The ledger.
+#[derive(Debug)]
+pub(super) struct Ledger {
+    limits: LedgerLimits,
+    entries: SlotMap<EntryKey, Entry>,
+    index: BTreeMap<TaskRef, EntryKey>,
+    bytes: usize,
+    settled: SettledJobs,
+}
+
+impl Ledger {
+    pub(super) fn new(limits: LedgerLimits) -> Self {
+        Self {
+            limits,
+            entries: SlotMap::with_key(),
+            index: BTreeMap::new(),
+            bytes: 0,
+            settled: SettledJobs::new(limits.settled),
+        }
+    }
+
+    /// Whether the task was started before, or its job was settled a short time ago.
+    pub(super) fn knows(&self, task: &TaskRef) -> bool {
+        self.index.contains_key(task) || self.settled.contains(task.job)
+    }
+
+    /// Whether one more task can be recorded, with the largest result.
+    pub(super) fn has_room(&self) -> bool {
+        let bytes = self.bytes + ENTRY_BYTES + MAX_RESULT_BYTES;
+        self.entries.len() < self.limits.entries && bytes <= self.limits.bytes
+    }
+
+    /// Records a start.
+    pub(super) fn insert(&mut self, task: TaskRef, shard: Shard, run: RunKey) -> EntryKey {
+        let entry = Entry {
+            task,
+            shard,
+            state: State::Running(run),
+            settled: false,
+        };
+        let key = self.entries.insert(entry);
+        self.index.insert(task, key);
+        self.bytes += ENTRY_BYTES + MAX_RESULT_BYTES;
+        key
+    }
+
+    /// Records the end of a running task and returns its report; `None` when it ended before.
+    pub(super) fn end(&mut self, key: EntryKey, end: End) -> Option<(Shard, TaskReport)> {
+        let entry = self.entries.get_mut(key)?;
+        if !matches!(entry.state, State::Running(_)) {
+            return None;
+        }
+        self.bytes -= MAX_RESULT_BYTES;
+        self.bytes += end.payload.len();
+        entry.state = State::Ended(end);
+        let reported = (entry.shard, entry.report());
+        if entry.settled {
+            self.remove(key);
+        }
+        Some(reported)
+    }
+
+    /// Removes a running task that turned out not to have started; `None` when it ended before.
+    pub(super) fn withdraw(&mut self, key: EntryKey) -> Option<(TaskRef, Shard)> {
+        let entry = self.entries.get(key)?;
+        if !matches!(entry.state, State::Running(_)) {
+            return None;
+        }
+        let withdrawn = (entry.task, entry.shard);
+        self.remove(key);
+        Some(withdrawn)
+    }
+
+    /// Forgets the ended tasks of a job whose end is durable; running ones are forgotten when
+    /// they end.
+    pub(super) fn settle(&mut self, now: Duration, job: JobKey) {
+        for key in self.keys_of(job) {
+            let Some(entry) = self.entries.get_mut(key) else {
+                continue;
+            };
+            entry.settled = true;
+            if matches!(entry.state, State::Ended(_)) {
+                self.remove(key);
+            }
+        }
+        self.settled.insert(now, job);
+    }
+
+    /// Drops the keys of jobs that were settled long ago.
+    pub(super) fn expire(&mut self, now: Duration) {
+        self.settled.expire(now);
+    }
+
+    /// Running tasks of a job, with their shard.
+    pub(super) fn running_of(&self, job: JobKey) -> Vec<(RunKey, Shard)> {
+        let mut running = Vec::new();
+        for key in self.keys_of(job) {
+            let entry = &self.entries[key];
+            if let State::Running(run) = entry.state {
+                running.push((run, entry.shard));
+            }
+        }
+        running
+    }
+
+    /// Everything known of a shard.
+    pub(super) fn reports_of(&self, shard: Shard) -> impl Iterator<Item = TaskReport> {
+        let of_shard = self.entries.values().filter(move |e| e.shard == shard);
+        of_shard.map(Entry::report)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub(super) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    fn keys_of(&self, job: JobKey) -> Vec<EntryKey> {
+        let first = TaskRef { job, index: 0 };
+        let last = TaskRef {
+            job,
+            index: u32::MAX,
+        };
+        let keys = self.index.range(first..=last).map(|(_, key)| *key);
+        keys.collect()
+    }
+
+    fn remove(&mut self, key: EntryKey) {
+        let Some(entry) = self.entries.remove(key) else {
+            return;
+        };
+        self.index.remove(&entry.task);
+        let result = match &entry.state {
+            State::Running(_) => MAX_RESULT_BYTES,
+            State::Ended(end) => end.payload.len(),
+        };
+        self.bytes -= ENTRY_BYTES + result;
+    }
+}
--- /dev/null
+++ b/crates/core/src/agent/links.rs
@@ -0,0 +1,146 @@
+//! Links to entry processes and what waits to be reported on them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use knapweedwall_wire::{Grant, Report, TaskReport, frame::Body};
+use prost::Message;
+use smol_str::SmolStr;
+
+use super::io::Action;
+use crate::ids::Instance;
+use crate::peer::{LinkKey, PeerInfo};
+
+/// Largest part of a report, in bytes; larger ones are split.
+pub(super) const PART_BYTES: usize = 1_000_000;
+
+/// Encoding overhead of one task in a report, in bytes.
+const FIELD_BYTES: usize = 8;
+
+/// Size of a task in a report.
+pub(super) fn report_bytes(report: &TaskReport) -> usize {
+    report.encoded_len() + FIELD_BYTES
+}
+
+/// One link.
+#[derive(Debug)]
+pub(super) struct Link {
+    pub(super) name: SmolStr,
+    pub(super) instance: Instance,
+    /// Time of the last frame.
+    pub(super) heard: Duration,
+    /// Version of the configuration that was offered on this link.
+    pub(super) offered: u64,
+    reports: Vec<TaskReport>,
+    bytes: usize,
+    credits: u32,
+}
+
+/// All links.
+#[derive(Debug, Default)]
+pub(super) struct Links {
+    links: BTreeMap<LinkKey, Link>,
+    /// Links with something to send at the end of the turn.
+    dirty: Vec<LinkKey>,
+}
+
+impl Links {
+    pub(super) fn insert(&mut self, now: Duration, link: LinkKey, peer: &PeerInfo) {
+        let state = Link {
+            name: peer.name.clone(),
+            instance: peer.instance,
+            heard: now,
+            offered: 0,
+            reports: Vec::new(),
+            bytes: 0,
+            credits: 0,
+        };
+        self.links.insert(link, state);
+    }
+
+    pub(super) fn remove(&mut self, link: LinkKey) -> Option<Link> {
+        self.links.remove(&link)
+    }
+
+    pub(super) fn get_mut(&mut self, link: LinkKey) -> Option<&mut Link> {
+        self.links.get_mut(&link)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.links.len()
+    }
+
+    pub(super) fn keys(&self) -> impl Iterator<Item = LinkKey> {
+        self.links.keys().copied()
+    }
+
+    /// The link of an instance.
+    pub(super) fn of_instance(&self, instance: Instance) -> Option<LinkKey> {
+        let same = self.links.iter().find(|(_, l)| l.instance == instance);
+        same.map(|(link, _)| *link)
+    }
+
+    /// Links without any frame since `limit`.
+    pub(super) fn silent(&self, now: Duration, limit: Duration) -> Vec<LinkKey> {
+        let silent = |l: &Link| now.saturating_sub(l.heard) >= limit;
+        let links = self.links.iter().filter(|(_, l)| silent(l));
+        links.map(|(link, _)| *link).collect()
+    }
+
+    /// Queues the report of a task for the end of the turn; a full part is sent at once.
+    pub(super) fn report(&mut self, link: LinkKey, report: TaskReport, out: &mut Vec<Action>) {
+        let Some(state) = self.links.get_mut(&link) else {
+            return;
+        };
+        let bytes = report_bytes(&report);
+        if state.bytes + bytes > PART_BYTES {
+            send(link, state, out);
+        }
+        mark(&mut self.dirty, link, state);
+        state.bytes += bytes;
+        state.reports.push(report);
+    }
+
+    /// Queues credits for the end of the turn.
+    pub(super) fn grant(&mut self, link: LinkKey, credits: u32) {
+        let Some(state) = self.links.get_mut(&link) else {
+            return;
+        };
+        mark(&mut self.dirty, link, state);
+        state.credits += credits;
+    }
+
+    /// Sends what is queued for one link.
+    pub(super) fn flush(&mut self, link: LinkKey, out: &mut Vec<Action>) {
+        if let Some(state) = self.links.get_mut(&link) {
+            send(link, state, out);
+        }
+    }
+
+    /// Sends what is queued for all links.
+    pub(super) fn flush_all(&mut self, out: &mut Vec<Action>) {
+        for link in std::mem::take(&mut self.dirty) {
+            self.flush(link, out);
+        }
+    }
+}
+
+fn mark(dirty: &mut Vec<LinkKey>, link: LinkKey, state: &Link) {
+    if state.reports.is_empty() && state.credits == 0 {
+        dirty.push(link);
+    }
+}
+
+fn send(link: LinkKey, state: &mut Link, out: &mut Vec<Action>) {
+    let credits = std::mem::take(&mut state.credits);
+    if state.reports.is_empty() {
+        if credits > 0 {
+            out.push(Action::Send(link, Body::Grant(Grant { credits })));
+        }
+        return;
+    }
+    state.bytes = 0;
+    let tasks = std::mem::take(&mut state.reports);
+    let report = Report { tasks, credits };
+    out.push(Action::Send(link, Body::Report(report)));
+}
--- /dev/null
+++ b/crates/core/src/agent/start.rs
@@ -0,0 +1,139 @@
+//! Starts and the reasons to refuse them.
+
+use std::time::Duration;
+
+use knapweedwall_wire::{Outcome, Start, TaskReport, TaskStart};
+
+use super::event::{WithField, warning};
+use super::io::{Action, RunTask};
+use super::machine::Agent;
+use super::run::Run;
+use crate::ids::{Epoch, JobKey, Shard, TaskRef};
+use crate::peer::LinkKey;
+
+impl Agent {
+    /// Starts or refuses tasks; `false` when the frame is invalid.
+    pub(super) fn start(
+        &mut self,
+        now: Duration,
+        link: LinkKey,
+        start: Start,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        for task in start.tasks {
+            let Ok(job) = JobKey::from_bytes(&task.job) else {
+                return false;
+            };
+            let index = task.index;
+            self.start_task(now, link, TaskRef { job, index }, task, out);
+        }
+        true
+    }
+
+    fn start_task(
+        &mut self,
+        now: Duration,
+        link: LinkKey,
+        task: TaskRef,
+        start: TaskStart,
+        out: &mut Vec<Action>,
+    ) {
+        let spent = self.credits.spend(link);
+        let refusal = self.refusal(link, &task, &start, spent, out);
+        if let Some(outcome) = refusal {
+            if spent {
+                self.credits.refuse(link);
+            }
+            self.refuse(link, &start, outcome, out);
+            return;
+        }
+        let shard = Shard(start.shard);
+        let limit = Duration::from_millis(u64::from(start.limit_ms));
+        let ledger = &mut self.ledger;
+        let run = self.runs.insert_with_key(|run| Run {
+            entry: ledger.insert(task, shard, run),
+            link,
+            since: now,
+            due: (!limit.is_zero()).then(|| now + limit),
+            stopped: false,
+        });
+        self.full = false;
+        self.metrics.started.inc();
+        let task = RunTask {
+            task,
+            class: start.class,
+            payload: start.payload,
+            marked: start.non_idempotent,
+        };
+        out.push(Action::Run(run, task));
+    }
+
+    /// Why a start is refused; `None` takes a slot for it.
+    ///
+    /// A known task is refused as duplicate before anything else: all other refusals tell the
+    /// owner that the task did not start here.
+    fn refusal(
+        &mut self,
+        link: LinkKey,
+        task: &TaskRef,
+        start: &TaskStart,
+        spent: bool,
+        out: &mut Vec<Action>,
+    ) -> Option<Outcome> {
+        let raised = self
+            .shards
+            .raise(Shard(start.shard), Epoch(start.epoch), link);
+        if self.ledger.knows(task) {
+            self.metrics.duplicates.inc();
+            return Some(Outcome::Duplicate);
+        }
+        if let Err(known) = raised {
+            self.metrics.superseded.inc();
+            let event = warning(208, "start refused: epoch superseded");
+            let event = event.with("shard", start.shard).with("epoch", start.epoch);
+            out.push(Action::Log(event.with("known", known)));
+            return Some(Outcome::Superseded);
+        }
+        if self.stopped.is_some() {
+            return Some(Outcome::Leaving);
+        }
+        if !self.reachable {
+            return Some(Outcome::Unreachable);
+        }
+        if !self.ledger.has_room() {
+            self.log_full(out);
+            return Some(Outcome::LedgerFull);
+        }
+        if !spent || !self.credits.occupy() {
+            return Some(Outcome::NoSlot);
+        }
+        None
+    }
+
+    fn log_full(&mut self, out: &mut Vec<Action>) {
+        if self.full {
+            return;
+        }
+        self.full = true;
+        let event = warning(209, "start refused: ledger full");
+        out.push(Action::Log(event.with("entries", self.ledger.len())));
+    }
+
+    fn refuse(
+        &mut self,
+        link: LinkKey,
+        start: &TaskStart,
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        self.metrics.refused.inc();
+        let report = TaskReport {
+            job: start.job.clone(),
+            index: start.index,
+            shard: start.shard,
+            outcome: outcome.into(),
+            ..TaskReport::default()
+        };
+        self.links.report(link, report, out);
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Inputs, state and a [`Now`] go in; actions come out. The processes run these decisions behind
 //! their threads, sockets and timers; tests run them directly.
 
+pub mod agent;
 pub mod config;
 pub mod entry;
 pub mod store;
