feat(platform): HTTP adapter, stand-in store and stand-in endpoint

Cause: every other part needs a platform to write to and an endpoint to run tasks on. Ruled out: taking any 503 as proof that nothing was applied (it may come from something between client and platform); resetting connections below the HTTP library's knowledge with a custom stream type.

--- /dev/null
+++ b/crates/platform/src/protocol/table.rs
@@ -0,0 +1,227 @@
+//! Messages of the table service.
+
+use knapweedwall_core::store;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use super::Value;
+
+/// Path of transactions.
+pub const TRANSACT_PATH: &str = "/table/transact";
+
+/// Path of reads of one row.
+pub const GET_PATH: &str = "/table/get";
+
+/// Path of reads of several rows.
+pub const SCAN_PATH: &str = "/table/scan";
+
+/// A row.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Row {
+    /// Key.
+    pub key: SmolStr,
+    /// Version.
+    pub version: u64,
+    /// Content.
+    pub value: Value,
+}
+
+/// Condition of a transaction.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
+pub enum Condition {
+    /// No row has this key.
+    Absent {
+        /// Key.
+        key: SmolStr,
+    },
+    /// The row has this version.
+    Version {
+        /// Key.
+        key: SmolStr,
+        /// Version.
+        version: u64,
+    },
+}
+
+/// Change of one row.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
+pub enum Write {
+    /// Writes the row.
+    Put {
+        /// Key.
+        key: SmolStr,
+        /// Content.
+        value: Value,
+    },
+    /// Deletes the row.
+    Delete {
+        /// Key.
+        key: SmolStr,
+    },
+}
+
+/// Request to run a transaction.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Transact {
+    /// Conditions.
+    pub conditions: Vec<Condition>,
+    /// Writes.
+    pub writes: Vec<Write>,
+}
+
+/// Request to read one row.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GetRow {
+    /// Key.
+    pub key: SmolStr,
+}
+
+/// Request to read rows in order of keys.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ScanRows {
+    /// Start of the keys.
+    pub prefix: SmolStr,
+    /// Last key already read; empty at the beginning.
+    pub after: SmolStr,
+    /// Most rows to return.
+    pub limit: u32,
+}
+
+/// Reply to a transaction that took effect.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Committed {
+    /// Version of the rows written.
+    pub version: u64,
+}
+
+/// A key whose condition failed.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct FailedKey {
+    /// Key.
+    pub key: SmolStr,
+    /// Present row, if there is one.
+    pub row: Option<Row>,
+}
+
+/// Reply to a transaction whose conditions failed; nothing was written.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Conflict {
+    /// Every failed condition's key.
+    pub failed: Vec<FailedKey>,
+}
+
+/// Reply to [`GetRow`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Found {
+    /// The row; `null` when there is none.
+    #[serde(deserialize_with = "Option::deserialize")]
+    pub row: Option<Row>,
+}
+
+/// Reply to [`ScanRows`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Page {
+    /// Rows in order of keys.
+    pub rows: Vec<Row>,
+    /// Whether more rows follow.
+    pub more: bool,
+}
+
+impl From<store::Row> for Row {
+    fn from(row: store::Row) -> Self {
+        Self {
+            key: row.key,
+            version: row.version,
+            value: Value(row.value),
+        }
+    }
+}
+
+impl From<Row> for store::Row {
+    fn from(row: Row) -> Self {
+        Self {
+            key: row.key,
+            version: row.version,
+            value: row.value.0,
+        }
+    }
+}
+
+impl From<store::Condition> for Condition {
+    fn from(condition: store::Condition) -> Self {
+        match condition {
+            store::Condition::Absent(key) => Self::Absent { key },
+            store::Condition::Version(key, version) => Self::Version { key, version },
+        }
+    }
+}
+
+impl From<Condition> for store::Condition {
+    fn from(condition: Condition) -> Self {
+        match condition {
+            Condition::Absent { key } => Self::Absent(key),
+            Condition::Version { key, version } => Self::Version(key, version),
+        }
+    }
+}
+
+impl From<store::Write> for Write {
+    fn from(write: store::Write) -> Self {
+        match write {
+            store::Write::Put(key, value) => Self::Put {
+                key,
+                value: Value(value),
+            },
+            store::Write::Delete(key) => Self::Delete { key },
+        }
+    }
+}
+
+impl From<Write> for store::Write {
+    fn from(write: Write) -> Self {
+        match write {
+            Write::Put { key, value } => Self::Put(key, value.0),
+            Write::Delete { key } => Self::Delete(key),
+        }
+    }
+}
+
+impl From<store::Transaction> for Transact {
+    fn from(transaction: store::Transaction) -> Self {
+        Self {
+            conditions: transaction.conditions.into_iter().map(Into::into).collect(),
+            writes: transaction.writes.into_iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl From<Transact> for store::Transaction {
+    fn from(transact: Transact) -> Self {
+        Self {
+            conditions: transact.conditions.into_iter().map(Into::into).collect(),
+            writes: transact.writes.into_iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl From<(SmolStr, Option<store::Row>)> for FailedKey {
+    fn from((key, row): (SmolStr, Option<store::Row>)) -> Self {
+        Self {
+            key,
+            row: row.map(Into::into),
+        }
+    }
+}
+
+impl From<FailedKey> for (SmolStr, Option<store::Row>) {
+    fn from(failed: FailedKey) -> Self {
+        (failed.key, failed.row.map(Into::into))
+    }
+}
