--- a/crates/core/src/entry/submit.rs
+++ b/crates/core/src/entry/submit.rs
@@ -169,6 +169,9 @@
         }
         let shard = routed.key.shard(self.shards.count());
         match self.shards.role(shard) {
+            Role::Serving if self.is_for_successor(now, &routed) => {
+                return self.routing.park(routed);
+            }
             Role::Serving => return self.serve(now, shard, routed, out),
             Role::Foreign => {}
             _ => return self.routing.park(routed),
@@ -184,6 +187,14 @@
         }
     }
 
+    /// Whether a new job should wait for the process that takes the shard over in a planned stop.
+    fn is_for_successor(&mut self, now: Now, routed: &Routed) -> bool {
+        self.stopping.is_some()
+            && matches!(routed.ask, Ask::Submit(_))
+            && self.peers.staying(now.mono).next().is_some()
+            && self.jobs.find(routed.key).is_none()
+    }
+
     /// Tries parked requests again; refuses those that have waited too long.
     pub(super) fn retry_routes(&mut self, now: Now, out: &mut Vec<Action>) {
         for routed in self.routing.unpark() {
