--- a/crates/core/src/entry/commit.rs
+++ b/crates/core/src/entry/commit.rs
@@ -64,9 +64,6 @@
                 for record in records {
                     self.durable(now, record, &covered, out);
                 }
-                for key in std::mem::take(&mut self.ownership.cancels) {
-                    self.cancel_now(now, key, out);
-                }
             }
             Some(Verdict::Moved(rows)) => self.take_moved(now, &rows, out),
             Some(Verdict::Foreign) => {
--- a/crates/core/src/entry/links.rs
+++ b/crates/core/src/entry/links.rs
@@ -260,13 +260,24 @@
         };
         let instance = peer.info.instance;
         for owned in &heartbeat.owned {
-            self.check_owned(now, instance, owned);
+            self.check_owned(instance, owned);
+        }
+        self.check_released(instance, &heartbeat.owned);
+    }
+
+    /// Has the owners' rows read when a peer no longer says that it owns what it owned.
+    fn check_released(&mut self, instance: Instance, owned: &[ShardEpoch]) {
+        let gone = self.shards.iter().any(|(shard, info)| {
+            info.row.owner == instance.0 && !owned.iter().any(|owned| owned.shard == shard.0)
+        });
+        if gone {
+            self.ownership.refresh();
         }
     }
 
     /// Has the owners' rows read when a peer says that it owns what this process believes another
     /// to own.
-    fn check_owned(&mut self, _now: Now, instance: Instance, owned: &ShardEpoch) {
+    fn check_owned(&mut self, instance: Instance, owned: &ShardEpoch) {
         let shard = Shard(owned.shard);
         let epoch = self.shards.epoch(shard).0;
         if owned.epoch > epoch || (owned.epoch == epoch && !self.shards.is_owner(shard, instance)) {
@@ -369,7 +380,7 @@
             ..Heartbeat::default()
         };
         for (shard, info) in self.shards.iter() {
-            if info.role == ShardRole::Serving {
+            if matches!(info.role, ShardRole::Loading | ShardRole::Serving) {
                 heartbeat.owned.push(ShardEpoch {
                     shard: shard.0,
                     epoch: info.row.epoch,
--- a/crates/core/src/entry/machine.rs
+++ b/crates/core/src/entry/machine.rs
@@ -212,6 +212,7 @@
         self.expire_waiters(now, out);
         self.expire_submissions(now, out);
         self.retry_routes(now, out);
+        self.retry_cancels(now, out);
         self.fail_unstartable(now, out);
         self.lose_agents(now, out);
         self.run_links(now, out);
--- a/crates/core/src/entry/ownership.rs
+++ b/crates/core/src/entry/ownership.rs
@@ -48,7 +48,7 @@
 pub struct Ownership {
     /// Agents by their keys in the dispatcher.
     pub workers: HashMap<WorkerKey, AgentKey>,
-    /// Jobs to cancel once their admission is known.
+    /// Jobs to cancel once it is known whether they are admitted and what has started.
     pub cancels: Vec<JobKey>,
     counted: bool,
     scanned: bool,
@@ -417,9 +417,10 @@
         let mut logs = VecDeque::new();
         for &shard in &shards {
             self.shards.set_role(shard, Role::Loading);
-            let Some(info) = self.shards.get(shard) else {
+            let Some(info) = self.shards.get_mut(shard) else {
                 continue;
             };
+            info.claimed = now.mono;
             for &source in &info.row.sources {
                 let log = Instance(source);
                 let unused = log == self.settings.instance && self.journal.durable_seq() == 0;
@@ -467,7 +468,9 @@
             if info.role != Role::Serving || self.inquiries.contains_key(&shard) {
                 continue;
             }
-            let better = self.peers.rank(now.mono, &self.settings.name, shard) > 0;
+            // A shard that came back was not taken by the better owner; it stays here for a while.
+            let kept = now.since(info.claimed) >= HANDOVER_DELAY;
+            let better = kept && self.peers.rank(now.mono, &self.settings.name, shard) > 0;
             if self.stopping.is_some() || (settled && better) {
                 return Some(shard);
             }
--- a/crates/core/src/entry/shards.rs
+++ b/crates/core/src/entry/shards.rs
@@ -40,6 +40,8 @@
     pub role: Role,
     /// Monotonic time since which it can be claimed.
     pub claimable: Option<Duration>,
+    /// Monotonic time at which this process claimed it last.
+    pub claimed: Duration,
 }
 
 /// All shards.
@@ -57,6 +59,7 @@
             row: OwnerRow::default(),
             role: Role::Foreign,
             claimable: None,
+            claimed: Duration::ZERO,
         };
         self.list = vec![info; count as usize];
     }
--- a/crates/core/src/entry/submit.rs
+++ b/crates/core/src/entry/submit.rs
@@ -8,7 +8,7 @@
 
 use super::answer::{self, Cause, Ran, Reply};
 use super::io::{Action, CallKey};
-use super::jobs::{Ending, Found, Job, Phase};
+use super::jobs::{Ending, Found, Job, Phase, TaskState};
 use super::journal::{Guard, MAX_RECORD_BYTES};
 use super::machine::Machine;
 use super::routing::{Ask, MAX_HOPS, Routed};
@@ -317,12 +317,14 @@
 
     /// Ends an open job as cancelled: tasks that wait are dropped, tasks that run are stopped.
     ///
-    /// A job whose record is in flight may be admitted, so its cancel waits until that is known.
+    /// A job whose record is in flight may be admitted, and a job of a former owner may have been
+    /// answered as complete, so its cancel waits until that is known.
     pub(super) fn cancel_now(&mut self, now: Now, key: JobKey, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.open(key) else {
             return;
         };
-        if job.phase == Phase::Written {
+        let unaccounted = job.tasks.contains(&TaskState::Unaccounted);
+        if job.phase == Phase::Written || unaccounted {
             self.ownership.cancels.push(key);
             return;
         }
@@ -336,6 +338,13 @@
         self.end_job(now, key, Ending::Failed(cause), out);
     }
 
+    /// Cancels jobs whose cancel had to wait.
+    pub(super) fn retry_cancels(&mut self, now: Now, out: &mut Vec<Action>) {
+        for key in std::mem::take(&mut self.ownership.cancels) {
+            self.cancel_now(now, key, out);
+        }
+    }
+
     /// Answers waiters whose time is over.
     pub(super) fn expire_waiters(&mut self, now: Now, out: &mut Vec<Action>) {
         while let Some(key) = self.deadlines.pop(now.mono) {
--- a/crates/testing/tests/decisions/driver.rs
+++ b/crates/testing/tests/decisions/driver.rs
@@ -1,5 +1,9 @@
 //! Runs the decisions of entry processes and agents against each other in virtual time, with an
 //! in-memory store and in-memory connections.
+#![allow(
+    clippy::unwrap_used,
+    reason = "a test fails by panicking; clippy.toml allows it in test functions only"
+)]
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::Duration;
@@ -13,7 +17,7 @@
 use knapweedwall_core::entry::{
     Action, CallKey, Decisions, Input, Machine, Operation, Settings, StoreKey,
 };
-use knapweedwall_core::store::{Failure, Outcome, Request};
+use knapweedwall_core::store::{Failure, Outcome, Reply, Request, Row, Transaction};
 use knapweedwall_core::{Instance, JobId, LinkKey, Now, PeerInfo, Role, TaskRef};
 use knapweedwall_testing::table::Engine;
 use knapweedwall_wire::{Admit, AdmitTask, frame::Body};
@@ -66,6 +70,7 @@
     pub starts: Vec<TaskRef>,
     pub replies: HashMap<u64, (u16, String)>,
     pub log: Vec<String>,
+    pub writes: Vec<(usize, Transaction)>,
     engine: Engine,
     nodes: BTreeMap<Place, Node>,
     links: HashMap<LinkKey, (Place, Place)>,
@@ -83,6 +88,7 @@
             starts: Vec::new(),
             replies: HashMap::new(),
             log: Vec::new(),
+            writes: Vec::new(),
             engine: Engine::default(),
             nodes: BTreeMap::new(),
             links: HashMap::new(),
@@ -266,12 +272,20 @@
 
     /// The reply to a call; panics when there is none.
     pub fn reply(&self, call: u64) -> &(u16, String) {
-        let log = &self.log;
+        let log = &self.log[self.log.len().saturating_sub(60)..];
         self.replies
             .get(&call)
             .unwrap_or_else(|| panic!("no reply to {call}; log: {log:#?}"))
     }
 
+    /// A row of the store.
+    pub fn row(&mut self, key: &str) -> Option<Row> {
+        match self.engine.apply(Request::Get(key.into())) {
+            Ok(Reply::Row(row)) => row,
+            _ => None,
+        }
+    }
+
     /// Tasks that were started more than once.
     pub fn doubled(&self) -> Vec<TaskRef> {
         let mut seen = HashSet::new();
@@ -461,6 +475,9 @@
 
     fn store_call(&mut self, place: Place, op: StoreKey, request: Request) {
         let lost = Err(Failure::Unknown("time-out".into()));
+        if let (Request::Transact(transaction), Place::Entry(entry)) = (&request, place) {
+            self.writes.push((entry, transaction.clone()));
+        }
         let (delay, outcome) = match self.store {
             Store::Up => (STORE_MS, Ok(self.engine.apply(request).unwrap())),
             Store::Down => (500, lost),
--- a/crates/testing/tests/decisions/main.rs
+++ b/crates/testing/tests/decisions/main.rs
@@ -3,7 +3,9 @@
 mod admission;
 mod cancels;
 mod config_race;
+mod double_trouble;
 mod driver;
+mod journal_guards;
 mod lost_agents;
 mod planned_stop;
 mod store_faults;
