fix(core): a successor knows every agent that may have started tasks

Ruled out: the agents' ledgers (each agent refused its own duplicates). Collected answers carry the failure's code.

--- a/crates/core/src/entry/answer.rs
+++ b/crates/core/src/entry/answer.rs
@@ -90,6 +90,8 @@
     id: &'a str,
     state: &'static str,
     outcome: &'static str,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    code: &'a str,
 }
 
 #[derive(Serialize)]
@@ -174,15 +176,21 @@
     )
 }
 
-/// A job whose answer is no longer held.
-pub fn collected(id: &str, complete: bool) -> Reply {
-    let outcome = if complete { "complete" } else { "failed" };
+/// A job whose answer is no longer held. `code` is empty when it ended complete.
+pub fn collected(id: &str, code: &str) -> Reply {
+    let outcome = if code.is_empty() {
+        "complete"
+    } else {
+        "failed"
+    };
+    let state = "collected";
     json(
         200,
         &Collected {
             id,
-            state: "collected",
+            state,
             outcome,
+            code,
         },
     )
 }
--- a/crates/core/src/entry/checkpoint.rs
+++ b/crates/core/src/entry/checkpoint.rs
@@ -8,7 +8,7 @@
 use prost::Message;
 use smol_str::SmolStr;
 
-use super::agents::{Agents, Roster};
+use super::agents::Agents;
 use super::io::StoreKey;
 use super::jobs::{Ending, Forgotten, Job, Jobs, Phase};
 use super::rows;
@@ -25,9 +25,6 @@
 /// Rows deleted in one transaction.
 const DELETE_ROWS: u64 = 200;
 
-/// Code of the failure kept for a forgotten job that did not end complete.
-pub const FORGOTTEN_FAILURE: &str = "failed";
-
 /// Pause before an unfinished step is repeated.
 const RETRY: Duration = Duration::from_millis(200);
 
@@ -109,7 +106,9 @@
     /// The transaction that names the new image and drops former sources, if it is time for it.
     ///
     /// Both happen at once: a row of an owner that names only this journal always finds an image
-    /// that contains the shard.
+    /// that contains the shard. The transaction is conditional on the ownership of all shards in
+    /// the image: a successor may be reading the former image, which knows agents that this one
+    /// does not name any more.
     pub fn point(&mut self, now: Duration, op: StoreKey, shards: &Shards) -> Option<Request> {
         let Step::Pointer {
             op: flight @ None,
@@ -181,7 +180,10 @@
                     Some(row) if row.value == rows::pointer_value(self.number, seq) => {
                         self.covered(seq, row.version)
                     }
-                    _ => Progress::Moved(rows.clone()),
+                    _ => {
+                        self.step = Step::Idle;
+                        Progress::Moved(rows.clone())
+                    }
                 }
             }
             // The transaction is conditional, so it is repeated until its outcome is known.
@@ -226,11 +228,9 @@
         checkpoint.shards.push(shard.0);
     }
     for (_, agent) in agents.iter() {
-        if agent.roster == Roster::Durable {
-            let instance = agent.info.instance.0;
-            let name = agent.info.name.to_string();
-            checkpoint.roster.push(RosterRecord { instance, name });
-        }
+        let instance = agent.info.instance.0;
+        let name = agent.info.name.to_string();
+        checkpoint.roster.push(RosterRecord { instance, name });
     }
     for job in jobs.iter_open() {
         if job.phase == Phase::Active {
@@ -267,21 +267,16 @@
 }
 
 /// A forgotten job has no id in its admission; `expires_ms` says how long it is remembered.
-fn ended(key: JobKey, forgotten: Forgotten) -> CheckpointJob {
+fn ended(key: JobKey, forgotten: &Forgotten) -> CheckpointJob {
     let admit = Admit {
         job: key.to_bytes(),
         digest: forgotten.digest,
         expires_ms: forgotten.until_ms,
         ..Admit::default()
     };
-    let code = if forgotten.complete {
-        ""
-    } else {
-        FORGOTTEN_FAILURE
-    };
     let end = End {
         job: key.to_bytes(),
-        code: code.to_owned(),
+        code: forgotten.code.to_string(),
         ..End::default()
     };
     CheckpointJob {
@@ -307,18 +302,19 @@
 ) -> Vec<(Shard, OwnerRow)> {
     let mut changed = Vec::new();
     for (shard, info) in shards.iter() {
-        if info.role != Role::Serving || info.row.sources == [log.0] {
+        if info.role != Role::Serving {
+            continue;
+        }
+        let key = rows::owner(shard);
+        let condition = Condition::Version(key.clone(), info.version);
+        transaction.conditions.push(condition);
+        if info.row.sources == [log.0] {
             continue;
         }
         let mut row = info.row.clone();
         row.sources = vec![log.0];
-        let key = rows::owner(shard);
-        transaction
-            .conditions
-            .push(Condition::Version(key.clone(), info.version));
-        transaction
-            .writes
-            .push(Write::Put(key, row.encode_to_vec().into()));
+        let write = Write::Put(key, row.encode_to_vec().into());
+        transaction.writes.push(write);
         changed.push((shard, row));
     }
     changed
--- a/crates/core/src/entry/commit.rs
+++ b/crates/core/src/entry/commit.rs
@@ -65,7 +65,11 @@
                     self.durable(now, record, &covered, out);
                 }
             }
-            Some(Verdict::Moved(rows)) => self.take_moved(now, &rows, out),
+            Some(Verdict::Moved(rows)) => {
+                self.take_moved(now, &rows, out);
+                let owned = self.shards.owned();
+                self.journal.strip(|shard| !owned.contains_key(&shard));
+            }
             Some(Verdict::Foreign) => {
                 self.log(
                     out,
@@ -79,7 +83,7 @@
         }
     }
 
-    /// Learns rows of owners that a write found changed, and gives up what is lost.
+    /// Learns rows of owners that a transaction found changed, and gives up what is lost.
     pub(super) fn take_moved(
         &mut self,
         now: Now,
@@ -93,9 +97,6 @@
             let version = row.as_ref().map_or(0, |row| row.version);
             self.learn_owner(now, shard, version, owner, out);
         }
-        let held = &self.shards;
-        self.journal
-            .strip(|shard| !held.owned().contains_key(&shard));
     }
 
     fn durable(
@@ -181,6 +182,11 @@
 
     /// Writes checkpoints and shortens the journal.
     pub(super) fn run_checkpoints(&mut self, now: Now, out: &mut Vec<Action>) {
+        // Until the agents of former owners have answered, only the former owners' journals say which
+        // agents may have started tasks.
+        if !self.inquiries.is_empty() || !self.recoveries.is_empty() {
+            return;
+        }
         let log = self.settings.instance;
         let mut force = false;
         for (_, info) in self.shards.iter() {
--- a/crates/core/src/entry/jobs.rs
+++ b/crates/core/src/entry/jobs.rs
@@ -10,6 +10,7 @@
 use knapweedwall_wire::{Admit, End};
 use slotmap::{SlotMap, new_key_type};
 use smallvec::SmallVec;
+use smol_str::SmolStr;
 
 use super::agents::AgentKey;
 use super::answer::{self, Cause, Counts, Reply};
@@ -178,6 +179,14 @@
         }
     }
 
+    /// Empty when the job ended complete, else the code of the failure.
+    pub fn code(&self) -> SmolStr {
+        match &self.ending {
+            Ending::Complete(_) => SmolStr::default(),
+            Ending::Failed(cause) => cause.code.clone(),
+        }
+    }
+
     /// The record of the end for the journal.
     pub fn record(&self) -> End {
         let mut end = End {
@@ -199,7 +208,7 @@
 }
 
 /// An ended job whose answer is no longer held.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Forgotten {
     /// Shard of the job.
     pub shard: Shard,
@@ -207,8 +216,8 @@
     pub digest: u64,
     /// Milliseconds since 1970 from which the id is no longer remembered.
     pub until_ms: u64,
-    /// Whether it ended complete.
-    pub complete: bool,
+    /// Empty when it ended complete, else the code of the failure.
+    pub code: SmolStr,
 }
 
 /// What is known of an id.
@@ -248,7 +257,7 @@
     /// It has ended and its answer is held.
     Held(&'a mut Held),
     /// It has ended and its answer is not held.
-    Forgotten(Forgotten),
+    Forgotten(&'a Forgotten),
 }
 
 impl Found<'_> {
@@ -296,7 +305,7 @@
         match self.known.get_mut(&key)? {
             Known::Open(slot) => self.open.get_mut(*slot).map(Found::Open),
             Known::Held(held) => Some(Found::Held(held)),
-            Known::Forgotten(forgotten) => Some(Found::Forgotten(*forgotten)),
+            Known::Forgotten(forgotten) => Some(Found::Forgotten(forgotten)),
         }
     }
 
@@ -330,9 +339,9 @@
     }
 
     /// All ids of ended jobs whose answers are not held.
-    pub fn iter_forgotten(&self) -> impl Iterator<Item = (JobKey, Forgotten)> {
+    pub fn iter_forgotten(&self) -> impl Iterator<Item = (JobKey, &Forgotten)> {
         self.known.iter().filter_map(|(key, known)| match known {
-            Known::Forgotten(forgotten) => Some((*key, *forgotten)),
+            Known::Forgotten(forgotten) => Some((*key, forgotten)),
             _ => None,
         })
     }
@@ -440,7 +449,7 @@
             shard: held.shard,
             digest: held.digest,
             until_ms: held.expires_ms.max(held.ended_ms.saturating_add(ids_ms)),
-            complete: matches!(held.ending, Ending::Complete(_)),
+            code: held.code(),
         };
         self.remember(key, forgotten);
     }
--- a/crates/core/src/entry/journal.rs
+++ b/crates/core/src/entry/journal.rs
@@ -57,8 +57,6 @@
     Shard(Shard),
     /// All shards that the process owns.
     All,
-    /// None.
-    Free,
 }
 
 /// The write in flight.
@@ -362,7 +360,6 @@
         match waiting.guard {
             Guard::Shard(shard) => shards.push(shard),
             Guard::All => shards.extend(versions.keys().copied()),
-            Guard::Free => {}
         }
     }
     shards.sort_unstable();
--- a/crates/core/src/entry/links.rs
+++ b/crates/core/src/entry/links.rs
@@ -2,15 +2,11 @@
 
 use std::time::Duration;
 
-use knapweedwall_wire::{
-    ConfigUpdate, EntryAddress, Heartbeat, JournalRecord, Leaving, Roster as RosterRecord,
-    ShardEpoch, frame::Body, journal_record::Body as RecordBody,
-};
+use knapweedwall_wire::{ConfigUpdate, EntryAddress, Heartbeat, Leaving, ShardEpoch, frame::Body};
 use smol_str::SmolStr;
 
 use super::agents::{AgentKey, Roster};
 use super::io::Action;
-use super::journal::Guard;
 use super::machine::Machine;
 use super::shards::Role as ShardRole;
 use crate::clock::Now;
@@ -204,13 +200,6 @@
         if let Some(link) = agent.link {
             out.push(Action::Close(link, "replaced"));
         }
-        if agent.roster != Roster::Absent {
-            let instance = agent.info.instance.0;
-            let name = agent.info.name.to_string();
-            let body = Some(RecordBody::RosterRemove(RosterRecord { instance, name }));
-            let record = JournalRecord { shard: 0, body };
-            self.journal.push(now.mono, record, Guard::Free, false);
-        }
         let fields = vec![("agent", agent.info.name.to_string())];
         self.log(
             out,
@@ -236,7 +225,6 @@
 
     pub(super) fn take_heartbeat(
         &mut self,
-        now: Now,
         link: LinkKey,
         heartbeat: Heartbeat,
         out: &mut Vec<Action>,
--- a/crates/core/src/entry/machine.rs
+++ b/crates/core/src/entry/machine.rs
@@ -169,7 +169,7 @@
             Body::Report(report) => self.take_report(now, link, report, out),
             Body::Grant(grant) => self.take_credits(link, grant.credits),
             Body::Recall(recall) => self.take_recall(link, recall.credits, out),
-            Body::Heartbeat(heartbeat) => self.take_heartbeat(now, link, heartbeat, out),
+            Body::Heartbeat(heartbeat) => self.take_heartbeat(link, heartbeat, out),
             Body::FenceReport(report) => self.take_fence_report(now, link, report, out),
             Body::Leaving(_) => self.take_leaving(link),
             Body::ConfigUpdate(update) => self.take_update(&update, out),
--- a/crates/core/src/entry/recovery.rs
+++ b/crates/core/src/entry/recovery.rs
@@ -210,9 +210,6 @@
             Some(Body::RosterAdd(roster)) => {
                 self.roster.insert(Instance(roster.instance));
             }
-            Some(Body::RosterRemove(roster)) => {
-                self.roster.remove(&Instance(roster.instance));
-            }
             Some(Body::Admit(admit)) if self.shards.contains(&shard) => self.admit(shard, admit),
             Some(Body::End(end)) if self.shards.contains(&shard) => self.end(shard, end),
             _ => {}
--- a/crates/core/src/entry/submit.rs
+++ b/crates/core/src/entry/submit.rs
@@ -215,8 +215,8 @@
         let waiter = routed.waiter;
         match routed.ask {
             Ask::Submit(admit) => self.submit(now, shard, routed.id, waiter, *admit, out),
-            Ask::Query => self.query(now, routed.key, waiter, out),
-            Ask::Cancel => self.cancel(now, routed.key, waiter, out),
+            Ask::Query => self.query(now, &routed.id, waiter, out),
+            Ask::Cancel => self.cancel(now, &routed.id, waiter, out),
         }
     }
 
@@ -232,7 +232,7 @@
         let key = id.key();
         if let Some(found) = self.jobs.find(key) {
             if found.digest() == admit.digest {
-                return self.query(now, key, waiter, out);
+                return self.query(now, &id, waiter, out);
             }
             let text = "the id belongs to a job with other content; none of this content ran";
             out.push(waiter.answer(&answer::refused(409, "id_reused", text, Ran::None)));
@@ -281,7 +281,8 @@
     }
 
     /// Answers a waiter now, if the job has ended, else when it ends.
-    fn query(&mut self, now: Now, key: JobKey, waiter: Waiter, out: &mut Vec<Action>) {
+    fn query(&mut self, now: Now, id: &JobId, waiter: Waiter, out: &mut Vec<Action>) {
+        let key = id.key();
         match self.jobs.find(key) {
             None => {
                 let text = "no job of this id was admitted, or its time is over";
@@ -300,15 +301,16 @@
                 }
             }
             Some(Found::Forgotten(forgotten)) => {
-                let id = key.to_string();
-                out.push(waiter.answer(&answer::collected(&id, forgotten.complete)));
+                let reply = answer::collected(id.as_str(), &forgotten.code);
+                out.push(waiter.answer(&reply));
             }
         }
     }
 
-    fn cancel(&mut self, now: Now, key: JobKey, waiter: Waiter, out: &mut Vec<Action>) {
+    fn cancel(&mut self, now: Now, id: &JobId, waiter: Waiter, out: &mut Vec<Action>) {
+        let key = id.key();
         let Some(job) = self.jobs.open(key) else {
-            return self.query(now, key, waiter, out);
+            return self.query(now, id, waiter, out);
         };
         job.waiters.push(waiter);
         self.deadlines.add(waiter.until, key);
@@ -317,20 +319,18 @@
 
     /// Ends an open job as cancelled: tasks that wait are dropped, tasks that run are stopped.
     ///
-    /// A job whose record is in flight may be admitted, and a job of a former owner may have been
-    /// answered as complete, so its cancel waits until that is known.
+    /// A cancel is recorded behind the admission, so that a resubmission finds the job cancelled; it
+    /// waits for the admission. A job of a former owner may have been answered as complete, so its
+    /// cancel waits until all its tasks are accounted for.
     pub(super) fn cancel_now(&mut self, now: Now, key: JobKey, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.open(key) else {
             return;
         };
         let unaccounted = job.tasks.contains(&TaskState::Unaccounted);
-        if job.phase == Phase::Written || unaccounted {
+        if job.phase != Phase::Active || unaccounted {
             self.ownership.cancels.push(key);
             return;
         }
-        if job.phase == Phase::Queued {
-            self.journal.withdraw(|record| is_admission(record, key));
-        }
         for agent in job.witnesses() {
             self.agents.cancel(agent, key.to_bytes());
         }
--- a/crates/core/src/entry/takeover.rs
+++ b/crates/core/src/entry/takeover.rs
@@ -123,7 +123,7 @@
                 shard,
                 digest: admit.digest,
                 until_ms: admit.expires_ms,
-                complete: end.code.is_empty(),
+                code: end.code.as_str().into(),
             };
             self.jobs.remember(key, forgotten);
             return;
--- a/crates/core/src/entry/tasks.rs
+++ b/crates/core/src/entry/tasks.rs
@@ -205,31 +205,20 @@
     pub(super) fn end_job(&mut self, now: Now, key: JobKey, ending: Ending, out: &mut Vec<Action>) {
         self.dispatcher.cancel(key);
         self.dispatcher.remove(key);
-        let admitted = self
-            .jobs
-            .open(key)
-            .is_some_and(|job| job.phase != Phase::Queued);
         let Some(held) = self.jobs.end(now, key, ending) else {
             return;
         };
-        held.durable = !admitted;
         if held.is_final() {
             deliver(now, held, out);
         }
-        if admitted {
-            let urgent = !held.is_final();
-            let body = Some(RecordBody::End(held.record()));
-            let (shard, guard) = (held.shard, Guard::Shard(held.shard));
-            self.journal.push(
-                now.mono,
-                JournalRecord {
-                    shard: shard.0,
-                    body,
-                },
-                guard,
-                urgent,
-            );
-        }
+        let urgent = !held.is_final();
+        let body = Some(RecordBody::End(held.record()));
+        let (shard, guard) = (held.shard, Guard::Shard(held.shard));
+        let record = JournalRecord {
+            shard: shard.0,
+            body,
+        };
+        self.journal.push(now.mono, record, guard, urgent);
     }
 
     /// Ends jobs of which no task could be started in time.
