fix(core): a fence report does not speak of starts that follow the fence

Ruled out: the takeover (the owner was the same throughout). Change: only starts sent over a former connection can be lost; the driver tells the history of a doubled task.

--- a/crates/core/src/entry/agents.rs
+++ b/crates/core/src/entry/agents.rs
@@ -31,6 +31,8 @@
 /// What an agent is asked to report after a fence.
 #[derive(Debug, Default)]
 pub struct Sync {
+    /// Tasks whose starts may have been lost with an earlier connection.
+    pub sent: Vec<TaskRef>,
     /// Tasks that the report has named so far.
     pub seen: HashSet<TaskRef>,
 }
--- a/crates/core/src/entry/links.rs
+++ b/crates/core/src/entry/links.rs
@@ -95,7 +95,8 @@
         self.log(out, 141, "agent connected", false, fields);
         let mut shards = self.shards_at(key);
         shards.extend(self.inquiries_for(instance));
-        self.fence(key, shards.into_iter(), out);
+        let shards: Vec<Shard> = shards.into_iter().collect();
+        self.fence_again(key, &shards, out);
         let roster = self.agents.get(key).map(|agent| agent.roster);
         if roster == Some(Roster::Absent) {
             self.enrol(now, key);
--- a/crates/core/src/entry/takeover.rs
+++ b/crates/core/src/entry/takeover.rs
@@ -229,9 +229,12 @@
             return;
         };
         let instance = agent.info.instance;
-        // A start that the agent does not know was lost with an earlier connection.
-        for task in self.running_at(key, shard) {
-            if !sync.seen.contains(&task) {
+        for task in sync.sent {
+            let state = self
+                .jobs
+                .open(task.job)
+                .and_then(|job| job.tasks.get(task.index as usize));
+            if state == Some(&TaskState::Running(key)) && !sync.seen.contains(&task) {
                 self.return_task(now, task);
             }
         }
@@ -242,6 +245,21 @@
         self.try_employ(key);
     }
 
+    /// Fences an agent whose connection was replaced. Starts that it does not know were lost with
+    /// the former connection; later ones follow the fence on the new connection.
+    pub(super) fn fence_again(&mut self, key: AgentKey, shards: &[Shard], out: &mut Vec<Action>) {
+        self.fence(key, shards.iter().copied(), out);
+        for &shard in shards {
+            let sent = self.running_at(key, shard);
+            let Some(agent) = self.agents.get_mut(key) else {
+                return;
+            };
+            if let Some(sync) = agent.syncs.get_mut(&shard) {
+                sync.sent = sent;
+            }
+        }
+    }
+
     fn running_at(&self, agent: AgentKey, shard: Shard) -> Vec<TaskRef> {
         let mut tasks = Vec::new();
         for job in self.jobs.iter_open() {
--- a/crates/testing/tests/decisions/double_trouble.rs
+++ b/crates/testing/tests/decisions/double_trouble.rs
@@ -2,7 +2,6 @@
 //!
 //! `KNAPWEEDWALL_SEEDS=FROM..TO` runs other seeds than the fixed few.
 
-use knapweedwall_core::TaskRef;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
 use rstest::rstest;
@@ -71,14 +70,16 @@
                 let other = Place::Entry(self.entry());
                 self.driver.cut(entry, other);
             }
-            6 => self.driver.store = Store::Down,
-            7 => self.driver.store = Store::Mute,
+            6 => self.driver.set_store(Store::Down),
+            7 => self.driver.set_store(Store::Mute),
             _ => self.repair(),
         }
     }
 
     fn kill(&mut self, place: Place) {
         if !self.dead.contains(&place) {
+            let n = self.driver.now_ms;
+            self.driver.log.push(format!("{n} kill {place:?}"));
             self.driver.kill(place);
             self.dead.push(place);
         }
@@ -90,7 +91,7 @@
     }
 
     fn repair(&mut self) {
-        self.driver.store = Store::Up;
+        self.driver.set_store(Store::Up);
         self.driver.heal();
         for place in self.paused.drain(..) {
             self.driver.pause(place, false);
@@ -120,7 +121,11 @@
 
     /// Every job has ended, and every answer that was given is still true.
     fn check(&mut self, seed: u64) {
-        assert_eq!(self.driver.doubled(), Vec::<TaskRef>::new(), "seed {seed}");
+        let doubled = self.driver.doubled();
+        if let Some(task) = doubled.first() {
+            let history = self.driver.history(task.job);
+            panic!("seed {seed}: {doubled:?} started twice; {history:#?}");
+        }
         for (call, id) in std::mem::take(&mut self.calls) {
             let starts = self.driver.starts_of(&id);
             let last = self.driver.query(1, &id);
--- a/crates/testing/tests/decisions/driver.rs
+++ b/crates/testing/tests/decisions/driver.rs
@@ -18,7 +18,7 @@
     Action, CallKey, Decisions, Input, Machine, Operation, Settings, StoreKey,
 };
 use knapweedwall_core::store::{Failure, Outcome, Reply, Request, Row, Transaction};
-use knapweedwall_core::{Instance, JobId, LinkKey, Now, PeerInfo, Role, TaskRef};
+use knapweedwall_core::{Instance, JobId, JobKey, LinkKey, Now, PeerInfo, Role, TaskRef};
 use knapweedwall_testing::table::Engine;
 use knapweedwall_wire::{Admit, AdmitTask, frame::Body};
 use smol_str::{SmolStr, format_smolstr};
@@ -162,6 +162,7 @@
 
     /// Ends a process without notice.
     pub fn kill(&mut self, place: Place) {
+        self.note(format!("{place:?} killed"));
         self.nodes.get_mut(&place).unwrap().up = false;
         let of_place = |ends: &(Place, Place)| ends.0 == place || ends.1 == place;
         let gone: Vec<LinkKey> = self
@@ -176,6 +177,7 @@
     }
 
     pub fn pause(&mut self, place: Place, paused: bool) {
+        self.note(format!("{place:?} paused: {paused}"));
         self.nodes.get_mut(&place).unwrap().paused = paused;
     }
 
@@ -185,6 +187,7 @@
 
     /// Cuts the connections between two processes and keeps them from connecting.
     pub fn cut(&mut self, a: Place, b: Place) {
+        self.note(format!("{a:?} cut from {b:?}"));
         self.blocked.insert((a, b));
         self.blocked.insert((b, a));
         let gone: Vec<LinkKey> = self
@@ -286,6 +289,23 @@
         }
     }
 
+    pub fn set_store(&mut self, store: Store) {
+        self.note(format!("store {store:?}"));
+        self.store = store;
+    }
+
+    /// All events but the starts of other jobs.
+    pub fn history(&self, job: JobKey) -> Vec<&String> {
+        let key = job.to_string();
+        let concerns = |line: &&String| !line.contains(" start ") || line.contains(&key);
+        self.log.iter().filter(concerns).collect()
+    }
+
+    fn note(&mut self, text: String) {
+        let at = self.now_ms;
+        self.log.push(format!("{at} {text}"));
+    }
+
     /// Tasks that were started more than once.
     pub fn doubled(&self) -> Vec<TaskRef> {
         let mut seen = HashSet::new();
@@ -395,9 +415,7 @@
             Action::Connect(address) => self.connect(place, &address),
             Action::Store(op, request) => self.store_call(place, op, request),
             Action::Log(event) => {
-                let at = self.now_ms;
-                self.log
-                    .push(format!("{at} {place:?} {} {:?}", event.text, event.fields));
+                self.note(format!("{place:?} {} {:?}", event.text, event.fields));
             }
             Action::Ready(_) => {}
             Action::Exit => self.kill(place),
@@ -441,6 +459,8 @@
             }
             AgentAction::Run(run, task) => {
                 self.starts.push(task.task);
+                let TaskRef { job, index } = task.task;
+                self.note(format!("{place:?} start {job} {index}"));
                 let text = String::from_utf8_lossy(&task.payload).into_owned();
                 let (ms, end) = match text.parse::<u64>() {
                     Ok(ms) => (ms, RunEnd::Done(text.into())),
