feat(runtime): settings, log, admin listener, links and signals

Cause: entry processes and agents need the same frame links, settings, log, admin listener and signal handling. Ruled out: tokio-util's Framed, which gives one frame at a time and hides the bytes of each frame; gotham's own listener, which has no bounds on connections and no graceful shutdown. Change: add crates/runtime with these parts, the catalogue of shared events, and tests for links.

--- /dev/null
+++ b/crates/runtime/src/links/kind.rs
@@ -0,0 +1,56 @@
+//! Kinds of messages, for counters.
+
+use knapweedwall_wire::frame::Body;
+
+/// Number of kinds.
+pub(super) const KINDS: usize = 20;
+
+/// Names of the kinds, by index.
+pub(super) const NAMES: [&str; KINDS] = [
+    "hello",
+    "welcome",
+    "reject",
+    "heartbeat",
+    "start",
+    "report",
+    "grant",
+    "demand",
+    "recall",
+    "return",
+    "fence",
+    "fence_report",
+    "settled",
+    "cancel",
+    "leaving",
+    "config_update",
+    "submit",
+    "query",
+    "cancel_job",
+    "reply",
+];
+
+/// Index of the kind of `body`.
+pub(super) fn index(body: &Body) -> usize {
+    match body {
+        Body::Hello(_) => 0,
+        Body::Welcome(_) => 1,
+        Body::Reject(_) => 2,
+        Body::Heartbeat(_) => 3,
+        Body::Start(_) => 4,
+        Body::Report(_) => 5,
+        Body::Grant(_) => 6,
+        Body::Demand(_) => 7,
+        Body::Recall(_) => 8,
+        Body::Return(_) => 9,
+        Body::Fence(_) => 10,
+        Body::FenceReport(_) => 11,
+        Body::Settled(_) => 12,
+        Body::Cancel(_) => 13,
+        Body::Leaving(_) => 14,
+        Body::ConfigUpdate(_) => 15,
+        Body::Submit(_) => 16,
+        Body::Query(_) => 17,
+        Body::CancelJob(_) => 18,
+        Body::Reply(_) => 19,
+    }
+}
