feat(entry): threads, HTTP API, settings and command line

Cause: the decisions of the entry process need threads, rings, an API and settings around them. Ruled out: a shared map of open calls with a lock; the thread decide owns it instead. gotham's own listener, which has no bounds. Change: add the entry process except its decisions, with fake decisions in its tests.

--- /dev/null
+++ b/crates/entry/src/cli.rs
@@ -0,0 +1,110 @@
+//! Command line.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use clap::{Parser, Subcommand};
+use knapweedwall_core::entry::Machine;
+use knapweedwall_platform::HttpPlatform;
+use knapweedwall_runtime::{log, settings, signals};
+use snafu::ResultExt;
+
+use crate::error::{Result, SettingsSnafu, SystemSnafu};
+use crate::events;
+use crate::process::{Parts, Process};
+use crate::settings::Settings;
+
+/// Entry process of knapweedwall: takes jobs over HTTP, dispatches their tasks to agents and
+/// answers with all results or none.
+#[derive(Debug, Parser)]
+#[command(
+    version,
+    after_help = "Example:
+  knapweedwall-entry check --settings entry.yaml
+  knapweedwall-entry run --settings entry.yaml
+
+The log goes to standard error. SIGTERM or SIGINT starts a graceful stop: nothing new is accepted, \
+and open jobs are handed over or completed. A second signal ends the process at once."
+)]
+pub struct Args {
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// What to do.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Runs the process until it is asked to stop.
+    Run {
+        /// YAML file; crates/entry/samples/entry.yaml describes each field.
+        #[arg(long, value_name = "FILE")]
+        settings: PathBuf,
+    },
+    /// Checks a settings file and lists its faults; exit code 1 when there are any.
+    Check {
+        /// YAML file; crates/entry/samples/entry.yaml describes each field.
+        #[arg(long, value_name = "FILE")]
+        settings: PathBuf,
+    },
+}
+
+/// Carries out the command.
+#[must_use]
+pub fn run(args: Args) -> ExitCode {
+    let result = match args.command {
+        Command::Check { settings } => check(settings),
+        Command::Run { settings } => serve(settings),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            report(&error);
+            ExitCode::FAILURE
+        }
+    }
+}
+
+#[expect(clippy::print_stderr, reason = "the log is not open at this point")]
+fn report(error: &crate::Error) {
+    eprintln!("knapweedwall-entry: {error}");
+}
+
+#[expect(clippy::print_stdout, reason = "the answer of the command")]
+fn check(path: PathBuf) -> Result<()> {
+    let settings: Settings = settings::load(&path).context(SettingsSnafu)?;
+    println!(
+        "{}: settings of {} are valid",
+        path.display(),
+        settings.name
+    );
+    Ok(())
+}
+
+fn serve(path: PathBuf) -> Result<()> {
+    let settings: Settings = settings::load(&path).context(SettingsSnafu)?;
+    let (log, guard) = log::open(settings.log, &settings.name);
+    let platform = HttpPlatform::new(settings.store.address, settings.store.timeout);
+    let decided = settings.clone();
+    let parts = Parts {
+        decisions: Box::new(move |own, _registry| Box::new(Machine::new(decided.decisions(own)))),
+        platform: Arc::new(platform),
+        log: log.clone(),
+    };
+    let process = Process::open(&settings, parts)?;
+    log::event(&log, &events::started(process.addresses()));
+    let stopper = process.stopper();
+    let signalled = log.clone();
+    signals::spawn(move || {
+        log::event(&signalled, &events::stopping());
+        stopper.stop();
+    })
+    .context(SystemSnafu {
+        what: "signal handlers",
+    })?;
+    process.join()?;
+    log::event(&log, &events::ended());
+    drop(guard);
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/events.rs
@@ -0,0 +1,46 @@
+//! Log events of the entry process's threads. Their numbers are listed in `docs/events-entry.md`.
+
+use knapweedwall_core::Event;
+
+use crate::process::Addresses;
+
+pub(crate) fn started(addresses: Addresses) -> Event {
+    Event {
+        number: 150,
+        text: "entry process started",
+        warning: false,
+        fields: vec![
+            ("version", env!("CARGO_PKG_VERSION").to_owned()),
+            ("http", addresses.http.to_string()),
+            ("frames", addresses.frames.to_string()),
+            ("admin", addresses.admin.to_string()),
+        ],
+    }
+}
+
+pub(crate) fn stopping() -> Event {
+    Event {
+        number: 151,
+        text: "stop requested by signal",
+        warning: false,
+        fields: Vec::new(),
+    }
+}
+
+pub(crate) fn ended() -> Event {
+    Event {
+        number: 152,
+        text: "entry process ended",
+        warning: false,
+        fields: Vec::new(),
+    }
+}
+
+pub(crate) fn store_queue_full() -> Event {
+    Event {
+        number: 153,
+        text: "store operation not started: queue full",
+        warning: true,
+        fields: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,248 @@
+//! Settings of an entry process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use garde::Validate;
+use knapweedwall_core::entry;
+use knapweedwall_core::{Instance, dispatch};
+use knapweedwall_runtime::settings::{duration_within, process_name, size_within, socket_address};
+use knapweedwall_runtime::{ByteSize, links, log};
+use serde::Deserialize;
+use smol_str::SmolStr;
+
+const SECOND: Duration = Duration::from_secs(1);
+const MINUTE: Duration = Duration::from_mins(1);
+const DAY: Duration = Duration::from_hours(24);
+
+/// Settings of an entry process, as in its YAML file.
+#[derive(Debug, Clone, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name, unique among entry processes.
+    #[garde(custom(process_name))]
+    pub name: SmolStr,
+    /// Zone of the host.
+    #[garde(custom(process_name))]
+    pub zone: SmolStr,
+    /// API for callers and operators.
+    #[garde(dive)]
+    pub http: Http,
+    /// Links to agents and other entry processes.
+    #[garde(dive)]
+    pub frames: Frames,
+    /// Health, readiness and metrics.
+    #[garde(dive)]
+    pub admin: Admin,
+    /// The platform's table service and object store.
+    #[garde(dive)]
+    pub store: Store,
+    /// Times and rates of the decisions.
+    #[serde(default)]
+    #[garde(dive)]
+    pub decisions: Decisions,
+    /// Log.
+    #[serde(default)]
+    #[garde(dive)]
+    pub log: log::Settings,
+}
+
+/// Settings of the API for callers and operators.
+#[derive(Debug, Clone, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Http {
+    /// Address of the listener.
+    #[garde(skip)]
+    pub listen: SocketAddr,
+    /// Open connections; further ones wait in the listener's backlog.
+    #[serde(default = "default_connections")]
+    #[garde(range(min = 1, max = 65_536))]
+    pub connections: usize,
+    /// Requests that run at the same time on one HTTP/2 connection.
+    #[serde(default = "default_streams")]
+    #[garde(range(min = 1, max = 4_096))]
+    pub streams: u32,
+    /// Longest time between an answer and the next request's complete headers, and in which an
+    /// answer must be read.
+    #[serde(default = "default_idle", with = "humantime_serde")]
+    #[garde(custom(duration_within(SECOND, 10 * MINUTE)))]
+    pub idle: Duration,
+    /// Longest time in which the body of a request must be complete.
+    #[serde(default = "default_body_time", with = "humantime_serde")]
+    #[garde(custom(duration_within(SECOND, MINUTE)))]
+    pub body_time: Duration,
+    /// Bytes of answers that one connection may leave unread.
+    #[serde(default = "default_unread")]
+    #[garde(custom(size_within(64 << 10, 1 << 30)))]
+    pub unread: ByteSize,
+}
+
+/// Settings of the links.
+#[derive(Debug, Clone, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Frames {
+    /// Address of the listener.
+    #[garde(skip)]
+    pub listen: SocketAddr,
+    /// Address under which agents and entry processes reach the listener; the listener's own
+    /// address when not given.
+    #[serde(default)]
+    #[garde(inner(custom(socket_address)))]
+    pub address: Option<SmolStr>,
+    /// Frame addresses of entry processes to connect to; may contain this one.
+    #[serde(default)]
+    #[garde(length(max = 1_024), inner(custom(socket_address)))]
+    pub seeds: Vec<SmolStr>,
+    /// Bounds.
+    #[serde(default)]
+    #[garde(dive)]
+    pub limits: links::Limits,
+}
+
+/// Settings of the admin listener.
+#[derive(Debug, Clone, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Admin {
+    /// Address of the listener.
+    #[garde(skip)]
+    pub listen: SocketAddr,
+}
+
+/// Settings of the store.
+#[derive(Debug, Clone, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Store {
+    /// Address of the platform's table service and object store.
+    #[garde(skip)]
+    pub address: SocketAddr,
+    /// A call without a reply fails after this time.
+    #[serde(default = "default_call_time", with = "humantime_serde")]
+    #[garde(custom(duration_within(Duration::from_millis(50), MINUTE)))]
+    pub timeout: Duration,
+    /// Calls that run at the same time; further ones wait.
+    #[serde(default = "default_calls")]
+    #[garde(range(min = 1, max = 256))]
+    pub calls: usize,
+}
+
+/// Times and rates of the decisions; see the design page for their meaning.
+#[derive(Debug, Clone, Deserialize, Validate)]
+#[serde(deny_unknown_fields, default)]
+pub struct Decisions {
+    /// Shards of a new system; an existing one keeps its number.
+    #[garde(range(min = 1, max = 4_096))]
+    pub shards: u32,
+    /// Journal writes a second of all entry processes together.
+    #[garde(range(min = 1, max = 100_000))]
+    pub write_rate: u32,
+    /// How long the id of an ended job is remembered when its caller gave no `expires`.
+    #[serde(with = "humantime_serde")]
+    #[garde(custom(duration_within(MINUTE, 30 * DAY)))]
+    pub id_retention: Duration,
+    /// How long an answer is held that was not delivered.
+    #[serde(with = "humantime_serde")]
+    #[garde(custom(duration_within(SECOND, DAY)))]
+    pub answer_hold: Duration,
+    /// How long an answer is held after it was first delivered.
+    #[serde(with = "humantime_serde")]
+    #[garde(custom(duration_within(SECOND, DAY)))]
+    pub delivered_hold: Duration,
+    /// How long a silent agent's tasks stay open.
+    #[serde(with = "humantime_serde")]
+    #[garde(custom(duration_within(SECOND, 10 * MINUTE)))]
+    pub doubt_timeout: Duration,
+    /// How long a planned stop waits for jobs when no other entry process can take them.
+    #[serde(with = "humantime_serde")]
+    #[garde(custom(duration_within(SECOND, 60 * MINUTE)))]
+    pub stop_limit: Duration,
+    /// Time within which the first task of a job has to start.
+    #[serde(with = "humantime_serde")]
+    #[garde(custom(duration_within(SECOND, DAY)))]
+    pub start_limit: Duration,
+    /// Longest run time of a task.
+    #[serde(with = "humantime_serde")]
+    #[garde(custom(duration_within(SECOND, DAY)))]
+    pub run_limit: Duration,
+    /// How long an owner that cannot be reached is waited for.
+    #[serde(with = "humantime_serde")]
+    #[garde(custom(duration_within(SECOND, MINUTE)))]
+    pub route_limit: Duration,
+}
+
+impl Default for Decisions {
+    fn default() -> Self {
+        let nobody = SmolStr::default();
+        let core = entry::Settings::new(nobody.clone(), nobody.clone(), Instance(0), nobody);
+        Self {
+            shards: core.shards,
+            write_rate: core.write_rate,
+            id_retention: core.id_retention,
+            answer_hold: core.answer_hold,
+            delivered_hold: core.delivered_hold,
+            doubt_timeout: core.doubt_timeout,
+            stop_limit: core.stop_limit,
+            start_limit: core.limits.start_limit,
+            run_limit: core.run_limit,
+            route_limit: core.route_limit,
+        }
+    }
+}
+
+impl Settings {
+    /// Settings of the decisions for a process that runs as `own`.
+    #[must_use]
+    pub fn decisions(&self, own: &links::Identity) -> entry::Settings {
+        let from = &self.decisions;
+        entry::Settings {
+            seeds: self.frames.seeds.clone(),
+            shards: from.shards,
+            write_rate: from.write_rate,
+            id_retention: from.id_retention,
+            answer_hold: from.answer_hold,
+            delivered_hold: from.delivered_hold,
+            doubt_timeout: from.doubt_timeout,
+            stop_limit: from.stop_limit,
+            run_limit: from.run_limit,
+            route_limit: from.route_limit,
+            limits: dispatch::Limits {
+                start_limit: from.start_limit,
+                zone: own.zone.clone(),
+                ..dispatch::Limits::default()
+            },
+            ..entry::Settings::new(
+                own.name.clone(),
+                own.zone.clone(),
+                own.instance,
+                own.address.clone(),
+            )
+        }
+    }
+}
+
+fn default_connections() -> usize {
+    4_096
+}
+
+fn default_streams() -> u32 {
+    256
+}
+
+fn default_idle() -> Duration {
+    MINUTE
+}
+
+fn default_body_time() -> Duration {
+    Duration::from_secs(10)
+}
+
+fn default_unread() -> ByteSize {
+    ByteSize(16 << 20)
+}
+
+fn default_call_time() -> Duration {
+    Duration::from_secs(2)
+}
+
+fn default_calls() -> usize {
+    16
+}
--- /dev/null
+++ b/crates/entry/tests/shell/fake.rs
@@ -0,0 +1,127 @@
+//! Decisions and a platform that follow simple rules.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use crossbeam_channel::{Receiver, Sender};
+use knapweedwall_core::Now;
+use knapweedwall_core::entry::{Action, CallKey, Decisions, Input, Operation, StoreKey};
+use knapweedwall_core::store::{Reply, Request};
+use knapweedwall_platform::{Calls, Platform};
+use serde_json::json;
+
+/// Answers by the first character of a job's id: `e` echoes id and payloads, `h` holds the call
+/// until the process stops, `s` asks the store first, `b` blocks the decisions until released.
+pub struct Rules {
+    /// Debug text of inputs, for assertions.
+    pub seen: Sender<String>,
+    pub release: Receiver<()>,
+    pub held: Vec<CallKey>,
+    pub waiting: HashMap<StoreKey, CallKey>,
+}
+
+impl Rules {
+    pub fn new(seen: Sender<String>, release: Receiver<()>) -> Self {
+        Self {
+            seen,
+            release,
+            held: Vec::new(),
+            waiting: HashMap::new(),
+        }
+    }
+
+    fn submit(&mut self, call: CallKey, admit: &knapweedwall_wire::Admit, out: &mut Vec<Action>) {
+        match admit.id.as_bytes()[0] {
+            b'h' => self.held.push(call),
+            b's' => {
+                let key = StoreKey(call.0);
+                self.waiting.insert(key, call);
+                out.push(Action::Store(key, Request::Get(admit.id.as_str().into())));
+            }
+            b'b' => {
+                self.release.recv().unwrap();
+                out.push(reply(call, 200, &json!({"id": admit.id})));
+            }
+            _ => {
+                let payloads = admit.tasks.iter();
+                let payloads = payloads.map(|task| String::from_utf8_lossy(&task.payload));
+                let results: Vec<_> = payloads.collect();
+                let body = json!({"id": admit.id, "state": "complete", "results": results});
+                out.push(reply(call, 200, &body));
+            }
+        }
+    }
+}
+
+fn reply(call: CallKey, status: u16, body: &serde_json::Value) -> Action {
+    Action::Reply(call, status, body.to_string().into())
+}
+
+impl Decisions for Rules {
+    fn step(&mut self, _now: Now, input: Input, out: &mut Vec<Action>) {
+        if matches!(input, Input::Tick) {
+            return;
+        }
+        let _sent = self.seen.send(format!("{input:?}"));
+        match input {
+            Input::Submit { call, admit, .. } => self.submit(call, &admit, out),
+            Input::Query { call, id, wait } => {
+                let body = json!({"id": id.as_str(), "wait_ms": wait.as_millis() as u64});
+                out.push(reply(call, 202, &body));
+            }
+            Input::Cancel { call, id, .. } => {
+                out.push(reply(call, 404, &json!({"cancelled": id.as_str()})));
+            }
+            Input::Operate { call, operation } => {
+                let body = match operation {
+                    Operation::History(limit) => json!({"limit": limit}),
+                    other => json!({"operation": format!("{other:?}")}),
+                };
+                out.push(reply(call, 200, &body));
+            }
+            Input::Store(key, outcome) => {
+                if let Some(call) = self.waiting.remove(&key) {
+                    out.push(reply(
+                        call,
+                        200,
+                        &json!({"outcome": format!("{outcome:?}")}),
+                    ));
+                }
+            }
+            Input::LinkUp { .. } => out.push(Action::Ready(true)),
+            Input::Stop => {
+                for call in self.held.drain(..) {
+                    out.push(reply(call, 200, &json!({"state": "stopped"})));
+                }
+                out.push(Action::Exit);
+            }
+            _ => {}
+        }
+    }
+
+    fn flush(&mut self, _now: Now, _out: &mut Vec<Action>) {}
+}
+
+/// A platform that answers each read with no row, after `gate` other reads have started.
+#[derive(Debug, Default)]
+pub struct Rows {
+    pub gate: usize,
+    pub started: Arc<AtomicUsize>,
+}
+
+impl Platform for Rows {
+    fn call(&self, request: Request) -> Calls<'_> {
+        assert!(
+            !matches!(&request, Request::Get(key) if key.as_str() == "s-panic"),
+            "a fault of the adapter"
+        );
+        self.started.fetch_add(1, Ordering::SeqCst);
+        Box::pin(async move {
+            while self.started.load(Ordering::SeqCst) < self.gate {
+                tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+            }
+            Ok(Reply::Row(None))
+        })
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/shell/main.rs
@@ -0,0 +1,12 @@
+//! Threads of the entry process around fake decisions: API, bounds, links, store and stop.
+#![allow(clippy::unwrap_used, reason = "a failure in a fixture fails its test")]
+
+mod bad_input;
+mod callers;
+mod concurrent_calls;
+mod fake;
+mod fixture;
+mod operators;
+mod slow_callers;
+mod stopping;
+mod store_calls;
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -47,6 +47,18 @@
     serde_saphyr::from_str_valid(&text).context(ContentSnafu { path })
 }
 
+/// Checks settings that are in memory.
+///
+/// # Errors
+/// As for [`load`], with `-` as the name of the file.
+pub fn parse<T>(text: &str) -> Result<T>
+where
+    T: DeserializeOwned + Validate,
+    T::Context: Default,
+{
+    serde_saphyr::from_str_valid(text).context(ContentSnafu { path: "-" })
+}
+
 /// Check for `garde(custom(..))`: a duration from `shortest` to `longest`.
 pub fn duration_within(
     shortest: Duration,
