feat(entry): document the API and events; test settings, commands and signals

Cause: callers and operators need a description with the codes and what they prove; faults of settings must name field, found and allowed values. Ruled out: garde's range check, which does not say what was found. Change: add docs/api.md, complete docs/events-entry.md, move the threads' events to 160 and up since the decisions use 150 and 151, and add tests for settings, the command line and signals.

--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -6,7 +6,7 @@
 
 pub(crate) fn started(addresses: Addresses) -> Event {
     Event {
-        number: 150,
+        number: 160,
         text: "entry process started",
         warning: false,
         fields: vec![
@@ -20,7 +20,7 @@
 
 pub(crate) fn stopping() -> Event {
     Event {
-        number: 151,
+        number: 161,
         text: "stop requested by signal",
         warning: false,
         fields: Vec::new(),
@@ -29,7 +29,7 @@
 
 pub(crate) fn ended() -> Event {
     Event {
-        number: 152,
+        number: 162,
         text: "entry process ended",
         warning: false,
         fields: Vec::new(),
@@ -38,7 +38,7 @@
 
 pub(crate) fn store_queue_full() -> Event {
     Event {
-        number: 153,
+        number: 163,
         text: "store operation not started: queue full",
         warning: true,
         fields: Vec::new(),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -6,7 +6,9 @@
 use garde::Validate;
 use knapweedwall_core::entry;
 use knapweedwall_core::{Instance, dispatch};
-use knapweedwall_runtime::settings::{duration_within, process_name, size_within, socket_address};
+use knapweedwall_runtime::settings::{
+    duration_within, number_within, process_name, size_within, socket_address,
+};
 use knapweedwall_runtime::{ByteSize, links, log};
 use serde::Deserialize;
 use smol_str::SmolStr;
@@ -56,11 +58,11 @@
     pub listen: SocketAddr,
     /// Open connections; further ones wait in the listener's backlog.
     #[serde(default = "default_connections")]
-    #[garde(range(min = 1, max = 65_536))]
+    #[garde(custom(number_within(1, 65_536)))]
     pub connections: usize,
     /// Requests that run at the same time on one HTTP/2 connection.
     #[serde(default = "default_streams")]
-    #[garde(range(min = 1, max = 4_096))]
+    #[garde(custom(number_within(1, 4_096)))]
     pub streams: u32,
     /// Longest time between an answer and the next request's complete headers, and in which an
     /// answer must be read.
@@ -121,7 +123,7 @@
     pub timeout: Duration,
     /// Calls that run at the same time; further ones wait.
     #[serde(default = "default_calls")]
-    #[garde(range(min = 1, max = 256))]
+    #[garde(custom(number_within(1, 256)))]
     pub calls: usize,
 }
 
@@ -130,10 +132,10 @@
 #[serde(deny_unknown_fields, default)]
 pub struct Decisions {
     /// Shards of a new system; an existing one keeps its number.
-    #[garde(range(min = 1, max = 4_096))]
+    #[garde(custom(number_within(1, 4_096)))]
     pub shards: u32,
     /// Journal writes a second of all entry processes together.
-    #[garde(range(min = 1, max = 100_000))]
+    #[garde(custom(number_within(1, 100_000)))]
     pub write_rate: u32,
     /// How long the id of an ended job is remembered when its caller gave no `expires`.
     #[serde(with = "humantime_serde")]
--- /dev/null
+++ b/crates/entry/tests/command/main.rs
@@ -0,0 +1,6 @@
+//! The binary: `check`, `run`, signals.
+#![allow(clippy::unwrap_used, reason = "a failure in a fixture fails its test")]
+
+mod check;
+mod fixture;
+mod signals;
--- /dev/null
+++ b/crates/entry/tests/command/signals.rs
@@ -0,0 +1,74 @@
+//! Planned stop by signal.
+
+use std::os::unix::process::ExitStatusExt;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+
+use crate::fixture::{Running, request, settings_file, store, with_store, without_store};
+
+// Guards against signals that kill the process or are ignored.
+#[rstest]
+#[case("TERM")]
+#[case("INT")]
+fn first_signal_stops_gracefully(#[case] signal: &str) {
+    let path = settings_file(&format!("stop-{signal}"), &without_store());
+    let mut running = Running::start(&path);
+    let started = running.logs(160);
+    assert!(started.contains("\"http\":\"127.0.0.1:"), "{started}");
+    running.signal(signal);
+    running.logs(161);
+    running.logs(162);
+    let status = running.child.wait().unwrap();
+    assert_eq!((status.code(), status.signal()), (Some(0), None));
+}
+
+/// The value of a field of a log record.
+fn field(record: &str, name: &str) -> String {
+    let record: serde_json::Value = serde_json::from_str(record).unwrap();
+    record[name].as_str().unwrap().to_owned()
+}
+
+// Guards against a process that cannot be ended while it waits for its jobs.
+#[rstest]
+fn second_signal_ends_at_once() {
+    let path = settings_file("twice", &with_store(store()));
+    let mut running = Running::start(&path);
+    let started = running.logs(160);
+    let (http, admin) = (field(&started, "http"), field(&started, "admin"));
+    let end = Instant::now() + Duration::from_secs(60);
+    while request(&admin, "GET", "/readyz", "").0 != 200 {
+        assert!(Instant::now() < end, "not ready");
+        thread::sleep(Duration::from_millis(20));
+    }
+    let class = request(&http, "PUT", "/v1/classes/short", r#"{"target":"10s"}"#);
+    assert_eq!(class.0, 200, "{}", class.1);
+    let job = r#"{"id":"j1","class":"short","tasks":[{"payload":"x"}]}"#;
+    let job = request(&http, "POST", "/v1/jobs?wait=0s", job);
+    assert_eq!(job.0, 202, "{}", job.1);
+    running.signal("TERM");
+    running.logs(103);
+    running.signal("TERM");
+    assert_eq!(running.child.wait().unwrap().code(), Some(1));
+}
+
+// Guards against an address in use that is reported without its name.
+#[rstest]
+fn address_in_use_is_reported() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap().to_string();
+    let settings = without_store().replacen("127.0.0.1:0", &address, 1);
+    let path = settings_file("in-use", &settings);
+    let output = assert_cmd::Command::cargo_bin("knapweedwall-entry")
+        .unwrap()
+        .args(["run", "--settings", path.to_str().unwrap()])
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(1));
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert!(
+        text.contains(&format!("http listener on {address}")),
+        "{text}"
+    );
+}
--- a/crates/runtime/src/links/mod.rs
+++ b/crates/runtime/src/links/mod.rs
@@ -35,7 +35,7 @@
 use smol_str::SmolStr;
 
 use crate::ByteSize;
-use crate::settings::size_within;
+use crate::settings::{number_within, size_within};
 use commands::Commands;
 use hub::Hub;
 use metrics::Metrics;
@@ -45,10 +45,10 @@
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
     /// Accepted connections; further ones wait in the listener's backlog.
-    #[garde(range(min = 1, max = 16_384))]
+    #[garde(custom(number_within(1, 16_384)))]
     pub accepted: usize,
     /// Frames that wait for one peer; with more, the link is closed.
-    #[garde(range(min = 64, max = 1_048_576))]
+    #[garde(custom(number_within(64, 1_048_576)))]
     pub frames: usize,
     /// Bytes that wait for one peer; with more, the link is closed.
     #[garde(custom(size_within(64 << 10, 1 << 30)))]
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings files in YAML.
 
+use std::fmt::Display;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -74,6 +75,21 @@
     }
 }
 
+/// Check for `garde(custom(..))`: a number from `smallest` to `largest`.
+pub fn number_within<N: PartialOrd + Display>(
+    smallest: N,
+    largest: N,
+) -> impl FnOnce(&N, &()) -> garde::Result {
+    move |found, ()| {
+        if (&smallest..=&largest).contains(&found) {
+            return Ok(());
+        }
+        Err(garde::Error::new(format!(
+            "found {found}, allowed is {smallest} to {largest}"
+        )))
+    }
+}
+
 /// Check for `garde(custom(..))`: a size from `smallest` to `largest`, both in bytes.
 pub fn size_within(
     smallest: u64,
