feat(agent): process with HTTP endpoint adapter, settings and stop

Cause: the decisions need threads, links, an endpoint and settings around them. Ruled out: hyper-util's client (it hides whether a byte of a request was sent); polling connections in tasks of their own (an answer would wake two tasks instead of one). Change: threads decide, link, endpoint and admin; one plain HTTP/1.1 connection for each request under way, checked for unasked bytes before reuse; commands run and check; the decisions ask again for named entry processes and tell the slots on each new link.

--- /dev/null
+++ b/crates/agent/src/endpoint/probe.rs
@@ -0,0 +1,53 @@
+//! Whether the endpoint accepts connections.
+
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use crossbeam_channel::Sender;
+use knapweedwall_core::agent::Input;
+use tokio::sync::Notify;
+
+use super::port::Endpoint;
+
+/// Time between checks.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// What was last reported of the endpoint.
+#[derive(Debug)]
+pub(super) struct Reach {
+    inputs: Sender<Input>,
+    reported: Mutex<Option<bool>>,
+    check: Notify,
+}
+
+impl Reach {
+    pub(super) fn new(inputs: Sender<Input>) -> Self {
+        Self {
+            inputs,
+            reported: Mutex::new(None),
+            check: Notify::new(),
+        }
+    }
+
+    /// Checks the endpoint at regular times, and at once after a refused connection.
+    pub(super) async fn watch(&self, endpoint: &dyn Endpoint) {
+        loop {
+            self.report(endpoint.check().await);
+            // The end of the time and the notification have the same effect.
+            let _elapsed = tokio::time::timeout(CHECK_INTERVAL, self.check.notified()).await;
+        }
+    }
+
+    /// A connection was refused: no more starts until a check succeeds.
+    pub(super) fn refused(&self) {
+        self.report(false);
+        self.check.notify_one();
+    }
+
+    fn report(&self, accepts: bool) {
+        let mut reported = self.reported.lock().unwrap_or_else(PoisonError::into_inner);
+        if *reported != Some(accepts) && self.inputs.send(Input::Endpoint(accepts)).is_ok() {
+            *reported = Some(accepts);
+        }
+    }
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,1 +1,13 @@
-//! Agent process beside an endpoint: starts tasks and remembers what started
+//! Agent process beside an endpoint: starts tasks and remembers what started.
+
+pub mod endpoint;
+
+mod decide;
+mod options;
+mod process;
+mod settings;
+mod sink;
+
+pub use options::{Options, run};
+pub use process::{Error, Process, Result, Stopper};
+pub use settings::Settings;
--- /dev/null
+++ b/crates/agent/src/sink.rs
@@ -0,0 +1,47 @@
+//! Ring from the `link` thread to `decide`.
+
+use std::collections::VecDeque;
+
+use crossbeam_channel::Sender;
+use knapweedwall_core::agent::Input;
+use knapweedwall_runtime::links::{LinkEvent, Sink};
+
+/// Bound of the ring into `decide`.
+pub(crate) const RING_INPUTS: usize = 4096;
+
+/// Share of the links. The rest is for the endpoint's thread, which has at most one end for each
+/// of up to 1,024 slots under way.
+const LINK_INPUTS: usize = 3072;
+
+/// Hands what happens on the links to the decisions. While the share of the links is used up, the
+/// links are not read.
+#[derive(Debug)]
+pub(crate) struct Ring(pub(crate) Sender<Input>);
+
+impl Sink for Ring {
+    fn offer(&mut self, events: &mut VecDeque<LinkEvent>) {
+        while self.0.len() < LINK_INPUTS {
+            let Some(event) = events.pop_front() else {
+                return;
+            };
+            // The decisions have ended when this fails, and the process is about to exit.
+            let _gone = self.0.send(input(event));
+        }
+    }
+}
+
+fn input(event: LinkEvent) -> Input {
+    match event {
+        LinkEvent::Up {
+            link,
+            peer,
+            entries,
+        } => Input::LinkUp {
+            link,
+            peer,
+            entries,
+        },
+        LinkEvent::Down(link) => Input::LinkDown(link),
+        LinkEvent::Frame(link, body) => Input::Frame(link, body),
+    }
+}
--- /dev/null
+++ b/crates/agent/tests/process/settings_check.rs
@@ -0,0 +1,49 @@
+//! The command `check`.
+
+use assert_cmd::Command;
+use rstest::rstest;
+
+const VALID: &str = "\
+name: agent-1
+zone: z1
+endpoint: 127.0.0.1:9000
+slots: 8
+seeds: [127.0.0.1:7000]
+admin: 127.0.0.1:0
+stop_limit: 30s
+log: {format: json, level: info}
+";
+
+fn check(name: &str, text: &str) -> std::process::Output {
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_knapweedwall-agent"));
+    let command = command.args(["check", "--settings"]).arg(&path);
+    command.output().unwrap()
+}
+
+#[rstest]
+fn valid_settings_are_accepted() {
+    let output = check("valid.yaml", VALID);
+    assert!(output.status.success());
+    assert!(String::from_utf8_lossy(&output.stdout).ends_with("valid.yaml: ok\n"));
+}
+
+/// Guards against a fault that is accepted, or reported without its place and what is allowed.
+#[rstest]
+#[case::address("endpoint: 127.0.0.1:9000", "endpoint: somewhere", &["endpoint", "somewhere", "port"])]
+#[case::slots("slots: 8", "slots: 0", &["slots", "1"])]
+#[case::seeds("seeds: [127.0.0.1:7000]", "seeds: []", &["seeds", "1"])]
+#[case::unknown("zone: z1", "zone: z1\nweight: 3", &["weight", "slots"])]
+#[case::missing("zone: z1\n", "", &["zone"])]
+#[case::stop_limit("stop_limit: 30s", "stop_limit: 9h", &["stop_limit", "1"])]
+fn faults_are_named(#[case] from: &str, #[case] to: &str, #[case] parts: &[&str]) {
+    let name = format!("fault-{}.yaml", parts[0]);
+    let output = check(&name, &VALID.replace(from, to));
+    assert!(!output.status.success());
+    let error = String::from_utf8_lossy(&output.stderr).into_owned();
+    for part in parts.iter().chain([&name.as_str()]) {
+        assert!(error.contains(part), "{part} is missing in: {error}");
+    }
+    assert!(error.contains("line"), "no line in: {error}");
+}
--- a/crates/core/src/agent/addresses.rs
+++ b/crates/core/src/agent/addresses.rs
@@ -1,4 +1,4 @@
-//! Addresses of entry processes.
+//! Addresses of entry processes that other entry processes name.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -7,42 +7,39 @@
 
 use super::io::Action;
 
-/// An address that no entry process names for this long is no longer connected to.
-const KEEP: Duration = Duration::from_secs(60);
+/// Time between requests to connect to the same address. The links give an address up after a
+/// minute without success, so a process that is still named has to be asked for again.
+const ASK_AGAIN: Duration = Duration::from_secs(30);
 
-/// Most addresses learned from entry processes; further ones are ignored.
+/// Most addresses; further ones are ignored until named ones are dropped.
 const MAX_ADDRESSES: usize = 1024;
 
-/// Addresses that were learned from entry processes. Those of the settings are connected to by
-/// the process itself and are never forgotten.
+/// Addresses that were named, with the time of the last request to connect.
 #[derive(Debug, Default)]
 pub(super) struct Addresses {
-    named: BTreeMap<SmolStr, Duration>,
+    asked: BTreeMap<SmolStr, Duration>,
 }
 
 impl Addresses {
     /// An entry process named `address`.
     pub(super) fn learn(&mut self, now: Duration, address: &str, out: &mut Vec<Action>) {
-        if let Some(at) = self.named.get_mut(address) {
-            *at = now;
+        if let Some(asked) = self.asked.get_mut(address) {
+            if now.saturating_sub(*asked) >= ASK_AGAIN {
+                *asked = now;
+                out.push(Action::Connect(address.into()));
+            }
             return;
         }
-        if address.is_empty() || self.named.len() >= MAX_ADDRESSES {
+        if address.is_empty() || self.asked.len() >= MAX_ADDRESSES {
             return;
         }
-        let address = SmolStr::from(address);
-        self.named.insert(address.clone(), now);
-        out.push(Action::Connect(address));
+        self.asked.insert(address.into(), now);
+        out.push(Action::Connect(address.into()));
     }
 
-    /// Forgets addresses that are no longer named.
-    pub(super) fn expire(&mut self, now: Duration, out: &mut Vec<Action>) {
-        self.named.retain(|address, at| {
-            let keep = now.saturating_sub(*at) < KEEP;
-            if !keep {
-                out.push(Action::Forget(address.clone()));
-            }
-            keep
-        });
+    /// Drops addresses that are no longer named.
+    pub(super) fn expire(&mut self, now: Duration) {
+        self.asked
+            .retain(|_, asked| now.saturating_sub(*asked) < 2 * ASK_AGAIN);
     }
 }
--- a/crates/core/src/agent/event.rs
+++ b/crates/core/src/agent/event.rs
@@ -1,4 +1,4 @@
-//! Log events of the agent's decisions. Numbers 200 to 249; `docs/events-agent.md` lists them.
+//! Log events of the agent's decisions. Numbers 201 to 249; `docs/events-agent.md` lists them.
 
 use crate::event::Event;
 
--- a/crates/core/src/agent/fence.rs
+++ b/crates/core/src/agent/fence.rs
@@ -18,13 +18,13 @@
         // tasks again.
         self.links.flush(link, out);
         if let Err(known) = self.shards.raise(Shard(shard), Epoch(epoch), link) {
-            let event = warning(212, "fence refused: epoch superseded");
+            let event = warning(209, "fence refused: epoch superseded");
             let event = event.with("shard", shard).with("epoch", epoch);
             out.push(Action::Log(event.with("known", known)));
             send_part(link, shard, known.0, Vec::new(), true, out);
             return true;
         }
-        let event = info(213, "shard fenced").with("shard", shard);
+        let event = info(210, "shard fenced").with("shard", shard);
         out.push(Action::Log(event.with("epoch", epoch)));
         let mut part = Vec::new();
         let mut bytes = 0;
--- a/crates/core/src/agent/io.rs
+++ b/crates/core/src/agent/io.rs
@@ -94,10 +94,9 @@
     Send(LinkKey, Body),
     /// Closes a connection after a `Reject` with this code.
     Close(LinkKey, &'static str),
-    /// Connects to an entry process (`address`) and keeps connecting when the connection ends.
+    /// Connects to an entry process (`address`), unless there is a link to it already. It is
+    /// repeated now and then for as long as other entry processes name the address.
     Connect(SmolStr),
-    /// Stops connecting to an entry process (`address`).
-    Forget(SmolStr),
     /// Starts a task on the endpoint.
     Run(RunKey, RunTask),
     /// Aborts a run. Its end is still awaited.
--- a/crates/core/src/agent/leave.rs
+++ b/crates/core/src/agent/leave.rs
@@ -15,7 +15,7 @@
             return;
         }
         self.stopped = Some(now);
-        let event = info(214, "leaving: no more starts are taken");
+        let event = info(211, "leaving: no more starts are taken");
         let event = event.with("running", self.runs.len());
         out.push(Action::Log(event.with("unsettled", self.ledger.len())));
         for link in self.links.keys() {
@@ -38,9 +38,9 @@
         }
         self.exited = true;
         let event = if done {
-            info(215, "left: everything is settled")
+            info(212, "left: everything is settled")
         } else {
-            warning(216, "left with unsettled tasks: the stop limit is over")
+            warning(213, "left with unsettled tasks: the stop limit is over")
         };
         let event = event.with("running", self.runs.len());
         out.push(Action::Log(event.with("unsettled", self.ledger.len())));
--- a/crates/core/src/agent/machine.rs
+++ b/crates/core/src/agent/machine.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use knapweedwall_wire::{ConfigUpdate, Heartbeat, frame::Body};
+use knapweedwall_wire::{ConfigUpdate, Heartbeat, Leaving, frame::Body};
 use slotmap::SlotMap;
 use smol_str::SmolStr;
 
@@ -47,7 +47,7 @@
     ready: bool,
     counter: u64,
     /// Time of the last heartbeat; `None` sends the next one with the next tick.
-    beat: Option<Duration>,
+    last_beat: Option<Duration>,
     moves: Vec<Move>,
 }
 
@@ -71,7 +71,7 @@
             config: ConfigUpdate::default(),
             ready: false,
             counter: 0,
-            beat: None,
+            last_beat: None,
             moves: Vec::new(),
         }
     }
@@ -98,7 +98,9 @@
                 peer,
                 entries,
             } => self.link_up(now, link, &peer, &entries, out),
-            Input::LinkDown(link) => self.link_down(link, out),
+            Input::LinkDown(link) => {
+                self.drop_link(link);
+            }
             Input::Frame(link, body) => self.frame(now, link, body, out),
             Input::Ended(run, end) => self.ended(now, run, end, out),
             Input::Endpoint(reachable) => self.endpoint(reachable, out),
@@ -150,25 +152,16 @@
             self.drop_link(old);
         }
         self.links.insert(now, link, peer);
+        // `Hello` carries the slots of the settings, whether or not the endpoint is reachable.
+        out.push(Action::Send(link, self.beat()));
         if self.stopped.is_some() {
-            let leaving = knapweedwall_wire::Leaving {};
-            out.push(Action::Send(link, Body::Leaving(leaving)));
+            out.push(Action::Send(link, Body::Leaving(Leaving {})));
         } else {
             self.credits.join(link);
         }
         for (_, address) in entries {
             self.addresses.learn(now, address, out);
         }
-        let event = info(201, "link to entry process is up");
-        let event = event.with("entry", &peer.name).with("zone", &peer.zone);
-        out.push(Action::Log(event.with("instance", peer.instance)));
-    }
-
-    fn link_down(&mut self, link: LinkKey, out: &mut Vec<Action>) {
-        if let Some(name) = self.drop_link(link) {
-            let event = warning(202, "link to entry process is down");
-            out.push(Action::Log(event.with("entry", name)));
-        }
     }
 
     /// Forgets a link. Its credits are free again and its frames are no longer read.
@@ -182,7 +175,7 @@
     fn close(&mut self, link: LinkKey, code: &'static str, out: &mut Vec<Action>) {
         out.push(Action::Close(link, code));
         if let Some(name) = self.drop_link(link) {
-            let event = warning(203, "link to entry process closed");
+            let event = warning(201, "link to entry process closed");
             out.push(Action::Log(event.with("entry", name).with("code", code)));
         }
     }
@@ -212,12 +205,6 @@
                 self.credits.leave(link);
                 true
             }
-            Body::Reject(reject) => {
-                let event = warning(204, "entry process rejected the link");
-                let event = event.with("code", reject.code).with("text", reject.text);
-                out.push(Action::Log(event));
-                true
-            }
             _ => false,
         };
         if !fits {
@@ -260,7 +247,7 @@
 
     fn config_update(&mut self, update: ConfigUpdate, out: &mut Vec<Action>) -> bool {
         if update.version > self.config.version {
-            let event = info(205, "configuration accepted");
+            let event = info(202, "configuration accepted");
             out.push(Action::Log(event.with("version", update.version)));
             self.config = update;
         }
@@ -273,15 +260,15 @@
         }
         self.reachable = reachable;
         let event = if reachable {
-            info(206, "endpoint accepts connections")
+            info(203, "endpoint accepts connections")
         } else {
-            warning(207, "endpoint refuses connections")
+            warning(204, "endpoint refuses connections")
         };
         out.push(Action::Log(event));
         if self.stopped.is_none() {
             let slots = if reachable { self.settings.slots } else { 0 };
             self.credits.set_slots(slots);
-            self.beat = None;
+            self.last_beat = None;
         }
     }
 
@@ -291,24 +278,28 @@
             self.close(link, "silent", out);
         }
         let recent = |beat| now.saturating_sub(beat) < HEARTBEAT;
-        if self.beat.is_some_and(recent) {
+        if self.last_beat.is_some_and(recent) {
             return;
         }
-        self.beat = Some(now);
+        self.last_beat = Some(now);
         self.counter += 1;
-        let beat = Heartbeat {
+        let beat = self.beat();
+        for link in self.links.keys() {
+            out.push(Action::Send(link, beat.clone()));
+        }
+        self.ledger.expire(now);
+        self.addresses.expire(now);
+        self.credits.rebalance(&mut self.moves);
+    }
+
+    fn beat(&self) -> Body {
+        Body::Heartbeat(Heartbeat {
             counter: self.counter,
             config_version: self.config.version,
             slots: self.credits.slots(),
             busy: self.credits.busy(),
             ..Heartbeat::default()
-        };
-        for link in self.links.keys() {
-            out.push(Action::Send(link, Body::Heartbeat(beat.clone())));
-        }
-        self.ledger.expire(now);
-        self.addresses.expire(now, out);
-        self.credits.rebalance(&mut self.moves);
+        })
     }
 
     fn set_gauges(&self) {
--- a/crates/core/src/agent/run.rs
+++ b/crates/core/src/agent/run.rs
@@ -43,7 +43,7 @@
         if run.stopped {
             if end != RunEnd::Aborted {
                 self.metrics.late.inc();
-                out.push(Action::Log(info(210, "late result dropped")));
+                out.push(Action::Log(info(207, "late result dropped")));
             }
             return;
         }
@@ -135,7 +135,7 @@
         let keys = self.runs.iter().filter(|(_, run)| overdue(run));
         let keys = keys.map(|(key, _)| key).collect::<Vec<_>>();
         for key in keys {
-            out.push(Action::Log(warning(211, "task stopped: over its limit")));
+            out.push(Action::Log(warning(208, "task stopped: over its limit")));
             let end = failed("run_limit", "the task ran longer than its limit");
             self.stop_run(now, key, end, out);
         }
--- a/crates/core/src/agent/start.rs
+++ b/crates/core/src/agent/start.rs
@@ -89,7 +89,7 @@
         }
         if let Err(known) = raised {
             self.metrics.superseded.inc();
-            let event = warning(208, "start refused: epoch superseded");
+            let event = warning(205, "start refused: epoch superseded");
             let event = event.with("shard", start.shard).with("epoch", start.epoch);
             out.push(Action::Log(event.with("known", known)));
             return Some(Outcome::Superseded);
@@ -115,7 +115,7 @@
             return;
         }
         self.full = true;
-        let event = warning(209, "start refused: ledger full");
+        let event = warning(206, "start refused: ledger full");
         out.push(Action::Log(event.with("entries", self.ledger.len())));
     }
 
