feat(testing): processes, fault-injecting proxy and load generator

Cause: scenarios and measurements need real processes, faults on their links and checked answers. Ruled out: noxious; it drops bytes of connections that stay open and does not tell its port. Change: launcher of one process, reserved ports, proxy, seeded load with checks against ledgers.

--- /dev/null
+++ b/crates/testing/tests/lab/answer_checks.rs
@@ -0,0 +1,64 @@
+//! Guards the checks of the load generator: each kind of wrong answer must be noticed.
+
+use std::time::Duration;
+
+use knapweedwall_testing::load::{Ending, Figures, Ledgers, Record, Start};
+use rstest::rstest;
+
+fn record(ending: Ending) -> Record {
+    Record {
+        id: "j".into(),
+        class: "console".into(),
+        tasks: 2,
+        ending,
+        time: Duration::from_millis(30),
+        ideal: Duration::from_millis(20),
+        repeats: 0,
+    }
+}
+
+fn ledgers(starts: &[&str]) -> Ledgers {
+    let mut ledgers = Ledgers::default();
+    for result in starts {
+        ledgers.add(Start {
+            result: (*result).into(),
+        });
+    }
+    ledgers
+}
+
+#[rstest]
+#[case::lost(Ending::Lost("gone".into()), &[])]
+#[case::partial(Ending::Partial, &["j/0"])]
+#[case::mismatched(Ending::Mismatched, &["j/0", "j/1"])]
+#[case::doubled(Ending::Complete, &["j/0", "j/1", "j/1"])]
+#[case::false_not_run(Ending::Refused("overloaded".into()), &["j/1"])]
+#[case::unwitnessed(Ending::Complete, &["j/0"])]
+fn fault_is_noticed(#[case] ending: Ending, #[case] starts: &[&str]) {
+    let figures = Figures::new(&[record(ending)], &ledgers(starts));
+    assert!(!figures.sound());
+    assert_eq!(figures.faults().lines().count(), 1, "{}", figures.faults());
+}
+
+#[rstest]
+#[case::complete(Ending::Complete, &["j/0", "j/1"])]
+#[case::refused(Ending::Refused("overloaded".into()), &[])]
+#[case::cancelled(Ending::Failed { code: "cancelled".into(), started: Some(1) }, &["j/0"])]
+fn right_answer_is_sound(#[case] ending: Ending, #[case] starts: &[&str]) {
+    let figures = Figures::new(&[record(ending)], &ledgers(starts));
+    assert!(
+        figures.sound() && figures.faults().is_empty(),
+        "{}",
+        figures.faults()
+    );
+}
+
+#[test]
+fn wrong_count_of_starts_is_reported() {
+    let ending = Ending::Failed {
+        code: "cancelled".into(),
+        started: Some(0),
+    };
+    let figures = Figures::new(&[record(ending)], &ledgers(&["j/0"]));
+    assert_eq!(figures.miscounted.len(), 1);
+}
