--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -1,6 +1,15 @@
-//! Stand-ins, demonstration, measurements and integration tests
+//! Stand-ins, demonstration, measurements and integration tests.
 
+pub mod client;
 pub mod cluster;
 pub mod http;
 pub mod load;
+pub mod process;
 pub mod proxy;
+pub mod standin_endpoint;
+pub mod standin_store;
+pub mod table;
+
+mod chance;
+
+pub use chance::{Chance, Share, ShareError};
--- a/crates/testing/src/load/caller.rs
+++ b/crates/testing/src/load/caller.rs
@@ -9,7 +9,7 @@
 
 use super::ending::{Ending, Record, read};
 use super::plan::Job;
-use crate::http::{Error, Http, Reply};
+use crate::client::{Error, Http, Reply};
 
 /// Longest wait that a request asks for; longer jobs are asked for again.
 const WAIT: Duration = Duration::from_secs(10);
--- a/crates/testing/src/load/ledger.rs
+++ b/crates/testing/src/load/ledger.rs
@@ -2,50 +2,48 @@
 
 use std::collections::HashMap;
 
+use knapweedwall_core::JobId;
 use smol_str::SmolStr;
 
-/// One start in the ledger of an endpoint stand-in.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Start {
-    /// Result text of the payload, `<job id>/<index>`.
-    pub result: SmolStr,
-}
+use crate::standin_endpoint::Start;
 
 /// Starts at all endpoints of a run.
 #[derive(Debug, Default)]
 pub struct Ledgers {
-    tasks: HashMap<SmolStr, u32>,
-    jobs: HashMap<SmolStr, u64>,
+    /// Starts by job key (32 hexadecimal digits) and position of the task.
+    jobs: HashMap<SmolStr, HashMap<u32, u32>>,
 }
 
 impl Ledgers {
     /// Adds one start.
-    pub fn add(&mut self, start: Start) {
-        let job = start
-            .result
-            .rsplit_once('/')
-            .map_or(start.result.as_str(), |(job, _)| job);
-        *self.jobs.entry(job.into()).or_default() += 1;
-        *self.tasks.entry(start.result).or_default() += 1;
+    pub fn add(&mut self, start: &Start) {
+        let tasks = self.jobs.entry(start.job.clone()).or_default();
+        *tasks.entry(start.index).or_default() += 1;
     }
 
-    /// Number of starts of tasks of this job.
+    /// Number of tasks of the job `id` that started.
     #[must_use]
-    pub fn started(&self, job: &str) -> u64 {
-        self.jobs.get(job).copied().unwrap_or_default()
+    pub fn started(&self, id: &str) -> u64 {
+        let key = JobId::parse(id).map(|id| id.key().to_string());
+        let tasks = key.ok().and_then(|key| self.jobs.get(key.as_str()));
+        tasks.map_or(0, |tasks| u64::try_from(tasks.len()).unwrap_or(u64::MAX))
     }
 
     /// Number of all starts.
     #[must_use]
     pub fn total(&self) -> u64 {
-        self.jobs.values().sum()
+        let counts = self.jobs.values().flat_map(HashMap::values);
+        counts.map(|count| u64::from(*count)).sum()
     }
 
-    /// Tasks that started more than once, in order.
+    /// Tasks that started more than once as `job key/position`, in order.
     #[must_use]
     pub fn doubled(&self) -> Vec<SmolStr> {
-        let twice = self.tasks.iter().filter(|(_, count)| **count > 1);
-        let mut list: Vec<SmolStr> = twice.map(|(task, _)| task.clone()).collect();
+        let mut list = Vec::new();
+        for (job, tasks) in &self.jobs {
+            let twice = tasks.iter().filter(|(_, count)| **count > 1);
+            list.extend(twice.map(|(index, _)| SmolStr::from(format!("{job}/{index}"))));
+        }
         list.sort();
         list
     }
--- a/crates/testing/src/load/mod.rs
+++ b/crates/testing/src/load/mod.rs
@@ -13,7 +13,7 @@
 pub use caller::Entries;
 pub use ending::{Ending, Record};
 pub use figures::{ClassFigures, Figures};
-pub use ledger::{Ledgers, Start};
+pub use ledger::Ledgers;
 pub use mix::{Kind, Mix};
 pub use plan::{Job, jobs};
 pub use run::{Plan, run};
--- a/crates/testing/src/load/run.rs
+++ b/crates/testing/src/load/run.rs
@@ -13,7 +13,7 @@
 use super::ending::Record;
 use super::mix::Mix;
 use super::plan::{Job, jobs};
-use crate::http::Http;
+use crate::client::Http;
 
 /// A load to generate.
 #[derive(Debug, Clone)]
