--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,7 +3,9 @@
 //! Inputs, state and a [`Now`] go in; actions come out. The processes run these decisions behind
 //! their threads, sockets and timers; tests run them directly.
 
+pub mod agent;
 pub mod config;
+pub mod dispatch;
 pub mod entry;
 pub mod store;
 
