--- a/crates/cli/src/commands/job.rs
+++ b/crates/cli/src/commands/job.rs
@@ -55,7 +55,9 @@
     let body = check(client.send(method, path, body, wait).await?)?;
     let text = table::value(&shown(&body));
     let mut output = Output::new(body, text);
-    output.code = match output.json["state"].as_str() {
+    // An answer that is no longer held is `collected`, and `outcome` tells how the job ended.
+    let field = |name: &str| output.json[name].as_str();
+    output.code = match field("outcome").or(field("state")) {
         Some("complete") => 0,
         Some("failed") => FAILED_CODE,
         _ => OPEN_CODE,
--- a/crates/cli/tests/ctl/job_commands.rs
+++ b/crates/cli/tests/ctl/job_commands.rs
@@ -10,6 +10,7 @@
 #[rstest]
 #[case(200, json!({"id": "j1", "state": "complete", "results": ["x", "y"]}), 0)]
 #[case(200, json!({"id": "j1", "state": "failed", "code": "in_doubt", "text": "t", "ran": "unknown"}), 1)]
+#[case(200, json!({"id": "j1", "state": "collected", "outcome": "complete"}), 0)]
 #[case(202, json!({"id": "j1", "state": "pending"}), 5)]
 fn submit_from_standard_input(#[case] status: u16, #[case] reply: Value, #[case] exit: i32) {
     let server = Server::open(vec![("POST /v1/jobs", status, reply)]);
--- a/crates/testing/src/load/caller.rs
+++ b/crates/testing/src/load/caller.rs
@@ -37,7 +37,8 @@
         }
     }
 
-    fn next(&self) -> &str {
+    /// The next of them.
+    pub fn next(&self) -> &str {
         let count = self.next.fetch_add(1, Ordering::Relaxed);
         self.urls
             .get(count % self.urls.len().max(1))
--- a/crates/testing/src/load/ending.rs
+++ b/crates/testing/src/load/ending.rs
@@ -58,6 +58,8 @@
             code: body["code"].as_str().unwrap_or("none").into(),
             started: body["started"].as_u64(),
         }),
+        // Nobody got the answer while it was held: this caller was the only one.
+        "collected" => Some(Ending::Lost("the answer is no longer held".to_owned())),
         _ => None,
     }
 }
