--- /dev/null
+++ b/crates/testing/src/bin/knapweedwall-lab.rs
@@ -0,0 +1,10 @@
+//! Entry point of `knapweedwall-lab`.
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use knapweedwall_testing::lab::{Args, run};
+
+fn main() -> ExitCode {
+    run(&Args::parse())
+}
--- a/crates/testing/src/cluster/build.rs
+++ b/crates/testing/src/cluster/build.rs
@@ -42,8 +42,8 @@
     fn start_store(&mut self, spec: &Spec) -> Result<SocketAddr> {
         let (listen, control) = (port("store")?, port("store")?);
         let settings = json!({ "listen": listen, "control": control, "seed": spec.seed });
-        let changes = json!({ "controls": spec.store });
-        let launch = self.launch("store", "standin-store", settings, &changes)?;
+        let base = json!({ "controls": spec.store });
+        let launch = self.launch("store", "standin-store", settings, &base)?;
         self.start(Role::Store, launch, listen, control)?;
         Ok(listen)
     }
@@ -118,10 +118,10 @@
         name: &str,
         binary: &'static str,
         settings: Value,
-        changes: &Value,
+        base: &Value,
     ) -> Result<Launch> {
         let path = self.dir.path().join(format!("{name}.yaml"));
-        settings::write(&path, settings, changes)?;
+        settings::write(&path, base.clone(), &settings)?;
         Ok(Launch {
             name: name.to_owned(),
             binary,
--- a/crates/testing/src/cluster/spec.rs
+++ b/crates/testing/src/cluster/spec.rs
@@ -30,9 +30,9 @@
     pub classes: BTreeMap<SmolStr, Duration>,
     /// Whether the links to entry processes and to the store are led through proxies.
     pub proxied: bool,
-    /// Settings that replace the launcher's in those of entry processes.
+    /// Settings of entry processes; names and addresses are set by the launcher.
     pub entry: Value,
-    /// Settings that replace the launcher's in those of agents.
+    /// Settings of agents; names, slots and addresses are set by the launcher.
     pub agent: Value,
     /// Seed of the stand-ins.
     pub seed: u64,
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod client;
 pub mod cluster;
 pub mod http;
+pub mod lab;
 pub mod load;
 pub mod process;
 pub mod proxy;
