--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod load;
 pub mod process;
 pub mod proxy;
+pub mod scenario;
 pub mod standin_endpoint;
 pub mod standin_store;
 pub mod table;
