--- a/crates/testing/src/client.rs
+++ b/crates/testing/src/client.rs
@@ -84,41 +84,48 @@
         body: impl Into<Bytes>,
         limit: Duration,
     ) -> Result<Reply> {
-        let lost = |text: String| Error::Reply {
-            url: url.to_owned(),
-            text,
-        };
         let request = Request::builder().method(method).uri(url);
         let request = request.header("content-type", "application/json");
         let request = request.body(Full::new(body.into()));
-        let request = request.map_err(|e| Error::Connect {
-            url: url.to_owned(),
-            text: e.to_string(),
+        let request = request.map_err(|e| {
+            ConnectSnafu {
+                url,
+                text: e.to_string(),
+            }
+            .build()
         })?;
-        let exchange = async {
-            let response = self.client.request(request).await.map_err(|e| {
-                let text = chain(&e);
-                if e.is_connect() {
-                    return Error::Connect {
-                        url: url.to_owned(),
-                        text,
-                    };
-                }
-                lost(text)
-            })?;
-            let status = response.status().as_u16();
-            let body = response
-                .into_body()
-                .collect()
-                .await
-                .map_err(|e| lost(chain(&e)))?;
-            Ok(Reply {
-                status,
-                body: body.to_bytes(),
-            })
+        let ended = timeout(limit, self.exchange(url, request)).await;
+        let late = || {
+            ReplySnafu {
+                url,
+                text: format!("none within {limit:?}"),
+            }
+            .fail()
         };
-        let ended = timeout(limit, exchange).await;
-        ended.unwrap_or_else(|_| Err(lost(format!("none within {limit:?}"))))
+        ended.unwrap_or_else(|_| late())
+    }
+
+    async fn exchange(&self, url: &str, request: Request<Full<Bytes>>) -> Result<Reply> {
+        let response = self.client.request(request).await.or_else(|e| {
+            let text = chain(&e);
+            if e.is_connect() {
+                return ConnectSnafu { url, text }.fail();
+            }
+            ReplySnafu { url, text }.fail()
+        })?;
+        let status = response.status().as_u16();
+        let body = response.into_body().collect().await;
+        let body = body.or_else(|e| {
+            ReplySnafu {
+                url,
+                text: chain(&e),
+            }
+            .fail()
+        })?;
+        Ok(Reply {
+            status,
+            body: body.to_bytes(),
+        })
     }
 
     /// `GET` with a limit of 5 s.
--- a/crates/testing/src/lab/demo.rs
+++ b/crates/testing/src/lab/demo.rs
@@ -42,29 +42,7 @@
 }
 
 async fn one(name: &str, sample: &Sample, args: &DemoArgs) -> Result<String> {
-    let agents = SPEEDS
-        .map(|speed| AgentSpec {
-            slots: SLOTS,
-            speed,
-        })
-        .to_vec();
-    print::line(format!(
-        "\n{name}: {ENTRIES} entry processes in 3 zones, {} agents with {SLOTS} slots each, \
-         endpoint speeds {} to {}",
-        agents.len(),
-        SPEEDS[0],
-        SPEEDS[SPEEDS.len() - 1]
-    ));
-    let spec = Spec {
-        entries: ENTRIES,
-        agents,
-        classes: sample.classes.clone(),
-        entry: sample.entry.clone(),
-        agent: sample.agent.clone(),
-        seed: args.seed,
-        ..Spec::default()
-    };
-    let cluster = Cluster::open(&spec).await?;
+    let cluster = open(name, sample, args.seed).await?;
     let plan = Plan {
         seed: args.seed,
         prefix: name.to_owned(),
@@ -76,7 +54,7 @@
         limit: JOB_LIMIT,
     };
     let start = Instant::now();
-    let mut shown = Instant::now();
+    let mut shown = start;
     let records = run_load(&plan, cluster.entries(), |ended| {
         if shown.elapsed() >= PROGRESS || ended == plan.jobs {
             shown = Instant::now();
@@ -98,6 +76,33 @@
     Ok(faults)
 }
 
+/// Starts the system with the settings and classes of the sample.
+async fn open(name: &str, sample: &Sample, seed: u64) -> Result<Cluster> {
+    let agents = SPEEDS
+        .map(|speed| AgentSpec {
+            slots: SLOTS,
+            speed,
+        })
+        .to_vec();
+    print::line(format!(
+        "\n{name}: {ENTRIES} entry processes in 3 zones, {} agents with {SLOTS} slots each, \
+         endpoint speeds {} to {}",
+        agents.len(),
+        SPEEDS[0],
+        SPEEDS[SPEEDS.len() - 1]
+    ));
+    let spec = Spec {
+        entries: ENTRIES,
+        agents,
+        classes: sample.classes.clone(),
+        entry: sample.entry.clone(),
+        agent: sample.agent.clone(),
+        seed,
+        ..Spec::default()
+    };
+    Ok(Cluster::open(&spec).await?)
+}
+
 async fn report(cluster: &Cluster, figures: &Figures) -> Result<()> {
     print::line(table::answers(figures));
     print::line(format!(
--- a/crates/testing/src/lab/measure/cost.rs
+++ b/crates/testing/src/lab/measure/cost.rs
@@ -55,54 +55,60 @@
         ..Spec::default()
     };
     let cluster = Cluster::open(&spec).await?;
-    let per_job = usize::try_from(size).unwrap_or(1);
-    let plan = |prefix: &str, tasks: usize| Plan {
-        seed: args.seed,
-        prefix: prefix.to_owned(),
-        mix: Mix::single("bulk", size, RUN_MS),
-        arrivals: Arrivals::Closed {
-            callers: (OPEN_TASKS / per_job).max(4),
-        },
-        jobs: (tasks / per_job).max(1),
-        limit: JOB_LIMIT,
-    };
-    checked(&cluster, &plan("warm", WARM_UP_TASKS)).await?;
+    checked(&cluster, &plan(args.seed, "warm", size, WARM_UP_TASKS)).await?;
     let before = (
         read(&cluster, Role::Entry).await?,
         read(&cluster, Role::Agent).await?,
     );
     let start = Instant::now();
     let tasks = args.tasks.unwrap_or(TASKS);
-    let (_, started) = checked(&cluster, &plan("cost", tasks)).await?;
+    let (_, started) = checked(&cluster, &plan(args.seed, "cost", size, tasks)).await?;
     let window = start.elapsed();
     let after = (
         read(&cluster, Role::Entry).await?,
         read(&cluster, Role::Agent).await?,
     );
-    let per_task = |after: Total, before: Total| {
-        let micros = after.since(before).cpu.as_secs_f64() * 1e6;
-        format!("{:.2}", micros / count(started))
-    };
-    let common = [
-        ("job_tasks", size.to_string()),
-        ("tasks", started.to_string()),
-        (
-            "tasks_per_s",
-            format!("{:.0}", count(started) / window.as_secs_f64()),
-        ),
-    ];
-    let with = |value: String, limit: u32| {
-        let mut values = common.to_vec();
-        values.extend([("value", value), ("limit", limit.to_string())]);
-        values
+    let show = |name: &str, used: Total, limit: u32| {
+        let per_task = used.cpu.as_secs_f64() * 1e6 / count(started);
+        let values = [
+            ("job_tasks", size.to_string()),
+            ("tasks", started.to_string()),
+            (
+                "tasks_per_s",
+                format!("{:.0}", count(started) / window.as_secs_f64()),
+            ),
+            ("value", format!("{per_task:.2}")),
+            ("limit", limit.to_string()),
+        ];
+        figure("cost", args.seed, name, &values);
     };
-    let entry = with(per_task(after.0, before.0), LIMITS_US.0);
-    let agent = with(per_task(after.1, before.1), LIMITS_US.1);
-    figure("cost", args.seed, "entry_cpu_us_per_task", &entry);
-    figure("cost", args.seed, "agent_cpu_us_per_task", &agent);
+    show(
+        "entry_cpu_us_per_task",
+        after.0.since(before.0),
+        LIMITS_US.0,
+    );
+    show(
+        "agent_cpu_us_per_task",
+        after.1.since(before.1),
+        LIMITS_US.1,
+    );
     Ok(())
 }
 
+fn plan(seed: u64, prefix: &str, size: u32, tasks: usize) -> Plan {
+    let per_job = usize::try_from(size).unwrap_or(1);
+    Plan {
+        seed,
+        prefix: prefix.to_owned(),
+        mix: Mix::single("bulk", size, RUN_MS),
+        arrivals: Arrivals::Closed {
+            callers: (OPEN_TASKS / per_job).max(4),
+        },
+        jobs: (tasks / per_job).max(1),
+        limit: JOB_LIMIT,
+    }
+}
+
 fn count(tasks: u64) -> f64 {
     u32::try_from(tasks).map_or(f64::INFINITY, f64::from)
 }
--- a/crates/testing/src/load/caller.rs
+++ b/crates/testing/src/load/caller.rs
@@ -66,19 +66,34 @@
     arrival: Instant,
     limit: Duration,
 ) -> Record {
+    let mut repeats = 0;
+    let ending = follow(http, entries, job, (arrival, limit), &mut repeats).await;
+    Record {
+        id: job.id.clone(),
+        class: job.class.clone(),
+        tasks: job.tasks,
+        ending,
+        time: arrival.elapsed(),
+        ideal: job.ideal,
+        repeats,
+    }
+}
+
+async fn follow(
+    http: &Http,
+    entries: &Entries,
+    job: &Job,
+    (arrival, limit): (Instant, Duration),
+    repeats: &mut u32,
+) -> Ending {
     let mut known = Known::Nothing;
     let mut pause = PAUSE.0;
-    let mut repeats = 0;
     let mut last = String::from("no request was made");
-    let ending = loop {
-        if arrival.elapsed() > limit {
-            break Ending::Lost(format!("no answer within {limit:?}, last: {last}"));
-        }
-        let asks = known == Known::Running;
-        match request(http, entries, job, asks).await {
+    while arrival.elapsed() <= limit {
+        match request(http, entries, job, known == Known::Running).await {
             Ok(reply) => {
                 if let Some(ending) = judge(job, &reply, &mut known) {
-                    break ending;
+                    return ending;
                 }
                 last = format!("{} {}", reply.status, String::from_utf8_lossy(&reply.body));
                 if reply.status == 202 {
@@ -92,19 +107,11 @@
                 last = error.to_string();
             }
         }
-        repeats += 1;
+        *repeats += 1;
         sleep(pause).await;
         pause = (pause * 2).min(PAUSE.1);
-    };
-    Record {
-        id: job.id.clone(),
-        class: job.class.clone(),
-        tasks: job.tasks,
-        ending,
-        time: arrival.elapsed(),
-        ideal: job.ideal,
-        repeats,
     }
+    Ending::Lost(format!("no answer within {limit:?}, last: {last}"))
 }
 
 /// Cancels `job` after its time and ignores the answer: the submission learns the end.
