--- a/crates/cli/src/table.rs
+++ b/crates/cli/src/table.rs
@@ -68,7 +68,9 @@
         let cells = list.iter().map(cell).collect::<Vec<_>>();
         return format!("{}\n", cells.join(" "));
     };
-    let head: Vec<&str> = first.keys().map(String::as_str).collect();
+    let mut head: Vec<&str> = first.keys().map(String::as_str).collect();
+    // The fields of an object come in alphabetical order; its name identifies the row.
+    head.sort_by_key(|field| *field != "name");
     let row = |v: &Value| head.iter().map(|h| cell(&v[*h])).collect();
     let rows: Vec<Vec<String>> = list.iter().map(row).collect();
     columns(&head, &rows)
--- a/crates/testing/src/client.rs
+++ b/crates/testing/src/client.rs
@@ -86,6 +86,8 @@
     ) -> Result<Reply> {
         let request = Request::builder().method(method).uri(url);
         let request = request.header("content-type", "application/json");
+        // Changes of the configuration name their operator; other requests ignore the header.
+        let request = request.header("operator", "test");
         let request = request.body(Full::new(body.into()));
         let request = request.map_err(|e| {
             ConnectSnafu {
--- a/crates/testing/src/cluster/build.rs
+++ b/crates/testing/src/cluster/build.rs
@@ -122,10 +122,14 @@
     ) -> Result<Launch> {
         let path = self.dir.path().join(format!("{name}.yaml"));
         settings::write(&path, base.clone(), &settings)?;
+        let mut args = vec![OsString::from("--settings"), path.into()];
+        if binary.starts_with("knapweedwall-") {
+            args.insert(0, OsString::from("run"));
+        }
         Ok(Launch {
             name: name.to_owned(),
             binary,
-            args: vec![OsString::from("--settings"), path.into()],
+            args,
             log: self.dir.path().join(format!("{name}.log")),
         })
     }
--- a/crates/testing/src/cluster/settings.rs
+++ b/crates/testing/src/cluster/settings.rs
@@ -32,7 +32,7 @@
         "http": { "listen": at.http },
         "frames": { "listen": at.frames, "address": at.advertised, "seeds": seeds },
         "admin": { "listen": at.admin },
-        "platform": { "url": format!("http://{}", at.store) },
+        "store": { "address": at.store },
     })
 }
 
