--- a/crates/testing/src/lab/args.rs
+++ b/crates/testing/src/lab/args.rs
@@ -66,4 +66,6 @@
     Frames,
     /// Processor time, memory and control bytes of agents and entry processes by number of agents.
     Footprint,
+    /// Time from the kill of an entry process until the others serve its shards.
+    Takeover,
 }
--- a/crates/testing/src/lab/measure/mod.rs
+++ b/crates/testing/src/lab/measure/mod.rs
@@ -5,6 +5,7 @@
 mod frames;
 mod idle;
 mod meter;
+mod takeover;
 
 use std::fmt::Write as _;
 use std::time::Duration;
@@ -28,6 +29,7 @@
         Scenario::Cost => cost::run(args).await,
         Scenario::Frames => frames::run(args).await,
         Scenario::Footprint => footprint::run(args).await,
+        Scenario::Takeover => takeover::run(args).await,
     }
 }
 
--- a/crates/testing/tests/system/main.rs
+++ b/crates/testing/tests/system/main.rs
@@ -9,3 +9,4 @@
 mod place;
 mod resubmission;
 mod scenarios;
+mod shard_takeover;
