--- a/crates/core/src/dispatch/credits.rs
+++ b/crates/core/src/dispatch/credits.rs
@@ -28,6 +28,7 @@
 struct Entry {
     worker: WorkerKey,
     near: bool,
+    running: u32,
 }
 
 /// Speed group of a speed given as base-2 logarithm.
@@ -38,16 +39,23 @@
 }
 
 impl Credits {
-    /// Adds the worker, or moves it when its speed has changed group.
-    pub(super) fn insert(&mut self, worker: WorkerKey, log2: f64, near: bool) {
+    /// Adds the worker, or brings its group and running tasks up to date.
+    pub(super) fn insert(&mut self, worker: WorkerKey, log2: f64, near: bool, running: u32) {
         let group = group_of(log2);
-        if self.places.get(worker).is_some_and(|p| p.0 == group) {
+        if let Some((at, place)) = self.places.get(worker)
+            && *at == group
+        {
+            self.groups[usize::from(group)][*place as usize].running = running;
             return;
         }
         self.remove(worker);
         let entries = &mut self.groups[usize::from(group)];
         let place = u32::try_from(entries.len()).unwrap_or(u32::MAX);
-        entries.push(Entry { worker, near });
+        entries.push(Entry {
+            worker,
+            near,
+            running,
+        });
         self.places.insert(worker, (group, place));
         self.filled |= 1 << group;
     }
@@ -115,6 +123,15 @@
         chosen
     }
 
+    /// Tasks of this process running on a worker with unused credits; 0 for any other.
+    #[must_use]
+    pub fn running(&self, worker: WorkerKey) -> u32 {
+        let place = self.places.get(worker);
+        place.map_or(0, |(group, place)| {
+            self.groups[usize::from(*group)][*place as usize].running
+        })
+    }
+
     /// A random worker of any group.
     pub fn pick_any(&self, random: &mut ChaCha8Rng) -> Option<WorkerKey> {
         let len = u32::try_from(self.places.len()).ok().filter(|n| *n > 0)?;
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -204,7 +204,8 @@
             return;
         }
         let near = !self.limits.zone.is_empty() && worker.zone == self.limits.zone;
-        self.credits.insert(key, worker.speed.log2(), near);
+        self.credits
+            .insert(key, worker.speed.log2(), near, worker.running);
     }
 
     /// Tasks of a job wait from now on. Tasks that wait or run already are ignored, and so are
