perf(core): order classes by arrival plus four targets

Cause: at the crest, overdue work of all classes delays short work that could still meet its target. Targets stay the only input; an overdue bulk job goes ahead of new short work after four targets instead of one.

--- a/crates/core/src/dispatch/door.rs
+++ b/crates/core/src/dispatch/door.rs
@@ -64,7 +64,8 @@
             return 0.0;
         };
         let age_s = now.since(oldest).as_secs_f64();
-        let ahead_s = age_s + class.target.as_secs_f64() - other.target.as_secs_f64();
+        let later_s = other.deadline_after().as_secs_f64();
+        let ahead_s = age_s + class.deadline_after().as_secs_f64() - later_s;
         if age_s <= 0.0 {
             return if ahead_s >= 0.0 { 1.0 } else { 0.0 };
         }
--- a/crates/core/src/dispatch/queues.rs
+++ b/crates/core/src/dispatch/queues.rs
@@ -1,7 +1,7 @@
 //! Waiting tasks in the order in which they are to start.
 //!
 //! There is one queue for each pair of class and team; within it jobs are in order of arrival.
-//! The heads of all queues are in order of `arrival + target`.
+//! The heads of all queues are in order of deadline, `arrival + DEADLINE_TARGETS * target`.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -24,6 +24,10 @@
 /// Target of a class that is not configured (its jobs were admitted before it was deleted).
 const UNCONFIGURED_TARGET: Duration = Duration::from_secs(1);
 
+/// Targets after the arrival at which the deadline of a job lies. With deadlines of one target,
+/// overdue work of all classes delays short work that could still meet its target.
+const DEADLINE_TARGETS: u32 = 4;
+
 /// A class.
 #[derive(Debug)]
 pub(super) struct Class {
@@ -36,6 +40,13 @@
     pub(super) last_arrival: Option<Duration>,
 }
 
+impl Class {
+    /// Time from the arrival of a job to its deadline.
+    pub(super) fn deadline_after(&self) -> Duration {
+        self.target * DEADLINE_TARGETS
+    }
+}
+
 /// A team.
 #[derive(Debug)]
 pub(super) struct Team {
@@ -238,12 +249,10 @@
         let Some(queue) = self.queues.get_mut(key) else {
             return;
         };
-        let target = self
-            .classes
-            .get(queue.class)
-            .map_or(UNCONFIGURED_TARGET, |c| c.target);
+        let class = self.classes.get(queue.class);
+        let delay = class.map(Class::deadline_after).unwrap_or_default();
         let first = queue.waiting.first();
-        let head = first.map(|(arrived, seq, _)| (arrived.saturating_add(target), *seq));
+        let head = first.map(|(arrived, seq, _)| (arrived.saturating_add(delay), *seq));
         if head == queue.head {
             return;
         }
