perf(core): place large jobs behind smaller ones of their class

Cause: single tasks wait behind the tasks of a large job of the same class. Change: a job is placed by its arrival plus 16 times the time its tasks take on all slots of the process, at most two targets.

--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -32,6 +32,13 @@
 /// Weight of one start in the common run time.
 const COMMON_GAIN: f64 = 1.0 / 256.0;
 
+/// A job is placed behind smaller jobs of its class by this many times the time that its tasks
+/// take on all slots of this process.
+const SIZE_DELAY_FACTOR: f64 = 16.0;
+
+/// Most targets by which a job is placed behind smaller jobs.
+const SIZE_DELAY_TARGETS: u32 = 2;
+
 /// A task that is to start on a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Assignment {
@@ -51,7 +58,7 @@
     pub(super) told_all: Option<u32>,
     policy: Box<dyn Placement>,
     random: ChaCha8Rng,
-    jobs: SlotMap<JobSlot, Job>,
+    pub(super) jobs: SlotMap<JobSlot, Job>,
     job_keys: HashMap<JobKey, JobSlot>,
     next_seq: u64,
     credits: Credits,
@@ -221,7 +228,7 @@
     ) {
         let slot = match self.job_keys.get(&key) {
             Some(slot) => *slot,
-            None => self.open(now, key, class, team, arrived),
+            None => self.open(now, key, class, team, arrived, indices.len()),
         };
         let Some(job) = self.jobs.get_mut(slot).filter(|j| !j.cancelled) else {
             return;
@@ -233,9 +240,9 @@
         if added == 0 {
             return;
         }
-        let (queue, arrived, seq) = (job.queue, job.arrived, job.seq);
+        let (queue, order, seq) = (job.queue, job.order, job.seq);
         self.queues.count_waiting(queue, added);
-        self.queues.enter(queue, arrived, seq, slot);
+        self.queues.enter(queue, order, seq, slot);
         let class = self
             .queues
             .pair(queue)
@@ -252,8 +259,10 @@
         class: &str,
         team: &str,
         arrived: Duration,
+        tasks: usize,
     ) -> JobSlot {
         let class = self.queues.class(class);
+        let order = arrived.saturating_add(self.size_delay(class, tasks));
         let team = self.queues.team(team);
         let queue = self.queues.join(class, team);
         self.next_seq += 1;
@@ -261,6 +270,7 @@
             key,
             queue,
             arrived,
+            order,
             seq: self.next_seq,
             waiting: VecDeque::new(),
             running: Vec::new(),
@@ -272,6 +282,17 @@
         slot
     }
 
+    /// By how much a job of this size is placed behind smaller jobs of its class.
+    fn size_delay(&self, class: ClassKey, tasks: usize) -> Duration {
+        let Some(class) = self.queues.classes.get(class) else {
+            return Duration::ZERO;
+        };
+        let work_s = class.run_time.mean_s() * tasks as f64;
+        let ideal_s = work_s / f64::from(self.usable_slots());
+        let most = class.target * SIZE_DELAY_TARGETS;
+        Duration::from_secs_f64((ideal_s * SIZE_DELAY_FACTOR).min(most.as_secs_f64()))
+    }
+
     /// A task that provably did not start waits again, at its place.
     pub fn requeue(&mut self, _now: Now, task: TaskRef) {
         let Some(slot) = self.job_keys.get(&task.job).copied() else {
@@ -284,9 +305,9 @@
         if !job.wait(task.index) {
             return;
         }
-        let (queue, arrived, seq) = (job.queue, job.arrived, job.seq);
+        let (queue, order, seq) = (job.queue, job.order, job.seq);
         self.queues.count_waiting(queue, 1);
-        self.queues.enter(queue, arrived, seq, slot);
+        self.queues.enter(queue, order, seq, slot);
     }
 
     /// Drops the waiting tasks of a job and returns them. The job takes no more tasks.
@@ -299,11 +320,11 @@
         };
         job.cancelled = true;
         let dropped: SmallVec<[u32; 8]> = job.waiting.drain(..).collect();
-        let (queue, arrived, seq) = (job.queue, job.arrived, job.seq);
+        let (queue, order, seq) = (job.queue, job.order, job.seq);
         if !dropped.is_empty() {
             let count = i64::try_from(dropped.len()).unwrap_or(i64::MAX);
             self.queues.count_waiting(queue, -count);
-            self.queues.exit(queue, arrived, seq, slot);
+            self.queues.exit(queue, order, seq, slot);
         }
         dropped
     }
@@ -464,12 +485,12 @@
             job: job.key,
             index,
         };
-        let (empty, arrived, seq) = (job.waiting.is_empty(), job.arrived, job.seq);
+        let (empty, order, seq) = (job.waiting.is_empty(), job.order, job.seq);
         self.held_credits -= 1;
         self.queues.count_waiting(queue, -1);
         self.queues.count_running(queue, 1);
         if empty {
-            self.queues.exit(queue, arrived, seq, slot);
+            self.queues.exit(queue, order, seq, slot);
         }
         self.list(key);
         Some(Assignment { task, worker: key })
--- a/crates/core/src/dispatch/door.rs
+++ b/crates/core/src/dispatch/door.rs
@@ -60,7 +60,7 @@
     /// Share of the waiting tasks of `other` with an earlier deadline than a task of `class` that
     /// arrives now. Arrivals are taken as evenly spread since the oldest.
     fn share_ahead(&self, now: Now, class: &Class, key: ClassKey, other: &Class) -> f64 {
-        let Some(oldest) = self.queues.oldest(key) else {
+        let Some(oldest) = self.queues.fronts(key).map(|f| f.0).min() else {
             return 0.0;
         };
         let age_s = now.since(oldest).as_secs_f64();
--- a/crates/core/src/dispatch/jobs.rs
+++ b/crates/core/src/dispatch/jobs.rs
@@ -20,7 +20,9 @@
     pub(super) key: JobKey,
     pub(super) queue: QueueKey,
     pub(super) arrived: Duration,
-    /// Order among jobs that arrived at the same time.
+    /// Place in its queue: the arrival, later for large jobs.
+    pub(super) order: Duration,
+    /// Order among jobs with the same `order`.
     pub(super) seq: u64,
     /// Waiting tasks in ascending order.
     pub(super) waiting: VecDeque<u32>,
--- a/crates/core/src/dispatch/queues.rs
+++ b/crates/core/src/dispatch/queues.rs
@@ -1,6 +1,7 @@
 //! Waiting tasks in the order in which they are to start.
 //!
-//! There is one queue for each pair of class and team; within it jobs are in order of arrival.
+//! There is one queue for each pair of class and team; within it jobs are in order of arrival,
+//! but a large job goes behind smaller ones that arrive soon after it.
 //! The heads of all queues are in order of deadline, `arrival + DEADLINE_TARGETS * target`.
 
 use std::collections::{BTreeSet, HashMap};
@@ -63,7 +64,7 @@
 pub(super) struct Queue {
     pub(super) class: ClassKey,
     pub(super) team: TeamKey,
-    /// Jobs with waiting tasks, by arrival.
+    /// Jobs with waiting tasks, by [`Job::order`](super::jobs::Job).
     waiting: BTreeSet<(Duration, u64, JobSlot)>,
     /// Jobs with or without waiting tasks.
     jobs: u32,
@@ -225,21 +226,21 @@
     }
 
     /// Puts a job that has waiting tasks into its queue.
-    pub(super) fn enter(&mut self, key: QueueKey, arrived: Duration, seq: u64, job: JobSlot) {
+    pub(super) fn enter(&mut self, key: QueueKey, order: Duration, seq: u64, job: JobSlot) {
         let Some(queue) = self.queues.get_mut(key) else {
             return;
         };
-        if queue.waiting.insert((arrived, seq, job)) {
+        if queue.waiting.insert((order, seq, job)) {
             self.refresh(key);
         }
     }
 
     /// Takes a job that has no waiting tasks out of its queue.
-    pub(super) fn exit(&mut self, key: QueueKey, arrived: Duration, seq: u64, job: JobSlot) {
+    pub(super) fn exit(&mut self, key: QueueKey, order: Duration, seq: u64, job: JobSlot) {
         let Some(queue) = self.queues.get_mut(key) else {
             return;
         };
-        if queue.waiting.remove(&(arrived, seq, job)) {
+        if queue.waiting.remove(&(order, seq, job)) {
             self.refresh(key);
         }
     }
@@ -252,7 +253,7 @@
         let class = self.classes.get(queue.class);
         let delay = class.map(Class::deadline_after).unwrap_or_default();
         let first = queue.waiting.first();
-        let head = first.map(|(arrived, seq, _)| (arrived.saturating_add(delay), *seq));
+        let head = first.map(|(order, seq, _)| (order.saturating_add(delay), *seq));
         if head == queue.head {
             return;
         }
@@ -289,12 +290,10 @@
             .map(|(_, _, job)| *job)
     }
 
-    /// Arrival of the oldest waiting job of a class.
-    pub(super) fn oldest(&self, class: ClassKey) -> Option<Duration> {
-        let of_class = self.queues.values().filter(|q| q.class == class);
-        of_class
-            .filter_map(|q| q.waiting.first().map(|(arrived, ..)| *arrived))
-            .min()
+    /// First jobs of the queues of a class, with their places.
+    pub(super) fn fronts(&self, class: ClassKey) -> impl Iterator<Item = (Duration, JobSlot)> {
+        let of_class = self.queues.values().filter(move |q| q.class == class);
+        of_class.filter_map(|q| q.waiting.first().map(|(order, _, job)| (*order, *job)))
     }
 }
 
--- a/crates/core/src/dispatch/status.rs
+++ b/crates/core/src/dispatch/status.rs
@@ -6,6 +6,7 @@
 use smol_str::SmolStr;
 
 use super::dispatcher::Dispatcher;
+use super::queues::ClassKey;
 use crate::clock::Now;
 
 /// State of the dispatcher for operators.
@@ -72,8 +73,7 @@
             .iter()
             .map(|(key, class)| {
                 let oldest = self
-                    .queues
-                    .oldest(key)
+                    .oldest_arrival(key)
                     .map_or(Duration::ZERO, |o| now.since(o));
                 ClassStatus {
                     name: class.name.clone(),
@@ -109,4 +109,13 @@
             workers,
         }
     }
+
+    /// Arrival of the first jobs in the queues of a class.
+    fn oldest_arrival(&self, class: ClassKey) -> Option<Duration> {
+        let fronts = self.queues.fronts(class);
+        fronts
+            .filter_map(|f| self.jobs.get(f.1))
+            .map(|j| j.arrived)
+            .min()
+    }
 }
--- a/crates/core/tests/dispatch/order.rs
+++ b/crates/core/tests/dispatch/order.rs
@@ -64,3 +64,23 @@
     let again: Vec<_> = bench.start_all().iter().map(|a| a.task).collect();
     assert_eq!(again, [task("a", 0), task("b", 0)]);
 }
+
+/// Guards against a large job that delays single tasks of its class arriving just after it, and
+/// against one that starves behind them.
+#[rstest]
+#[case(10, "s")]
+#[case(3_000, "l")]
+fn large_job_lets_small_ones_pass(#[case] later_ms: u64, #[case] first: &str) {
+    let mut bench = Bench::new();
+    bench.submit("known", "plain", "t", 1);
+    let worker = bench.worker("w", 1);
+    let started = bench.start_all();
+    bench.pass(100);
+    bench.done(started[0], 100);
+    bench.dispatcher.recall(worker, 1);
+    bench.submit("l", "plain", "t", 500);
+    bench.pass(later_ms);
+    bench.submit("s", "plain", "t", 1);
+    bench.dispatcher.credit(worker, 1);
+    assert_eq!(bench.start_all()[0].task, task(first, 0));
+}
