--- a/crates/testing/src/dispatch_trial/scenario.rs
+++ b/crates/testing/src/dispatch_trial/scenario.rs
@@ -26,6 +26,9 @@
     ("bulk", 60_000, 0.3, 1.0, 0.0),
 ];
 
+/// Index of the long class.
+const LONG: usize = 2;
+
 /// Index of the bulk class, which has no share in the steady load.
 const BULK: usize = 3;
 
@@ -67,8 +70,10 @@
     load: f64,
     /// Load of the classes without bulk from 30 s to 35 s.
     crest: Option<f64>,
-    /// Bulk work that arrives every 30 s, in seconds of the whole capacity.
-    bulk_s: f64,
+    /// Work that arrives at once every 30 s, in seconds of the whole capacity.
+    wave_s: f64,
+    /// Class and tasks of the jobs of that work.
+    wave: (usize, u32),
     /// Whether one worker in ten fails everything from 40 s on.
     failing: bool,
 }
@@ -80,7 +85,8 @@
         name: "load70",
         load: 0.7,
         crest: None,
-        bulk_s: 0.0,
+        wave_s: 0.0,
+        wave: (BULK, 500),
         failing: false,
     };
     vec![
@@ -99,7 +105,14 @@
         Scenario {
             name: "bulk",
             load: 0.35,
-            bulk_s: 12.0,
+            wave_s: 12.0,
+            ..steady
+        },
+        Scenario {
+            name: "hog",
+            load: 0.35,
+            wave_s: 15.0,
+            wave: (LONG, 100),
             ..steady
         },
         Scenario {
@@ -152,7 +165,7 @@
         for class in 0..CLASSES.len() {
             self.arrivals(class, capacity, &mut random, &mut jobs);
         }
-        self.bulk(capacity, &mut random, &mut jobs);
+        self.waves(capacity, &mut random, &mut jobs);
         jobs.sort_by(|a: &JobSpec, b| a.arrival_s.total_cmp(&b.arrival_s));
         Workload { workers, jobs }
     }
@@ -197,18 +210,19 @@
         }
     }
 
-    /// Bulk jobs of 500 tasks that arrive together.
-    fn bulk(&self, capacity: f64, random: &mut ChaCha8Rng, jobs: &mut Vec<JobSpec>) {
-        let (_, _, min_s, max_s, _) = CLASSES[BULK];
+    /// Large jobs that arrive together.
+    fn waves(&self, capacity: f64, random: &mut ChaCha8Rng, jobs: &mut Vec<JobSpec>) {
+        let (class, count) = self.wave;
+        let (_, _, min_s, max_s, _) = CLASSES[class];
         for wave in 0..3 {
-            let mut work_s = self.bulk_s * capacity;
+            let mut work_s = self.wave_s * capacity;
             while work_s > 0.0 {
-                let tasks: Vec<f64> = (0..500).map(|_| task_s(min_s, max_s, random)).collect();
+                let tasks: Vec<f64> = (0..count).map(|_| task_s(min_s, max_s, random)).collect();
                 work_s -= tasks.iter().sum::<f64>();
                 let arrival_s = 10.0 + 30.0 * f64::from(wave);
                 jobs.push(JobSpec {
                     arrival_s,
-                    class: BULK,
+                    class,
                     tasks,
                 });
             }
