refactor(core): one duty a file in dispatch; bound queues and demand frames

Cause: team names come from callers, so a queue for each team name has no bound; demand went to every agent at each change of level; a job admitted with a long target expired while it waited its turn; a failing class could hold healthy workers back. Ruled out: counting failures over all tasks, where one worker that fails at once outweighs the others. Change: teams without quota share a queue per class; demand goes to as many agents as tasks wait and to more the longer they wait, with a frame budget per start; a job expires after start_limit or its deadline, whichever is later; a row of failures counts by its chance at the mean failure rate of all workers; surplus held-back workers are released when workers leave.

--- a/crates/core/src/dispatch/door.rs
+++ b/crates/core/src/dispatch/door.rs
@@ -36,7 +36,7 @@
         if self.work_ahead_s(now, class) / slots > limit_s {
             return Err(Refusal::Overloaded);
         }
-        let team = self.queues.find_team(team);
+        let team = self.queues.teams.get(self.queues.team(team));
         if team.is_some_and(|t| self.team_is_behind(t, class, limit_s)) {
             return Err(Refusal::Quota);
         }
--- a/crates/core/src/dispatch/ended.rs
+++ b/crates/core/src/dispatch/ended.rs
@@ -2,6 +2,12 @@
 
 use std::time::Duration;
 
+use super::dispatcher::Dispatcher;
+use super::queues::QueueKey;
+use super::worker::WorkerKey;
+use crate::clock::Now;
+use crate::ids::TaskRef;
+
 /// End of a task at a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ended {
@@ -20,3 +26,45 @@
     /// The worker is gone and the outcome is in doubt.
     Lost,
 }
+
+impl Dispatcher {
+    /// A task has ended at a worker. Unknown tasks are ignored, and so are late reports from a
+    /// worker while the task runs on another one.
+    pub fn ended(&mut self, now: Now, task: TaskRef, worker: WorkerKey, ended: Ended) {
+        let Some(slot) = self.job_keys.get(&task.job).copied() else {
+            return;
+        };
+        let Some(job) = self.jobs.get(slot) else {
+            return;
+        };
+        let at = job.worker_of(task.index);
+        if !at.is_some_and(|at| at == worker || !self.workers.contains_key(at)) {
+            return;
+        }
+        let queue = job.queue;
+        self.stop(slot, task.index, !matches!(ended, Ended::NotStarted));
+        match ended {
+            Ended::Done { run } => {
+                self.learn(queue, worker, run);
+                self.judge(now, worker, false);
+            }
+            Ended::Failed { .. } | Ended::NotStarted => self.judge(now, worker, true),
+            Ended::Lost => {}
+        }
+    }
+
+    /// Learns the run time of the class and the speed of the worker.
+    fn learn(&mut self, queue: QueueKey, key: WorkerKey, run: Duration) {
+        let Some((class, _)) = self.queues.pair(queue) else {
+            return;
+        };
+        let Some(class) = self.queues.classes.get_mut(class) else {
+            return;
+        };
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let surprise = class.run_time.learn(run, worker.speed.factor());
+        worker.speed.learn(surprise);
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/expiry.rs
@@ -0,0 +1,46 @@
+//! Jobs of which no task starts in time.
+
+use std::time::Duration;
+
+use super::dispatcher::Dispatcher;
+use super::jobs::JobSlot;
+use super::queues::ClassKey;
+use crate::clock::Now;
+use crate::ids::JobKey;
+
+impl Dispatcher {
+    /// Appends the jobs of which no task has started in time; each job is named once.
+    ///
+    /// The time is `start_limit`, or the deadline of the class when that is later: work that was
+    /// admitted may wait until then.
+    pub fn expired(&mut self, now: Now, out: &mut Vec<JobKey>) {
+        while let Some((at, slot)) = self.unstarted.first().copied() {
+            if now.mono < at {
+                return;
+            }
+            self.unstarted.pop_first();
+            out.extend(self.jobs.get(slot).map(|j| j.key));
+        }
+    }
+
+    /// When a job of the class that is pushed now expires.
+    pub(super) fn expiry(&self, now: Now, class: ClassKey) -> Duration {
+        let class = self.queues.classes.get(class);
+        let deadline = class.map(|c| c.deadline_after()).unwrap_or_default();
+        now.mono
+            .saturating_add(self.limits.start_limit.max(deadline))
+    }
+
+    /// Brings the place of a job among the unstarted ones up to date.
+    pub(super) fn watch(&mut self, slot: JobSlot) {
+        let Some(job) = self.jobs.get(slot) else {
+            return;
+        };
+        let unstarted = !job.proven && !job.cancelled && job.running.is_empty();
+        if unstarted {
+            self.unstarted.insert((job.expires, slot));
+        } else {
+            self.unstarted.remove(&(job.expires, slot));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/fleet.rs
@@ -0,0 +1,109 @@
+//! Workers and the credits that they grant.
+
+use smol_str::SmolStr;
+
+use super::dispatcher::Dispatcher;
+use super::worker::{Worker, WorkerKey};
+use crate::peer::LinkKey;
+
+/// Names of workers whose speed and health are remembered after they are gone. When there are
+/// more, all of them are forgotten and learned anew.
+const REMEMBERED_WORKERS: usize = 16_384;
+
+impl Dispatcher {
+    /// A worker has connected. What was learned under its name is taken up again.
+    pub fn worker_up(
+        &mut self,
+        link: LinkKey,
+        name: SmolStr,
+        zone: SmolStr,
+        slots: u32,
+    ) -> WorkerKey {
+        let (speed, health) = self.remembered.remove(&name).unwrap_or_default();
+        self.slots += slots;
+        let key = self.workers.insert(Worker {
+            link,
+            name,
+            zone,
+            slots,
+            busy: 0,
+            credits: 0,
+            running: 0,
+            speed,
+            health,
+            told: (0, None),
+        });
+        self.demand.add(key);
+        self.suspects.join(key, &health);
+        self.release_surplus();
+        key
+    }
+
+    /// A worker is gone; its credits are void. Its running tasks end by [`Self::ended`].
+    pub fn worker_down(&mut self, key: WorkerKey) {
+        let Some(worker) = self.workers.remove(key) else {
+            return;
+        };
+        self.slots -= worker.slots;
+        self.held_credits -= worker.credits;
+        self.credits.remove(key);
+        self.demand.remove(key);
+        self.suspects.leave(key, &worker.health);
+        if self.remembered.len() >= REMEMBERED_WORKERS {
+            self.remembered.clear();
+        }
+        self.remembered
+            .insert(worker.name, (worker.speed, worker.health));
+        self.release_surplus();
+    }
+
+    /// Slots and busy slots of a worker by its heartbeat.
+    pub fn worker_slots(&mut self, key: WorkerKey, slots: u32, busy: u32) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        self.slots = self.slots - worker.slots + slots;
+        worker.slots = slots;
+        worker.busy = busy;
+    }
+
+    /// A worker grants credits.
+    pub fn credit(&mut self, key: WorkerKey, credits: u32) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let added = credits.min(u32::MAX - worker.credits);
+        worker.credits += added;
+        self.held_credits = self.held_credits.saturating_add(added);
+        if worker.health.held() {
+            self.suspects.credited();
+        }
+        self.list(key);
+    }
+
+    /// A worker asks for credits back; returns how many unused ones it gets.
+    pub fn recall(&mut self, key: WorkerKey, credits: u32) -> u32 {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return 0;
+        };
+        let given = credits.min(worker.credits);
+        worker.credits -= given;
+        self.held_credits -= given;
+        self.list(key);
+        given
+    }
+
+    /// Brings the worker's place among the credits up to date.
+    pub(super) fn list(&mut self, key: WorkerKey) {
+        let Some(worker) = self.workers.get(key) else {
+            return;
+        };
+        if worker.credits == 0 || worker.health.held() {
+            self.credits.remove(key);
+            return;
+        }
+        let near = !self.limits.zone.is_empty() && worker.zone == self.limits.zone;
+        self.credits
+            .insert(key, worker.speed.log2(), near, worker.running);
+    }
+}
--- a/crates/core/src/dispatch/health.rs
+++ b/crates/core/src/dispatch/health.rs
@@ -17,6 +17,12 @@
 /// Fleet failure rate below which a failure rate of one worker counts as its own.
 const FLEET_RATE: f64 = 0.10;
 
+/// A row of failures counts as evidence when its chance at the fleet's failure rate is below this.
+const ROW_CHANCE: f64 = 1e-5;
+
+/// Fleet failure rate above which no row of failures is evidence within the time it takes to see.
+const CERTAIN_RATE: f64 = 0.99;
+
 /// Evidence of one worker.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Health {
@@ -55,10 +61,19 @@
         }
     }
 
-    /// Whether the evidence says that the worker is at fault.
+    /// Failure rate of the outcomes remembered, unless the worker is held back or has none.
+    pub(super) fn rate(&self) -> Option<f64> {
+        let rated = self.hold.is_none() && self.seen > 0;
+        rated.then(|| f64::from(self.outcomes.count_ones()) / f64::from(self.seen))
+    }
+
+    /// Whether the evidence says that the worker is at fault, when workers fail at `fleet_rate`.
     pub(super) fn suspect(&self, fleet_rate: f64) -> bool {
         let often = self.seen == WINDOW_TASKS && self.outcomes.count_ones() * 2 > WINDOW_TASKS;
-        self.in_a_row >= FAILURES_IN_A_ROW || (often && fleet_rate < FLEET_RATE)
+        // Where the whole fleet fails often, the tasks are at fault and longer rows are common.
+        let chance = f64::from(self.in_a_row) * fleet_rate.min(CERTAIN_RATE).ln();
+        let row = self.in_a_row >= FAILURES_IN_A_ROW && chance < ROW_CHANCE.ln();
+        row || (often && fleet_rate < FLEET_RATE)
     }
 
     /// Holds the worker back.
--- a/crates/core/src/dispatch/jobs.rs
+++ b/crates/core/src/dispatch/jobs.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use slotmap::new_key_type;
+use smol_str::SmolStr;
 
 use super::queues::QueueKey;
 use super::worker::WorkerKey;
@@ -19,17 +20,20 @@
 pub(super) struct Job {
     pub(super) key: JobKey,
     pub(super) queue: QueueKey,
+    pub(super) team: SmolStr,
     pub(super) arrived: Duration,
     /// Place in its queue: the arrival, later for large jobs.
     pub(super) order: Duration,
     /// Order among jobs with the same `order`.
     pub(super) seq: u64,
+    /// When the job expires unless a task has started.
+    pub(super) expires: Duration,
     /// Waiting tasks in ascending order.
     pub(super) waiting: VecDeque<u32>,
     /// Running tasks in ascending order.
     pub(super) running: Vec<(u32, WorkerKey)>,
-    /// Whether a task has started.
-    pub(super) started: bool,
+    /// Whether a task has provably started and ended.
+    pub(super) proven: bool,
     /// Whether the job takes no more tasks.
     pub(super) cancelled: bool,
 }
@@ -57,7 +61,6 @@
     pub(super) fn run(&mut self, index: u32, worker: WorkerKey) {
         let place = self.running.partition_point(|r| r.0 < index);
         self.running.insert(place, (index, worker));
-        self.started = true;
     }
 
     /// The worker on which a task runs.
--- a/crates/core/src/dispatch/limits.rs
+++ b/crates/core/src/dispatch/limits.rs
@@ -19,6 +19,8 @@
     pub reserve_time: Duration,
     /// Least time between two demand frames to one agent.
     pub demand_interval: Duration,
+    /// Time without waiting tasks after which a demand ends; shorter gaps send no frames.
+    pub demand_hold: Duration,
     /// Zone of this process; empty when unknown.
     pub zone: SmolStr,
 }
@@ -32,6 +34,7 @@
             reserve_divisor: 8,
             reserve_time: Duration::from_secs(10),
             demand_interval: Duration::from_millis(20),
+            demand_hold: Duration::from_millis(100),
             zone: SmolStr::default(),
         }
     }
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -1,17 +1,23 @@
 //! Dispatch decisions: which waiting task starts next, and on which worker.
 
+mod configure;
 mod credits;
 mod demand;
 mod dispatcher;
 mod door;
 mod ended;
+mod expiry;
+mod fleet;
 mod health;
+mod intake;
 mod jobs;
 mod learning;
 mod limits;
 mod placement;
 mod queues;
+mod start;
 mod status;
+mod suspects;
 mod worker;
 
 pub use credits::Credits;
--- a/crates/core/src/dispatch/placement.rs
+++ b/crates/core/src/dispatch/placement.rs
@@ -14,9 +14,7 @@
     pub run_s: f64,
     /// High quantile of the run time on a worker of speed 1, in seconds; 0 when unknown.
     pub high_s: f64,
-    /// Typical run time over all classes, in seconds; 0 when unknown.
-    pub common_s: f64,
-    /// Time until the target is missed, in seconds; negative when it has been missed.
+    /// Time until the deadline, in seconds; negative when it has passed.
     pub slack_s: f64,
 }
 
--- a/crates/core/src/dispatch/queues.rs
+++ b/crates/core/src/dispatch/queues.rs
@@ -12,11 +12,12 @@
 
 use super::jobs::JobSlot;
 use super::learning::RunTime;
+use crate::config::Document;
 
 new_key_type! {
     /// A class that is configured or has jobs.
     pub(super) struct ClassKey;
-    /// A team that has a quota or jobs.
+    /// A team that has a quota, or all teams that have none.
     pub(super) struct TeamKey;
     /// The jobs of one team in one class.
     pub(super) struct QueueKey;
@@ -39,6 +40,8 @@
     pub(super) running: u32,
     pub(super) run_time: RunTime,
     pub(super) last_arrival: Option<Duration>,
+    /// Jobs of the class, with or without waiting tasks.
+    jobs: u32,
 }
 
 impl Class {
@@ -48,15 +51,12 @@
     }
 }
 
-/// A team.
-#[derive(Debug)]
+/// A team with a quota, or all teams that have none.
+#[derive(Debug, Default)]
 pub(super) struct Team {
-    pub(super) name: SmolStr,
     pub(super) quota: Option<u32>,
     pub(super) waiting: u32,
     pub(super) running: u32,
-    /// Queues of the team.
-    queues: u32,
 }
 
 /// Jobs of one team in one class.
@@ -73,13 +73,17 @@
 }
 
 /// All classes, teams and queues.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Queues {
     pub(super) classes: SlotMap<ClassKey, Class>,
     pub(super) teams: SlotMap<TeamKey, Team>,
     queues: SlotMap<QueueKey, Queue>,
     class_names: HashMap<SmolStr, ClassKey>,
+    /// Teams with a quota.
     team_names: HashMap<SmolStr, TeamKey>,
+    /// The key that all teams without a quota share. It keeps the number of queues bounded by the
+    /// configuration, whatever team names callers give.
+    no_quota: TeamKey,
     pairs: HashMap<(ClassKey, TeamKey), QueueKey>,
     heads: BTreeSet<(Duration, u64, QueueKey)>,
     /// Shortest target of a configured class.
@@ -89,16 +93,30 @@
 }
 
 impl Queues {
+    /// No classes, teams and jobs.
+    pub(super) fn new() -> Self {
+        let mut teams = SlotMap::with_key();
+        let no_quota = teams.insert(Team::default());
+        Self {
+            classes: SlotMap::with_key(),
+            teams,
+            queues: SlotMap::with_key(),
+            class_names: HashMap::new(),
+            team_names: HashMap::new(),
+            no_quota,
+            pairs: HashMap::new(),
+            heads: BTreeSet::new(),
+            shortest: None,
+            waiting: 0,
+            running: 0,
+        }
+    }
+
     /// The class of this name if it is known.
     pub(super) fn find_class(&self, name: &str) -> Option<&Class> {
         self.classes.get(*self.class_names.get(name)?)
     }
 
-    /// The team of this name if it is known.
-    pub(super) fn find_team(&self, name: &str) -> Option<&Team> {
-        self.teams.get(*self.team_names.get(name)?)
-    }
-
     /// The class of this name, made when it is not known.
     pub(super) fn class(&mut self, name: &str) -> ClassKey {
         if let Some(key) = self.class_names.get(name) {
@@ -112,40 +130,78 @@
             running: 0,
             run_time: RunTime::default(),
             last_arrival: None,
+            jobs: 0,
         });
         self.class_names.insert(name.into(), key);
         key
     }
 
-    /// The team of this name, made when it is not known.
-    pub(super) fn team(&mut self, name: &str) -> TeamKey {
-        if let Some(key) = self.team_names.get(name) {
-            return *key;
+    /// The team of this name.
+    pub(super) fn team(&self, name: &str) -> TeamKey {
+        self.team_names.get(name).copied().unwrap_or(self.no_quota)
+    }
+
+    /// Takes targets from the configuration.
+    pub(super) fn configure_classes(&mut self, document: &Document) {
+        for class in self.classes.values_mut() {
+            class.configured = false;
         }
-        let key = self.teams.insert(Team {
-            name: name.into(),
-            quota: None,
-            waiting: 0,
-            running: 0,
-            queues: 0,
-        });
-        self.team_names.insert(name.into(), key);
-        key
+        for (name, class) in &document.classes {
+            let key = self.class(name);
+            let Some(known) = self.classes.get_mut(key) else {
+                continue;
+            };
+            known.target = class.target;
+            known.configured = true;
+        }
+        self.shortest = document.classes.values().map(|c| c.target).min();
+        let keys: Vec<ClassKey> = self.classes.keys().collect();
+        for key in keys {
+            self.drop_unused(key);
+        }
+        let keys: Vec<QueueKey> = self.queues.keys().collect();
+        for key in keys {
+            self.refresh(key);
+        }
+    }
+
+    /// Takes quotas from the configuration; true when other teams have a quota than before.
+    pub(super) fn configure_teams(&mut self, document: &Document) -> bool {
+        let before = self.team_names.len();
+        self.team_names
+            .retain(|name, _| document.teams.contains_key(name));
+        let mut changed = before != self.team_names.len();
+        for (name, team) in &document.teams {
+            let key = self.team_names.entry(name.clone()).or_insert_with(|| {
+                changed = true;
+                self.teams.insert(Team::default())
+            });
+            if let Some(known) = self.teams.get_mut(*key) {
+                known.quota = Some(team.slots);
+            }
+        }
+        changed
+    }
+
+    /// Drops teams that have no quota any more, after their jobs have moved.
+    pub(super) fn drop_teams(&mut self) {
+        let Self {
+            teams,
+            team_names,
+            no_quota,
+            ..
+        } = self;
+        teams.retain(|key, _| key == *no_quota || team_names.values().any(|k| *k == key));
     }
 
     /// The queue of a class and team, made when there is none. Counts one more job in it.
     pub(super) fn join(&mut self, class: ClassKey, team: TeamKey) -> QueueKey {
         let queues = &mut self.queues;
-        let teams = &mut self.teams;
         let key = *self.pairs.entry((class, team)).or_insert_with(|| {
-            if let Some(team) = teams.get_mut(team) {
-                team.queues += 1;
-            }
-            let waiting = BTreeSet::new();
             queues.insert(Queue {
                 class,
                 team,
-                waiting,
+                waiting: BTreeSet::new(),
                 jobs: 0,
                 head: None,
             })
@@ -153,41 +209,36 @@
         if let Some(queue) = self.queues.get_mut(key) {
             queue.jobs += 1;
         }
+        if let Some(class) = self.classes.get_mut(class) {
+            class.jobs += 1;
+        }
         key
     }
 
-    /// Counts one job less in the queue and drops queue and team when nothing refers to them.
+    /// Counts one job less in the queue; drops the queue and its class when they are not needed.
     pub(super) fn leave(&mut self, key: QueueKey) {
         let Some(queue) = self.queues.get_mut(key) else {
             return;
         };
         queue.jobs = queue.jobs.saturating_sub(1);
-        if queue.jobs > 0 {
-            return;
+        let (class, team, unused) = (queue.class, queue.team, queue.jobs == 0);
+        if unused {
+            self.queues.remove(key);
+            self.pairs.remove(&(class, team));
         }
-        let (class, team) = (queue.class, queue.team);
-        self.queues.remove(key);
-        self.pairs.remove(&(class, team));
-        if let Some(team) = self.teams.get_mut(team) {
-            team.queues -= 1;
+        if let Some(class) = self.classes.get_mut(class) {
+            class.jobs = class.jobs.saturating_sub(1);
         }
-        self.drop_unused(class, team);
+        self.drop_unused(class);
     }
 
-    fn drop_unused(&mut self, class: ClassKey, team: TeamKey) {
-        if self
-            .teams
-            .get(team)
-            .is_some_and(|t| t.queues == 0 && t.quota.is_none())
-            && let Some(team) = self.teams.remove(team)
-        {
-            self.team_names.remove(&team.name);
+    /// Drops a class that is neither configured nor has jobs.
+    fn drop_unused(&mut self, key: ClassKey) {
+        let unused = |c: &Class| !c.configured && c.jobs == 0;
+        if !self.classes.get(key).is_some_and(unused) {
+            return;
         }
-        let unused = |c: &Class| !c.configured && c.waiting == 0 && c.running == 0;
-        if self.classes.get(class).is_some_and(unused)
-            && !self.queues.values().any(|q| q.class == class)
-            && let Some(class) = self.classes.remove(class)
-        {
+        if let Some(class) = self.classes.remove(key) {
             self.class_names.remove(&class.name);
         }
     }
@@ -266,14 +317,6 @@
         queue.head = head;
     }
 
-    /// Updates all entries in `heads` after targets have changed.
-    pub(super) fn refresh_all(&mut self) {
-        let keys: Vec<QueueKey> = self.queues.keys().collect();
-        for key in keys {
-            self.refresh(key);
-        }
-    }
-
     /// Heads of all queues with waiting jobs, earliest deadline first.
     pub(super) fn heads(&self) -> impl Iterator<Item = (Duration, QueueKey)> + '_ {
         self.heads
--- /dev/null
+++ b/crates/core/src/dispatch/start.rs
@@ -0,0 +1,118 @@
+//! The next start.
+
+use std::time::Duration;
+
+use super::dispatcher::{Assignment, Dispatcher};
+use super::placement::Request;
+use super::queues::{ClassKey, QueueKey};
+use super::worker::WorkerKey;
+use crate::clock::Now;
+use crate::ids::TaskRef;
+
+impl Dispatcher {
+    /// The next start; uses one credit. `None` when no task may start now.
+    pub fn next(&mut self, now: Now) -> Option<Assignment> {
+        if self.queues.waiting == 0 || self.held_credits == 0 {
+            return None;
+        }
+        let trial = self.due_trial(now);
+        if self.credits.is_empty() && trial.is_none() {
+            return None;
+        }
+        let (deadline, queue) = self.next_queue(now)?;
+        let request = self.request(now, deadline, queue);
+        let choose = || {
+            self.policy
+                .choose(&request, &self.credits, &mut self.random)
+        };
+        let worker = trial.or_else(choose)?;
+        self.start(now, queue, worker)
+    }
+
+    /// The queue with the earliest deadline that may start a task now. A team over its quota gets
+    /// its turn when no other task may start.
+    fn next_queue(&self, now: Now) -> Option<(Duration, QueueKey)> {
+        let mut over_quota = None;
+        for (deadline, key) in self.queues.heads() {
+            let Some((class, team)) = self.queues.pair(key) else {
+                continue;
+            };
+            if self.reserve_blocks(now, class) {
+                continue;
+            }
+            let team = self.queues.teams.get(team);
+            let share = team.and_then(|t| self.quota_share(t));
+            if share.is_some_and(|s| team.is_some_and(|t| t.running >= s)) {
+                over_quota = over_quota.or(Some((deadline, key)));
+                continue;
+            }
+            return Some((deadline, key));
+        }
+        over_quota
+    }
+
+    /// Whether the slots kept for short classes forbid a start of `class`.
+    fn reserve_blocks(&self, now: Now, class: ClassKey) -> bool {
+        let Some(shortest) = self.queues.shortest else {
+            return false;
+        };
+        let limit_s = shortest.as_secs_f64() * self.limits.long_factor;
+        let class = self.queues.classes.get(class);
+        if !class.is_some_and(|c| c.run_time.typical_s() > limit_s) {
+            return false;
+        }
+        let recent = |at: Duration| now.since(at) < self.limits.reserve_time;
+        let mut long_running = 0;
+        let mut short_arrivals = false;
+        for other in self.queues.classes.values() {
+            if other.run_time.typical_s() > limit_s {
+                long_running += other.running;
+            } else {
+                short_arrivals |= other.last_arrival.is_some_and(recent);
+            }
+        }
+        let usable = self.usable_slots();
+        let kept = usable / self.limits.reserve_divisor.max(1);
+        short_arrivals && long_running >= usable - kept
+    }
+
+    fn request(&self, now: Now, deadline: Duration, queue: QueueKey) -> Request {
+        let class = self.queues.pair(queue).map(|p| p.0);
+        let class = class.and_then(|c| self.queues.classes.get(c));
+        Request {
+            run_s: class.map_or(0.0, |c| c.run_time.typical_s()),
+            high_s: class.map_or(0.0, |c| c.run_time.high_s()),
+            slack_s: deadline.as_secs_f64() - now.mono.as_secs_f64(),
+        }
+    }
+
+    /// Starts the first task of a queue on a worker.
+    fn start(&mut self, now: Now, queue: QueueKey, key: WorkerKey) -> Option<Assignment> {
+        let slot = self.queues.front(queue)?;
+        let worker = self.workers.get_mut(key).filter(|w| w.credits > 0)?;
+        let job = self.jobs.get_mut(slot)?;
+        let index = job.waiting.pop_front()?;
+        let first = job.running.is_empty() && !job.proven;
+        worker.credits -= 1;
+        worker.running += 1;
+        worker.health.trial_started(now.mono);
+        job.run(index, key);
+        let task = TaskRef {
+            job: job.key,
+            index,
+        };
+        let (empty, order, seq) = (job.waiting.is_empty(), job.order, job.seq);
+        self.held_credits -= 1;
+        self.queues.count_waiting(queue, -1);
+        self.queues.count_running(queue, 1);
+        if empty {
+            self.queues.exit(queue, order, seq, slot);
+        }
+        if first {
+            self.watch(slot);
+        }
+        self.demand.started();
+        self.list(key);
+        Some(Assignment { task, worker: key })
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/suspects.rs
@@ -0,0 +1,120 @@
+//! Workers that are held back because they fail what they start.
+
+use std::time::Duration;
+
+use super::dispatcher::Dispatcher;
+use super::health::Health;
+use super::worker::WorkerKey;
+use crate::clock::Now;
+
+/// Workers held back, and the failure rate of all others.
+#[derive(Debug, Default)]
+pub(super) struct Suspects {
+    held: Vec<WorkerKey>,
+    /// Sum of the failure rates of the workers that are not held back.
+    rates: f64,
+    /// Workers that are not held back and have ended a task.
+    rated: u32,
+    /// No trial is due before this time.
+    wake: Duration,
+}
+
+impl Suspects {
+    /// Counts a worker that has connected.
+    pub(super) fn join(&mut self, key: WorkerKey, health: &Health) {
+        if health.held() {
+            self.held.push(key);
+            self.wake = Duration::ZERO;
+        }
+        self.count(health);
+    }
+
+    /// Forgets a worker that is gone.
+    pub(super) fn leave(&mut self, key: WorkerKey, health: &Health) {
+        self.held.retain(|k| *k != key);
+        self.discount(health);
+    }
+
+    /// A worker that is held back has a new credit.
+    pub(super) fn credited(&mut self) {
+        self.wake = Duration::ZERO;
+    }
+
+    /// Mean failure rate of the workers that are not held back. Every worker counts alike, since
+    /// one that fails at once ends far more tasks than the others.
+    fn rate(&self) -> f64 {
+        self.rates / f64::from(self.rated.max(1))
+    }
+
+    fn count(&mut self, health: &Health) {
+        let Some(rate) = health.rate() else { return };
+        self.rates += rate;
+        self.rated += 1;
+    }
+
+    fn discount(&mut self, health: &Health) {
+        let Some(rate) = health.rate() else { return };
+        self.rated = self.rated.saturating_sub(1);
+        self.rates = if self.rated == 0 {
+            0.0
+        } else {
+            self.rates - rate
+        };
+    }
+}
+
+impl Dispatcher {
+    /// Records an outcome of a worker and holds it back, or releases it, on the evidence.
+    pub(super) fn judge(&mut self, now: Now, key: WorkerKey, failed: bool) {
+        let room = (self.suspects.held.len() + 1) * 2 <= self.workers.len();
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        self.suspects.discount(&worker.health);
+        let held = worker.health.held();
+        worker.health.record(now.mono, failed);
+        if held && !worker.health.held() {
+            self.suspects.held.retain(|k| *k != key);
+        } else if !held && room && worker.health.suspect(self.suspects.rate()) {
+            worker.health.hold(now.mono);
+            self.suspects.held.push(key);
+        }
+        self.suspects.wake = Duration::ZERO;
+        self.suspects.count(&worker.health);
+        self.list(key);
+    }
+
+    /// Releases the workers held back longest while more than half of all workers are.
+    pub(super) fn release_surplus(&mut self) {
+        while self.suspects.held.len() * 2 > self.workers.len() {
+            let key = self.suspects.held.remove(0);
+            let Some(worker) = self.workers.get_mut(key) else {
+                continue;
+            };
+            worker.health = Health::default();
+            self.list(key);
+        }
+    }
+
+    /// A held-back worker with a credit whose next trial task is due.
+    pub(super) fn due_trial(&mut self, now: Now) -> Option<WorkerKey> {
+        if self.suspects.held.is_empty() || now.mono < self.suspects.wake {
+            return None;
+        }
+        self.suspects.wake = Duration::MAX;
+        for key in &self.suspects.held {
+            let Some(worker) = self.workers.get(*key).filter(|w| w.credits > 0) else {
+                continue;
+            };
+            let Some(next) = worker.health.next_trial() else {
+                continue;
+            };
+            if next <= now.mono {
+                self.suspects.wake = Duration::ZERO;
+                return Some(*key);
+            }
+            self.suspects.wake = self.suspects.wake.min(next);
+        }
+        None
+    }
+}
