test(core): dispatch features and invariants

Cause: the features of the dispatcher had no tests of their own. Change: one module per feature, and a property test against a plain model; an update of a demand level goes out as soon as its agent interval has passed (it could be 20 ms late). Conclusion: the demand test found the late update.

--- a/crates/core/src/dispatch/demand.rs
+++ b/crates/core/src/dispatch/demand.rs
@@ -22,6 +22,9 @@
 /// Frames of demand allowed each second without any start.
 const FRAMES_PER_SECOND: f64 = 200.0;
 
+/// Time after which an update is tried again when no frame was allowed.
+const RETRY_DELAY: Duration = Duration::from_millis(1);
+
 /// Which agents have been told what.
 #[derive(Debug, Default)]
 pub(super) struct Demand {
@@ -126,9 +129,10 @@
             if worker.told.0 == self.demand.level {
                 continue;
             }
-            let recent = worker.told.1.is_some_and(|at| now.since(at) < interval);
-            if recent || !self.demand.take() {
-                self.demand.update = now.mono + interval;
+            let again = worker.told.1.map_or(Duration::ZERO, |at| at + interval);
+            if now.mono < again || !self.demand.take() {
+                let later = again.max(now.mono + RETRY_DELAY);
+                self.demand.update = self.demand.update.min(later);
                 continue;
             }
             worker.told = (self.demand.level, Some(now.mono));
--- a/crates/core/tests/dispatch/bench.rs
+++ b/crates/core/tests/dispatch/bench.rs
@@ -16,23 +16,31 @@
 impl Bench {
     /// Classes `short` (200 ms), `plain` (1 s) and `bulk` (60 s); team `small` with 4 slots.
     pub fn new() -> Self {
-        let mut dispatcher = Dispatcher::new(7, Box::new(SpeedMatch), Limits::default());
-        let mut document = Document::default();
-        for (name, ms) in [("short", 200), ("plain", 1_000), ("bulk", 60_000)] {
-            let target = Duration::from_millis(ms);
-            document.classes.insert(name.into(), Class { target });
-        }
-        document.teams.insert("small".into(), Team { slots: 4 });
-        dispatcher.configure(&document);
+        let dispatcher = Dispatcher::new(7, Box::new(SpeedMatch), Limits::default());
         let now = Now {
             mono: Duration::from_secs(100),
             wall_ms: 0,
         };
-        Self {
+        let mut bench = Self {
             dispatcher,
             now,
             links: 0,
+        };
+        bench.configure(&["small"]);
+        bench
+    }
+
+    /// Configures the classes, and 4 slots for each of these teams.
+    pub fn configure(&mut self, teams: &[&str]) {
+        let mut document = Document::default();
+        for (name, ms) in [("short", 200), ("plain", 1_000), ("bulk", 60_000)] {
+            let target = Duration::from_millis(ms);
+            document.classes.insert(name.into(), Class { target });
+        }
+        for team in teams {
+            document.teams.insert((*team).into(), Team { slots: 4 });
         }
+        self.dispatcher.configure(&document);
     }
 
     /// Connects a worker that has granted `credits` of as many slots.
--- /dev/null
+++ b/crates/core/tests/dispatch/demand.rs
@@ -0,0 +1,85 @@
+//! Demand frames.
+
+use knapweedwall_core::LinkKey;
+use rstest::rstest;
+
+use crate::bench::Bench;
+
+fn frames(bench: &mut Bench) -> Vec<(LinkKey, u32, i32)> {
+    let mut out = Vec::new();
+    bench.dispatcher.demand(bench.now, &mut out);
+    out
+}
+
+/// Guards against tasks that wait while no agent knows of them.
+#[rstest]
+fn all_agents_of_a_small_fleet_are_told() {
+    let mut bench = Bench::new();
+    bench.worker("v", 0);
+    bench.worker("w", 0);
+    assert_eq!(frames(&mut bench), []);
+    bench.submit("a", "plain", "t", 3);
+    bench.pass(1_000);
+    let told = frames(&mut bench);
+    assert_eq!(told.len(), 2);
+    // The deadline is four targets after the arrival.
+    assert!(told.iter().all(|f| f.1 == 3 && f.2 == 3_000));
+}
+
+/// Guards against a frame at every turn of the decisions.
+#[rstest]
+fn an_unchanged_level_sends_nothing() {
+    let mut bench = Bench::new();
+    bench.worker("w", 0);
+    bench.submit("a", "plain", "t", 2);
+    assert_eq!(frames(&mut bench).len(), 1);
+    bench.pass(500);
+    bench.submit("b", "plain", "t", 1);
+    assert_eq!(frames(&mut bench), []);
+}
+
+/// Guards against more than one frame per agent and interval.
+#[rstest]
+fn a_higher_level_waits_for_the_interval() {
+    let mut bench = Bench::new();
+    bench.worker("w", 0);
+    bench.submit("a", "plain", "t", 1);
+    assert_eq!(frames(&mut bench).len(), 1);
+    bench.submit("b", "plain", "t", 100);
+    bench.pass(19);
+    assert_eq!(frames(&mut bench), []);
+    bench.pass(1);
+    assert_eq!(frames(&mut bench)[0].1, 101);
+}
+
+/// Guards against agents that keep sending credits to a process without work.
+#[rstest]
+fn zero_ends_the_demand() {
+    let mut bench = Bench::new();
+    let worker = bench.worker("w", 0);
+    bench.submit("a", "plain", "t", 1);
+    frames(&mut bench);
+    bench.dispatcher.credit(worker, 1);
+    assert_eq!(bench.start_all().len(), 1);
+    assert_eq!(frames(&mut bench), []);
+    bench.pass(100);
+    assert_eq!(frames(&mut bench), [(LinkKey(1), 0, 0)]);
+    assert_eq!(frames(&mut bench), []);
+}
+
+/// Guards against one waiting task sending a frame to each of many agents.
+#[rstest]
+fn a_short_wait_tells_few_agents() {
+    let mut bench = Bench::new();
+    for worker in 0..1_500 {
+        bench.worker(&format!("w{worker}"), 0);
+    }
+    bench.submit("a", "plain", "t", 1);
+    assert_eq!(frames(&mut bench).len(), 8);
+    let mut told = 8;
+    for _ in 0..100 {
+        bench.pass(20);
+        told += frames(&mut bench).len();
+    }
+    assert_eq!(told, 1_500, "a long wait tells all");
+}
