perf(core): try failing workers less often the longer they fail

Cause: each failed trial task fails a job; one trial a second caused nearly all failed jobs, in every entry process. Change: the time between trials doubles with each failed one up to 8 s, and halves from 1 s with each success; failures of tasks that ran before the worker was held back do not count.

--- a/crates/core/src/dispatch/health.rs
+++ b/crates/core/src/dispatch/health.rs
@@ -8,9 +8,12 @@
 /// Tasks whose outcome is remembered.
 const WINDOW_TASKS: u32 = 32;
 
-/// Longest time between two trial tasks.
+/// Time between two trial tasks at first.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time between two trial tasks after several have failed. Each failed trial fails a job.
+const MAX_TRIAL_INTERVAL: Duration = Duration::from_secs(8);
+
 /// A worker is trusted again when the time between trials has been halved below this.
 const TRUSTED_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -37,6 +40,8 @@
 struct Hold {
     interval: Duration,
     next: Duration,
+    /// Whether a trial task has started and not ended.
+    tried: bool,
 }
 
 impl Health {
@@ -50,12 +55,17 @@
         self.outcomes = (self.outcomes << 1) | u32::from(failed);
         self.seen = (self.seen + 1).min(WINDOW_TASKS);
         let Some(hold) = &mut self.hold else { return };
+        // Tasks that ran there before it was held back say nothing new when they fail.
+        if failed && !hold.tried {
+            return;
+        }
         hold.interval = if failed {
-            TRIAL_INTERVAL
+            (hold.interval * 2).clamp(TRIAL_INTERVAL, MAX_TRIAL_INTERVAL)
         } else {
-            hold.interval / 2
+            hold.interval.min(TRIAL_INTERVAL) / 2
         };
         hold.next = now + hold.interval;
+        hold.tried = false;
         if hold.interval < TRUSTED_INTERVAL {
             *self = Self::default();
         }
@@ -81,6 +91,7 @@
         self.hold = Some(Hold {
             interval: TRIAL_INTERVAL,
             next: now + TRIAL_INTERVAL,
+            tried: false,
         });
     }
 
@@ -98,6 +109,7 @@
     pub(super) fn trial_started(&mut self, now: Duration) {
         if let Some(hold) = &mut self.hold {
             hold.next = now + hold.interval;
+            hold.tried = true;
         }
     }
 }
