--- a/crates/core/src/dispatch/door.rs
+++ b/crates/core/src/dispatch/door.rs
@@ -36,7 +36,7 @@
         if self.work_ahead_s(now, class) / slots > limit_s {
             return Err(Refusal::Overloaded);
         }
-        let team = self.queues.find_team(team);
+        let team = self.queues.teams.get(self.queues.team(team));
         if team.is_some_and(|t| self.team_is_behind(t, class, limit_s)) {
             return Err(Refusal::Quota);
         }
@@ -60,11 +60,12 @@
     /// Share of the waiting tasks of `other` with an earlier deadline than a task of `class` that
     /// arrives now. Arrivals are taken as evenly spread since the oldest.
     fn share_ahead(&self, now: Now, class: &Class, key: ClassKey, other: &Class) -> f64 {
-        let Some(oldest) = self.queues.oldest(key) else {
+        let Some(oldest) = self.queues.fronts(key).map(|f| f.0).min() else {
             return 0.0;
         };
         let age_s = now.since(oldest).as_secs_f64();
-        let ahead_s = age_s + class.target.as_secs_f64() - other.target.as_secs_f64();
+        let later_s = other.deadline_after().as_secs_f64();
+        let ahead_s = age_s + class.deadline_after().as_secs_f64() - later_s;
         if age_s <= 0.0 {
             return if ahead_s >= 0.0 { 1.0 } else { 0.0 };
         }
