--- a/crates/testing/src/cluster/settings.rs
+++ b/crates/testing/src/cluster/settings.rs
@@ -49,9 +49,9 @@
         "name": name,
         "zone": zone,
         "slots": slots,
-        "endpoint": format!("http://{endpoint}"),
-        "frames": { "seeds": seeds },
-        "admin": { "listen": admin },
+        "endpoint": endpoint,
+        "seeds": seeds,
+        "admin": admin,
     })
 }
 
