--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 pub mod cluster;
+pub mod dispatch_trial;
 pub mod http;
 pub mod lab;
 pub mod load;
