--- a/crates/core/src/entry/commit.rs
+++ b/crates/core/src/entry/commit.rs
@@ -1,13 +1,13 @@
 //! What follows from the outcomes of journal writes and checkpoints.
 
-use knapweedwall_wire::{Admit, End, JournalRecord, Roster as RosterRecord, journal_record::Body};
+use knapweedwall_wire::{JournalRecord, Roster as RosterRecord, journal_record::Body};
 use smol_str::SmolStr;
 
 use super::agents::{AgentKey, Roster};
 use super::checkpoint::{self, Progress};
 use super::io::{Action, StoreKey};
 use super::jobs::{Job, Phase, TaskState};
-use super::journal::{self, Guard, Verdict};
+use super::journal::{self, Guard, Subject, Verdict};
 use super::machine::{Machine, Purpose};
 use super::shards::{self, Role};
 use super::tasks::deliver;
@@ -20,11 +20,8 @@
     pub(super) fn write_journal(&mut self, now: Now, out: &mut Vec<Action>) {
         let op = self.next_op();
         let jobs = &mut self.jobs;
-        let mark = |record: &JournalRecord| {
-            let Some(Body::Admit(admit)) = &record.body else {
-                return;
-            };
-            let Ok(key) = JobKey::from_bytes(&admit.job) else {
+        let mark = |subject: Subject| {
+            let Subject::Admission(key) = subject else {
                 return;
             };
             if let Some(job) = jobs.open(key) {
@@ -59,10 +56,10 @@
                     vec![("error", text)],
                 );
             }
-            Some(Verdict::Durable(records, covered)) => {
+            Some(Verdict::Durable(subjects, covered)) => {
                 self.ownership.write_done();
-                for record in records {
-                    self.durable(now, record, &covered, out);
+                for subject in subjects {
+                    self.durable(now, subject, &covered, out);
                 }
             }
             Some(Verdict::Moved(rows)) => {
@@ -99,26 +96,16 @@
         }
     }
 
-    fn durable(
-        &mut self,
-        now: Now,
-        record: JournalRecord,
-        covered: &[Shard],
-        out: &mut Vec<Action>,
-    ) {
-        match record.body {
-            Some(Body::Admit(admit)) => self.admitted(now, &admit),
-            Some(Body::End(end)) => self.settle(now, &end, out),
-            Some(Body::RosterAdd(roster)) => self.rostered(now, &roster, covered),
-            _ => {}
+    fn durable(&mut self, now: Now, subject: Subject, covered: &[Shard], out: &mut Vec<Action>) {
+        match subject {
+            Subject::Admission(key) => self.admitted(now, key),
+            Subject::End(key) => self.settle(now, key, out),
+            Subject::Roster(instance) => self.rostered(now, instance, covered),
         }
     }
 
     /// A job's record is durable: its tasks may start.
-    fn admitted(&mut self, now: Now, admit: &Admit) {
-        let Ok(key) = JobKey::from_bytes(&admit.job) else {
-            return;
-        };
+    fn admitted(&mut self, now: Now, key: JobKey) {
         let Some(job) = self.jobs.open(key) else {
             return;
         };
@@ -133,17 +120,14 @@
     }
 
     /// A job's end is durable: it may be told, and the agents may forget the job's tasks.
-    fn settle(&mut self, now: Now, end: &End, out: &mut Vec<Action>) {
-        let Ok(key) = JobKey::from_bytes(&end.job) else {
-            return;
-        };
+    fn settle(&mut self, now: Now, key: JobKey, out: &mut Vec<Action>) {
         let Some(held) = self.jobs.held(key) else {
             return;
         };
         held.durable = true;
         deliver(now, held, out);
         for agent in std::mem::take(&mut held.agents) {
-            self.agents.settle(agent, end.job.clone());
+            self.agents.settle(agent, key.to_bytes());
         }
     }
 
@@ -153,17 +137,23 @@
             return;
         };
         agent.roster = Roster::Writing;
-        let instance = agent.info.instance.0;
-        let name = agent.info.name.to_string();
-        let body = Some(Body::RosterAdd(RosterRecord { instance, name }));
+        let instance = agent.info.instance;
+        let roster = RosterRecord {
+            instance: instance.0,
+            name: agent.info.name.to_string(),
+        };
+        let record = JournalRecord {
+            shard: 0,
+            body: Some(Body::RosterAdd(roster)),
+        };
         // The write is conditional on the ownership of all shards: a process that has lost one
         // cannot extend the list of agents that its successor has already read.
-        self.journal
-            .push(now.mono, JournalRecord { shard: 0, body }, Guard::All, true);
+        let entry = (Subject::Roster(instance), &record);
+        self.journal.push(now.mono, entry, Guard::All, true);
     }
 
-    fn rostered(&mut self, now: Now, roster: &RosterRecord, covered: &[Shard]) {
-        let Some(key) = self.agents.by_instance(Instance(roster.instance)) else {
+    fn rostered(&mut self, now: Now, instance: Instance, covered: &[Shard]) {
+        let Some(key) = self.agents.by_instance(instance) else {
             return;
         };
         let complete = self
--- a/crates/core/src/entry/journal.rs
+++ b/crates/core/src/entry/journal.rs
@@ -10,13 +10,14 @@
 use bytes::Bytes;
 use knapweedwall_wire::{JournalBatch, JournalRecord};
 use prost::Message;
+use prost::encoding::{WireType, encode_key, encode_varint};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
 use smol_str::{SmolStr, format_smolstr};
 
 use super::io::StoreKey;
 use super::rows;
-use crate::ids::{Instance, Shard};
+use crate::ids::{Instance, JobKey, Shard};
 use crate::store::{Condition, Failure, Outcome, Reply, Transaction, Write};
 
 /// Largest batch, in bytes. One record may be larger, up to [`MAX_RECORD_BYTES`].
@@ -40,16 +41,33 @@
 /// First and longest pause before a write is repeated.
 const RETRY_RANGE: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
 
+/// Number of the field `records` of `JournalBatch`.
+const RECORDS_FIELD: u32 = 1;
+
+/// Most bytes of the key and the length of a record in a batch.
+const MAX_RECORD_HEAD: usize = 6;
+
 /// A record with what must hold for it to be written.
 #[derive(Debug, Clone)]
 struct Waiting {
-    record: JournalRecord,
+    subject: Subject,
     guard: Guard,
-    bytes: usize,
+    encoded: Bytes,
     since: Duration,
     urgent: bool,
 }
 
+/// What a record is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Subject {
+    /// The admission of this job.
+    Admission(JobKey),
+    /// The end of this job.
+    End(JobKey),
+    /// The right to send starts to this agent.
+    Roster(Instance),
+}
+
 /// Which shards must still be owned when a record is written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Guard {
@@ -77,7 +95,7 @@
     Again,
     /// These records are durable, and every attempt was conditional on the ownership of all of
     /// these shards if it held a record with [`Guard::All`].
-    Durable(Vec<JournalRecord>, Vec<Shard>),
+    Durable(Vec<Subject>, Vec<Shard>),
     /// These shards' rows have changed: the present rows. The write goes on without them if they
     /// are lost.
     Moved(Vec<(SmolStr, Option<crate::store::Row>)>),
@@ -92,6 +110,7 @@
     seq: u64,
     waiting: VecDeque<Waiting>,
     bytes: usize,
+    urgent: usize,
     flight: Option<Flight>,
     tokens: f64,
     refilled: Duration,
@@ -108,6 +127,7 @@
             seq: 0,
             waiting: VecDeque::new(),
             bytes: 0,
+            urgent: 0,
             flight: None,
             tokens: BURST_WRITES,
             refilled: Duration::ZERO,
@@ -152,24 +172,42 @@
     }
 
     /// Adds a record. `urgent` records go out with the next write; others may wait a little.
-    pub fn push(&mut self, now: Duration, record: JournalRecord, guard: Guard, urgent: bool) {
-        let bytes = record.encoded_len();
-        self.bytes += bytes;
+    pub fn push(
+        &mut self,
+        now: Duration,
+        (subject, record): (Subject, &JournalRecord),
+        guard: Guard,
+        urgent: bool,
+    ) {
+        let encoded = Bytes::from(record.encode_to_vec());
+        self.bytes += encoded.len();
+        self.urgent += usize::from(urgent);
         self.waiting.push_back(Waiting {
-            record,
+            subject,
             guard,
-            bytes,
+            encoded,
             since: now,
             urgent,
         });
     }
 
-    /// Removes records that wait, are not in flight and satisfy `drop`.
-    pub fn withdraw(&mut self, drop: impl Fn(&JournalRecord) -> bool) {
+    /// Removes the admission of a job, if it waits.
+    pub fn withdraw(&mut self, job: JobKey) {
+        self.remove(|waiting| waiting.subject == Subject::Admission(job));
+    }
+
+    /// Removes the records of a shard that wait.
+    pub fn withdraw_shard(&mut self, shard: Shard) {
+        self.remove(|waiting| waiting.guard == Guard::Shard(shard));
+    }
+
+    fn remove(&mut self, gone: impl Fn(&Waiting) -> bool) {
+        let (bytes, urgent) = (&mut self.bytes, &mut self.urgent);
         self.waiting.retain(|waiting| {
-            let gone = drop(&waiting.record);
+            let gone = gone(waiting);
             if gone {
-                self.bytes -= waiting.bytes;
+                *bytes -= waiting.encoded.len();
+                *urgent -= usize::from(waiting.urgent);
             }
             !gone
         });
@@ -184,7 +222,7 @@
         now: Duration,
         op: StoreKey,
         versions: &BTreeMap<Shard, u64>,
-        mut sent: impl FnMut(&JournalRecord),
+        mut sent: impl FnMut(Subject),
     ) -> Option<Transaction> {
         self.refill(now);
         if self.tokens < 1.0 {
@@ -231,28 +269,22 @@
         Some(verdict)
     }
 
-    /// Takes the records of lost shards out of the write in flight and returns them.
+    /// Takes the records of lost shards out of the write in flight.
     ///
     /// An earlier attempt with these records cannot take effect any more, since the rows that it
     /// is conditional on have newer versions.
-    pub fn strip(&mut self, lost: impl Fn(Shard) -> bool) -> Vec<JournalRecord> {
+    pub fn strip(&mut self, lost: impl Fn(Shard) -> bool) {
         let Some(mut flight) = self.flight.take() else {
-            return Vec::new();
+            return;
         };
-        let mut gone = Vec::new();
-        let mut kept = Vec::new();
-        for waiting in flight.records {
-            match waiting.guard {
-                Guard::Shard(shard) if lost(shard) => gone.push(waiting.record),
-                _ => kept.push(waiting),
-            }
-        }
-        flight.records = kept;
+        flight.records.retain(|waiting| match waiting.guard {
+            Guard::Shard(shard) => !lost(shard),
+            Guard::All => true,
+        });
         flight.value = encode(&flight.records);
         if !flight.records.is_empty() {
             self.flight = Some(flight);
         }
-        gone
     }
 
     fn refill(&mut self, now: Duration) {
@@ -265,25 +297,26 @@
         let Some(first) = self.waiting.front() else {
             return false;
         };
-        now.saturating_sub(first.since) >= LAZY_DELAY || self.waiting.iter().any(|w| w.urgent)
+        now.saturating_sub(first.since) >= LAZY_DELAY || self.urgent > 0
     }
 
-    fn fill(&mut self, versions: &BTreeMap<Shard, u64>, sent: &mut impl FnMut(&JournalRecord)) {
+    fn fill(&mut self, versions: &BTreeMap<Shard, u64>, sent: &mut impl FnMut(Subject)) {
         let mut records = Vec::new();
         let mut size = 0;
         while let Some(waiting) = self.waiting.front() {
-            if !records.is_empty() && size + waiting.bytes > MAX_BATCH_BYTES {
+            if !records.is_empty() && size + waiting.encoded.len() > MAX_BATCH_BYTES {
                 break;
             }
             let Some(waiting) = self.waiting.pop_front() else {
                 break;
             };
-            self.bytes -= waiting.bytes;
+            self.bytes -= waiting.encoded.len();
+            self.urgent -= usize::from(waiting.urgent);
             if matches!(waiting.guard, Guard::Shard(shard) if !versions.contains_key(&shard)) {
                 continue;
             }
-            sent(&waiting.record);
-            size += waiting.bytes;
+            sent(waiting.subject);
+            size += waiting.encoded.len();
             records.push(waiting);
         }
         if records.is_empty() {
@@ -308,11 +341,11 @@
         };
         self.seq += 1;
         self.writes += 1;
-        let mut records = Vec::with_capacity(flight.records.len());
+        let mut subjects = Vec::with_capacity(flight.records.len());
         for waiting in flight.records {
-            records.push(waiting.record);
+            subjects.push(waiting.subject);
         }
-        Verdict::Durable(records, flight.covered)
+        Verdict::Durable(subjects, flight.covered)
     }
 
     fn conflict(&mut self, rows: Vec<(SmolStr, Option<crate::store::Row>)>) -> Verdict {
@@ -346,12 +379,16 @@
     }
 }
 
+/// Encodes a `JournalBatch` from its encoded records.
 fn encode(waiting: &[Waiting]) -> Bytes {
-    let mut batch = JournalBatch::default();
+    let size: usize = waiting.iter().map(|waiting| waiting.encoded.len()).sum();
+    let mut batch = Vec::with_capacity(size + waiting.len() * MAX_RECORD_HEAD);
     for waiting in waiting {
-        batch.records.push(waiting.record.clone());
+        encode_key(RECORDS_FIELD, WireType::LengthDelimited, &mut batch);
+        encode_varint(waiting.encoded.len() as u64, &mut batch);
+        batch.extend_from_slice(&waiting.encoded);
     }
-    batch.encode_to_vec().into()
+    batch.into()
 }
 
 fn guards(records: &[Waiting], versions: &BTreeMap<Shard, u64>) -> Vec<Condition> {
--- a/crates/core/src/entry/ownership.rs
+++ b/crates/core/src/entry/ownership.rs
@@ -221,8 +221,7 @@
     fn give_up(&mut self, now: Now, shard: Shard, out: &mut Vec<Action>) {
         self.shards.set_role(shard, Role::Foreign);
         self.inquiries.remove(&shard);
-        self.journal
-            .withdraw(|record| Shard(record.shard) == shard && record_of_job(record));
+        self.journal.withdraw_shard(shard);
         for recovery in &mut self.recoveries {
             recovery.shards.remove(&shard);
         }
@@ -522,8 +521,3 @@
         (alone && idle) || now.since(since) >= self.settings.stop_limit
     }
 }
-
-fn record_of_job(record: &knapweedwall_wire::JournalRecord) -> bool {
-    use knapweedwall_wire::journal_record::Body;
-    matches!(record.body, Some(Body::Admit(_) | Body::End(_)))
-}
--- a/crates/core/src/entry/routing.rs
+++ b/crates/core/src/entry/routing.rs
@@ -44,7 +44,7 @@
 
 impl Routed {
     /// The frame that passes the request on.
-    pub fn frame(&self, number: u64, now: Duration) -> Body {
+    fn frame(&self, number: u64, now: Duration) -> Body {
         let wait = self.waiter.until.saturating_sub(now).as_millis();
         let wait_ms = u32::try_from(wait).unwrap_or(u32::MAX);
         let hops = self.hops + 1;
@@ -84,11 +84,12 @@
 }
 
 impl Routing {
-    /// Notes a request as passed on over `link`; returns its number.
-    pub fn send(&mut self, link: LinkKey, routed: Routed) -> u64 {
+    /// Notes a request as passed on over `link`; returns the frame that passes it on.
+    pub fn send(&mut self, now: Duration, link: LinkKey, routed: Routed) -> Body {
         self.number += 1;
+        let frame = routed.frame(self.number, now);
         self.sent.insert(self.number, (link, routed));
-        self.number
+        frame
     }
 
     /// Takes the request to which a reply belongs.
--- a/crates/core/src/entry/submit.rs
+++ b/crates/core/src/entry/submit.rs
@@ -9,7 +9,7 @@
 use super::answer::{self, Cause, Ran, Reply};
 use super::io::{Action, CallKey};
 use super::jobs::{Ending, Found, Job, Phase, TaskState};
-use super::journal::{Guard, MAX_RECORD_BYTES};
+use super::journal::{Guard, MAX_RECORD_BYTES, Subject};
 use super::machine::Machine;
 use super::routing::{Ask, MAX_HOPS, Routed};
 use super::shards::Role;
@@ -179,9 +179,8 @@
         let owner = self.shards.get(shard).map_or(0, |info| info.row.owner);
         match self.peers.link_of(now.mono, Instance(owner)) {
             Some(link) if owner != 0 && routed.hops < MAX_HOPS => {
-                let frame = routed.clone();
-                let number = self.routing.send(link, routed);
-                out.push(Action::Send(link, frame.frame(number, now.mono)));
+                let frame = self.routing.send(now.mono, link, routed);
+                out.push(Action::Send(link, frame));
             }
             _ => self.routing.park(routed),
         }
@@ -243,18 +242,28 @@
             out.push(waiter.answer(&reply));
             return;
         }
-        let record = JournalRecord {
-            shard: shard.0,
-            body: Some(Body::Admit(admit.clone())),
-        };
-        self.journal
-            .push(now.mono, record, Guard::Shard(shard), true);
+        let admit = self.record_admission(now, shard, key, admit);
         let mut job = Job::new(id, shard, admit, now.mono, Phase::Queued);
         job.waiters.push(waiter);
         self.jobs.insert(job);
         self.deadlines.add(waiter.until, key);
     }
 
+    /// Has an admission written to the journal; gives its content back.
+    fn record_admission(&mut self, now: Now, shard: Shard, key: JobKey, admit: Admit) -> Admit {
+        let record = JournalRecord {
+            shard: shard.0,
+            body: Some(Body::Admit(admit)),
+        };
+        let entry = (Subject::Admission(key), &record);
+        self.journal
+            .push(now.mono, entry, Guard::Shard(shard), true);
+        match record.body {
+            Some(Body::Admit(admit)) => admit,
+            _ => Admit::default(),
+        }
+    }
+
     /// Checks a new submission before anything is recorded.
     fn check(&self, now: Now, admit: &Admit) -> Result<(), Reply> {
         if admit.expires_ms != 0 && admit.expires_ms <= now.wall_ms {
@@ -385,7 +394,7 @@
         let text = "the store did not take the admission in time; it was never sent";
         let reply = answer::refused(503, "store_unavailable", text, Ran::None);
         for key in late {
-            self.journal.withdraw(|record| is_admission(record, key));
+            self.journal.withdraw(key);
             let Some(job) = self.jobs.discard(key) else {
                 continue;
             };
@@ -403,7 +412,3 @@
         until: now.mono + wait,
     }
 }
-
-fn is_admission(record: &JournalRecord, key: JobKey) -> bool {
-    matches!(&record.body, Some(Body::Admit(admit)) if admit.job == key.to_bytes())
-}
--- a/crates/core/src/entry/tasks.rs
+++ b/crates/core/src/entry/tasks.rs
@@ -10,7 +10,7 @@
 use super::answer::{Cause, IN_DOUBT};
 use super::io::Action;
 use super::jobs::{Ending, Held, Phase, TaskState};
-use super::journal::Guard;
+use super::journal::{Guard, Subject};
 use super::machine::Machine;
 use super::shards::Role;
 use crate::clock::Now;
@@ -218,7 +218,8 @@
             shard: shard.0,
             body,
         };
-        self.journal.push(now.mono, record, guard, urgent);
+        let entry = (Subject::End(key), &record);
+        self.journal.push(now.mono, entry, guard, urgent);
     }
 
     /// Ends jobs of which no task could be started in time.
