perf(agent): no spinning wait for inputs; fair shares and silence after a pause

Cause: with one task at a time, waiting in the channel spun and yielded before it slept; a link that got many slots while its need was large got none for a long time after it shrank; a resumed process took its links for silent. Ruled out: another ring (the bounded channel stays; only the wait is by parking); moving connections less often (boxing the HTTP library's state is enough).

--- a/crates/agent/src/decide.rs
+++ b/crates/agent/src/decide.rs
@@ -3,7 +3,6 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crossbeam_channel::{Receiver, RecvTimeoutError};
 use knapweedwall_core::agent::{Action, Agent, Input};
 use knapweedwall_core::{LinkKey, Now};
 use knapweedwall_runtime::admin::Readiness;
@@ -12,6 +11,7 @@
 use slog::Logger;
 
 use crate::endpoint::{Command, EndpointThread};
+use crate::inputs::Inbox;
 
 /// Time between ticks.
 const TICK: Duration = Duration::from_millis(20);
@@ -23,7 +23,7 @@
 #[derive(Debug)]
 pub(crate) struct Decide {
     pub(crate) agent: Agent,
-    pub(crate) inputs: Receiver<Input>,
+    pub(crate) inbox: Inbox,
     pub(crate) links: LinksHandle,
     pub(crate) endpoint: EndpointThread,
     pub(crate) ready: Readiness,
@@ -45,16 +45,15 @@
         let mut actions = Vec::new();
         let mut frames = Vec::new();
         let mut unsent = VecDeque::new();
+        self.inbox.attach();
         loop {
-            let first = match self.inputs.recv_deadline(tick) {
-                Ok(input) => Some(input),
-                Err(RecvTimeoutError::Timeout) => None,
-                Err(RecvTimeoutError::Disconnected) => return self.endpoint,
-            };
+            self.inbox.wait(tick);
             let now = now(start);
-            self.step_all(now, first, &mut actions);
-            if Instant::now() >= tick {
-                tick = Instant::now() + TICK;
+            for input in self.inbox.take().take(TURN_INPUTS) {
+                self.agent.step(now, input, &mut actions);
+            }
+            if start + now.mono >= tick {
+                tick = start + now.mono + TICK;
                 self.agent.step(now, Input::Tick, &mut actions);
             }
             self.agent.end_turn(now, &mut actions);
@@ -64,16 +63,6 @@
         }
     }
 
-    fn step_all(&mut self, now: Now, first: Option<Input>, actions: &mut Vec<Action>) {
-        let Some(first) = first else {
-            return;
-        };
-        self.agent.step(now, first, actions);
-        for input in self.inputs.try_iter().take(TURN_INPUTS - 1) {
-            self.agent.step(now, input, actions);
-        }
-    }
-
     fn carry_out(
         &self,
         actions: &mut Vec<Action>,
--- a/crates/agent/src/endpoint/connection.rs
+++ b/crates/agent/src/endpoint/connection.rs
@@ -70,7 +70,8 @@
 #[derive(Debug)]
 pub(super) struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
-    driver: http1::Connection<TokioIo<TcpStream>, Full<Bytes>>,
+    /// Boxed: it is large, and a connection is moved between the pool and the exchanges.
+    driver: Box<Driver>,
     /// Second handle of the socket, to look at what has arrived while nothing is awaited.
     socket: std::net::TcpStream,
     state: State,
@@ -96,7 +97,7 @@
         let (sender, driver) = opened.context(HandshakeSnafu)?;
         Ok(Self {
             sender,
-            driver,
+            driver: Box::new(driver),
             socket,
             state: State::Open,
         })
--- a/crates/agent/src/endpoint/probe.rs
+++ b/crates/agent/src/endpoint/probe.rs
@@ -3,11 +3,11 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-use crossbeam_channel::Sender;
 use knapweedwall_core::agent::Input;
 use tokio::sync::Notify;
 
 use super::port::Endpoint;
+use crate::Inputs;
 
 /// Time between checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -15,13 +15,13 @@
 /// What was last reported of the endpoint.
 #[derive(Debug)]
 pub(super) struct Reach {
-    inputs: Sender<Input>,
+    inputs: Inputs,
     reported: Mutex<Option<bool>>,
     check: Notify,
 }
 
 impl Reach {
-    pub(super) fn new(inputs: Sender<Input>) -> Self {
+    pub(super) fn new(inputs: Inputs) -> Self {
         Self {
             inputs,
             reported: Mutex::new(None),
--- a/crates/agent/src/endpoint/thread.rs
+++ b/crates/agent/src/endpoint/thread.rs
@@ -4,13 +4,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
 
-use crossbeam_channel::Sender;
 use knapweedwall_core::agent::{Input, RunEnd, RunKey, RunTask};
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
 use super::port::Endpoint;
 use super::probe::Reach;
+use crate::Inputs;
 
 /// Bound of the ring `decide -> endpoint`. It holds at most two commands for each slot.
 const RING_COMMANDS: usize = 4096;
@@ -31,7 +31,7 @@
 #[derive(Debug)]
 struct Running {
     endpoint: Arc<dyn Endpoint>,
-    inputs: Sender<Input>,
+    inputs: Inputs,
     reach: Reach,
     /// Whoever removes a run reports its end, so there is one report.
     runs: Mutex<HashMap<RunKey, AbortHandle>>,
@@ -51,7 +51,7 @@
     ///
     /// # Errors
     /// The system gives no thread or no event queue.
-    pub fn spawn(endpoint: Arc<dyn Endpoint>, inputs: Sender<Input>) -> std::io::Result<Self> {
+    pub fn spawn(endpoint: Arc<dyn Endpoint>, inputs: Inputs) -> std::io::Result<Self> {
         let (commands, ring) = mpsc::channel(RING_COMMANDS);
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
@@ -78,11 +78,7 @@
     }
 }
 
-async fn serve(
-    endpoint: Arc<dyn Endpoint>,
-    inputs: Sender<Input>,
-    mut ring: mpsc::Receiver<Command>,
-) {
+async fn serve(endpoint: Arc<dyn Endpoint>, inputs: Inputs, mut ring: mpsc::Receiver<Command>) {
     let running = Arc::new(Running {
         endpoint,
         reach: Reach::new(inputs.clone()),
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -5,7 +5,6 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use crossbeam_channel::{Sender, bounded};
 use knapweedwall_core::agent::{self, Agent, Input, LedgerLimits, Metrics};
 use knapweedwall_core::{Event, Instance, Role};
 use knapweedwall_runtime::admin::{self, Admin, Readiness};
@@ -19,7 +18,8 @@
 use crate::Settings;
 use crate::decide::Decide;
 use crate::endpoint::{EndpointThread, HttpEndpoint};
-use crate::sink::{RING_INPUTS, Ring};
+use crate::inputs::{self, Inputs};
+use crate::sink::Ring;
 
 /// Longest time for the last frames to go out.
 const FLUSH_LIMIT: Duration = Duration::from_secs(1);
@@ -93,7 +93,7 @@
 /// A running agent.
 #[derive(Debug)]
 pub struct Process {
-    inputs: Sender<Input>,
+    inputs: Inputs,
     decide: JoinHandle<EndpointThread>,
     links: Links,
     admin: Admin,
@@ -101,7 +101,7 @@
 
 /// Asks an agent to stop.
 #[derive(Debug, Clone)]
-pub struct Stopper(Sender<Input>);
+pub struct Stopper(Inputs);
 
 impl Stopper {
     /// Starts the planned stop.
@@ -130,7 +130,7 @@
         let mut registry = Registry::with_prefix("knapweedwall");
         let metrics = Metrics::default();
         metrics.register(&mut registry);
-        let (inputs, ring) = bounded(RING_INPUTS);
+        let (inputs, inbox) = inputs::open();
         let links = open_links(settings, instance, &inputs, &mut registry, &log)?;
         let ready = Readiness::default();
         let admin = admin::spawn(address, registry, ready.clone());
@@ -140,7 +140,7 @@
         let endpoint = EndpointThread::spawn(Arc::new(endpoint), inputs.clone());
         let decide = Decide {
             agent: Agent::new(decisions(settings), metrics),
-            inputs: ring,
+            inbox,
             links: links.handle(),
             endpoint: endpoint.context(ThreadSnafu { name: "endpoint" })?,
             ready,
@@ -195,7 +195,7 @@
 fn open_links(
     settings: &Settings,
     instance: Instance,
-    inputs: &Sender<Input>,
+    inputs: &Inputs,
     registry: &mut Registry,
     log: &Logger,
 ) -> Result<Links> {
--- a/crates/agent/src/sink.rs
+++ b/crates/agent/src/sink.rs
@@ -2,25 +2,23 @@
 
 use std::collections::VecDeque;
 
-use crossbeam_channel::Sender;
 use knapweedwall_core::agent::Input;
 use knapweedwall_runtime::links::{LinkEvent, Sink};
 
-/// Bound of the ring into `decide`.
-pub(crate) const RING_INPUTS: usize = 4096;
+use crate::Inputs;
 
-/// Share of the links. The rest is for the endpoint's thread, which has at most one end for each
+/// Share of the links in the ring of 4,096. The rest is for the endpoint's thread, which has at most one end for each
 /// of up to 1,024 slots under way.
 const LINK_INPUTS: usize = 3072;
 
 /// Hands what happens on the links to the decisions. While the share of the links is used up, the
 /// links are not read.
 #[derive(Debug)]
-pub(crate) struct Ring(pub(crate) Sender<Input>);
+pub(crate) struct Ring(pub(crate) Inputs);
 
 impl Sink for Ring {
     fn offer(&mut self, events: &mut VecDeque<LinkEvent>) {
-        while self.0.len() < LINK_INPUTS {
+        while self.0.waiting() < LINK_INPUTS {
             let Some(event) = events.pop_front() else {
                 return;
             };
--- a/crates/core/src/agent/credits.rs
+++ b/crates/core/src/agent/credits.rs
@@ -12,6 +12,9 @@
 /// tasks, in milliseconds.
 const SLACK_BAND_MS: i64 = 50;
 
+/// One slot in the share counters of the proportional choice.
+const SHARE_UNIT: i64 = 1 << 20;
+
 /// A credit that goes to or is asked back from an entry process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Move {
@@ -34,7 +37,7 @@
     due_ms: i64,
     /// Slots that its tasks freed since the last assignment.
     freed: u32,
-    /// Share counter of the proportional choice.
+    /// Slots that its need entitled it to beyond those it got, in units of [`SHARE_UNIT`].
     share: i64,
     /// Credits of the assignment being made.
     assigned: u32,
@@ -222,22 +225,22 @@
         let needy = self.holders.values().filter(|h| h.need() > 0);
         let earliest = needy.map(|h| h.due_ms).min()?;
         let latest = earliest.saturating_add(SLACK_BAND_MS);
-        let mut total = 0;
+        let competes = |h: &Holder| h.need() > 0 && h.due_ms <= latest;
+        let needs = self.holders.values().filter(|h| competes(h));
+        let total = needs.map(|h| i64::from(h.need())).sum::<i64>();
         let mut best: Option<(i64, LinkKey)> = None;
         for (link, holder) in &mut self.holders {
-            if holder.need() == 0 || holder.due_ms > latest {
+            if !competes(holder) {
                 continue;
             }
-            let need = i64::from(holder.need());
-            total += need;
-            holder.share = holder.share.saturating_add(need);
+            holder.share += i64::from(holder.need()) * SHARE_UNIT / total;
             if best.is_none_or(|(share, _)| holder.share > share) {
                 best = Some((holder.share, *link));
             }
         }
         let (_, link) = best?;
         if let Some(holder) = self.holders.get_mut(&link) {
-            holder.share -= total;
+            holder.share -= SHARE_UNIT;
         }
         Some(link)
     }
--- a/crates/core/src/agent/links.rs
+++ b/crates/core/src/agent/links.rs
@@ -87,6 +87,13 @@
         links.map(|(link, _)| *link).collect()
     }
 
+    /// Takes all links as heard of now.
+    pub(super) fn restart_silence(&mut self, now: Duration) {
+        for link in self.links.values_mut() {
+            link.heard = now;
+        }
+    }
+
     /// Queues the report of a task for the end of the turn; a full part is sent at once.
     pub(super) fn report(&mut self, link: LinkKey, report: TaskReport, out: &mut Vec<Action>) {
         let Some(state) = self.links.get_mut(&link) else {
--- a/crates/core/src/agent/machine.rs
+++ b/crates/core/src/agent/machine.rs
@@ -25,6 +25,10 @@
 /// A link without any frame for this long is closed.
 const SILENCE: Duration = Duration::from_secs(3);
 
+/// Time between two ticks after which this process is taken to have been paused. What the links
+/// received meanwhile has not been read yet, so their silence starts anew.
+const PAUSE: Duration = Duration::from_secs(1);
+
 /// The decisions of an agent.
 #[derive(Debug)]
 pub struct Agent {
@@ -48,6 +52,7 @@
     counter: u64,
     /// Time of the last heartbeat; `None` sends the next one with the next tick.
     last_beat: Option<Duration>,
+    last_tick: Option<Duration>,
     moves: Vec<Move>,
 }
 
@@ -72,6 +77,7 @@
             ready: false,
             counter: 0,
             last_beat: None,
+            last_tick: None,
             moves: Vec::new(),
         }
     }
@@ -274,6 +280,11 @@
 
     fn tick(&mut self, now: Duration, out: &mut Vec<Action>) {
         self.stop_overdue(now, out);
+        let paused = |last| now.saturating_sub(last) > PAUSE;
+        if self.last_tick.is_some_and(paused) {
+            self.links.restart_silence(now);
+        }
+        self.last_tick = Some(now);
         for link in self.links.silent(now, SILENCE) {
             self.close(link, "silent", out);
         }
--- a/crates/core/tests/agent/credit_moves.rs
+++ b/crates/core/tests/agent/credit_moves.rs
@@ -92,6 +92,29 @@
     assert!((298..=302).contains(&to_b), "B got {to_b} of 400");
 }
 
+/// Guards against a link that pays for slots it got while its need was larger.
+#[rstest]
+fn shares_follow_changed_needs() {
+    let mut credits = busy(1);
+    credits.demand(NOW, B, 10_000, 100);
+    credits.demand(NOW, C, 1, 100);
+    let mut grants = Vec::new();
+    for round in 0..6000 {
+        if round == 5900 {
+            credits.demand(NOW, B, 50, 100);
+            credits.demand(NOW, C, 50, 100);
+        }
+        credits.release(A);
+        let Move::Grant(link, 1) = moves(&mut credits)[0] else {
+            panic!("one credit is granted");
+        };
+        grants.push(link);
+        assert!(credits.spend(link) && credits.occupy());
+    }
+    let to_b = grants[5900..].iter().filter(|link| **link == B).count();
+    assert!((48..=52).contains(&to_b), "B got {to_b} of 100");
+}
+
 #[rstest]
 fn unused_credits_are_recalled_for_demand() {
     let mut credits = Credits::new(4);
--- a/crates/core/tests/agent/link_rules.rs
+++ b/crates/core/tests/agent/link_rules.rs
@@ -36,6 +36,19 @@
     assert_eq!(bench.agent.credits().granted_to(alive), 2);
 }
 
+/// Guards against links that are closed because this process itself was paused.
+#[rstest]
+fn own_pause_is_no_silence() {
+    let mut bench = Bench::new(2);
+    let link = bench.link(1);
+    bench.pass(Duration::from_secs(1), &[link]);
+    bench.now += Duration::from_secs(20);
+    assert_eq!(bench.turn(vec![Input::Tick]).closed, []);
+    let turns = bench.pass(Duration::from_secs(3), &[]);
+    let closed = turns.iter().flat_map(|t| t.closed.clone());
+    assert_eq!(closed.collect::<Vec<_>>(), [(link, "silent")]);
+}
+
 #[rstest]
 fn heartbeat_is_sent_every_second_with_slots_and_busy() {
     let mut bench = Bench::new(3);
