fix(core): tasks in doubt count as started until queued again

Cause: a refused start is reported as lost and then queued again; its job never expired. Change: the tasks in doubt of a job are remembered until they are queued again. Conclusion: a job that is only ever refused expires, one in doubt does not.

--- a/crates/core/src/dispatch/ended.rs
+++ b/crates/core/src/dispatch/ended.rs
@@ -42,7 +42,14 @@
             return;
         }
         let queue = job.queue;
-        self.stop(slot, task.index, !matches!(ended, Ended::NotStarted));
+        self.stop(slot, task.index);
+        if let Some(job) = self.jobs.get_mut(slot) {
+            match ended {
+                Ended::Done { .. } | Ended::Failed { .. } => job.proven = true,
+                Ended::Lost => job.lost.push(task.index),
+                Ended::NotStarted => self.watch(slot),
+            }
+        }
         match ended {
             Ended::Done { run } => {
                 self.learn(queue, worker, run);
--- a/crates/core/src/dispatch/expiry.rs
+++ b/crates/core/src/dispatch/expiry.rs
@@ -36,8 +36,7 @@
         let Some(job) = self.jobs.get(slot) else {
             return;
         };
-        let unstarted = !job.proven && !job.cancelled && job.running.is_empty();
-        if unstarted {
+        if job.unstarted() && !job.cancelled {
             self.unstarted.insert((job.expires, slot));
         } else {
             self.unstarted.remove(&(job.expires, slot));
--- a/crates/core/src/dispatch/intake.rs
+++ b/crates/core/src/dispatch/intake.rs
@@ -80,6 +80,7 @@
             waiting: VecDeque::new(),
             running: Vec::new(),
             proven: false,
+            lost: SmallVec::new(),
             cancelled: false,
         });
         self.job_keys.insert(key, slot);
@@ -103,7 +104,11 @@
         let Some(slot) = self.job_keys.get(&task.job).copied() else {
             return;
         };
-        self.stop(slot, task.index, false);
+        self.stop(slot, task.index);
+        if let Some(job) = self.jobs.get_mut(slot) {
+            job.lost.retain(|index| *index != task.index);
+        }
+        self.watch(slot);
         let Some(job) = self.jobs.get_mut(slot).filter(|j| !j.cancelled) else {
             return;
         };
@@ -153,19 +158,14 @@
         self.queues.leave(job.queue);
     }
 
-    /// Removes a running task from all counts; `proven` says that it had started.
-    pub(super) fn stop(&mut self, slot: JobSlot, index: u32, proven: bool) -> Option<WorkerKey> {
+    /// Removes a running task from all counts; returns its worker.
+    pub(super) fn stop(&mut self, slot: JobSlot, index: u32) -> Option<WorkerKey> {
         let job = self.jobs.get_mut(slot)?;
         let worker = job.stop(index)?;
-        job.proven |= proven;
-        let idle = job.running.is_empty();
         self.queues.count_running(job.queue, -1);
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.running = worker.running.saturating_sub(1);
         }
-        if idle && !proven {
-            self.watch(slot);
-        }
         Some(worker)
     }
 }
--- a/crates/core/src/dispatch/jobs.rs
+++ b/crates/core/src/dispatch/jobs.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use slotmap::new_key_type;
+use smallvec::SmallVec;
 use smol_str::SmolStr;
 
 use super::queues::QueueKey;
@@ -32,13 +33,20 @@
     pub(super) waiting: VecDeque<u32>,
     /// Running tasks in ascending order.
     pub(super) running: Vec<(u32, WorkerKey)>,
-    /// Whether a task has provably started and ended.
+    /// Whether a task has ended with a result or a failure.
     pub(super) proven: bool,
+    /// Tasks whose outcome is in doubt; one that is queued again had not started.
+    pub(super) lost: SmallVec<[u32; 2]>,
     /// Whether the job takes no more tasks.
     pub(super) cancelled: bool,
 }
 
 impl Job {
+    /// Whether no task runs or may have run.
+    pub(super) fn unstarted(&self) -> bool {
+        !self.proven && self.running.is_empty() && self.lost.is_empty()
+    }
+
     /// Adds a task to the waiting ones; false when it waits or runs already.
     pub(super) fn wait(&mut self, index: u32) -> bool {
         if self.running.binary_search_by_key(&index, |r| r.0).is_ok() {
--- a/crates/core/src/dispatch/start.rs
+++ b/crates/core/src/dispatch/start.rs
@@ -92,7 +92,7 @@
         let worker = self.workers.get_mut(key).filter(|w| w.credits > 0)?;
         let job = self.jobs.get_mut(slot)?;
         let index = job.waiting.pop_front()?;
-        let first = job.running.is_empty() && !job.proven;
+        let first = job.unstarted();
         worker.credits -= 1;
         worker.running += 1;
         worker.health.trial_started(now.mono);
--- a/crates/core/tests/dispatch/expiry.rs
+++ b/crates/core/tests/dispatch/expiry.rs
@@ -37,19 +37,33 @@
 
 /// Guards against a job that is sent out again and again without ever starting.
 #[rstest]
-fn a_job_that_never_really_starts_expires() {
+#[case(Ended::NotStarted)]
+#[case(Ended::Lost)]
+fn a_job_that_never_really_starts_expires(#[case] ended: Ended) {
     let mut bench = Bench::new();
     let key = bench.submit("a", "plain", "t", 1);
     bench.worker("w", 1);
     for _ in 0..3 {
         let started = bench.start_all();
-        bench.end(started[0], Ended::NotStarted);
+        bench.end(started[0], ended);
         bench.dispatcher.requeue(bench.now, started[0].task);
         bench.pass(10_000);
     }
     assert_eq!(expired(&mut bench), [key]);
 }
 
+/// Guards against calling a job never runnable although a task of it may have run.
+#[rstest]
+fn a_job_in_doubt_does_not_expire() {
+    let mut bench = Bench::new();
+    bench.submit("a", "plain", "t", 1);
+    bench.worker("w", 1);
+    let started = bench.start_all();
+    bench.end(started[0], Ended::Lost);
+    bench.pass(100_000);
+    assert_eq!(expired(&mut bench), []);
+}
+
 /// Guards against failing bulk work that was admitted and waits its turn.
 #[rstest]
 fn bulk_work_may_wait_until_its_deadline() {
