test(core): several entry processes in the dispatch trial

Cause: with one entry process the trial does not show what moving credits costs. Change: the model runs the agents' credit decisions and three entry processes (dispatch-3), and counts the frames that move credits.

--- a/crates/testing/src/dispatch_trial/mod.rs
+++ b/crates/testing/src/dispatch_trial/mod.rs
@@ -10,7 +10,7 @@
 mod scenario;
 
 pub use baselines::{PushRandom, PushTwoChoices};
-pub use model::{Outcome, Policy, run};
+pub use model::{Outcome, Policy, RunResult, run};
 pub use reference::run_reference;
 pub use report::{Figures, write_report};
 pub use scenario::{Scenario, Workload, scenarios};
--- a/crates/testing/src/dispatch_trial/model.rs
+++ b/crates/testing/src/dispatch_trial/model.rs
@@ -1,9 +1,10 @@
-//! The queueing model: workers with slots, fixed message delay, the real dispatcher.
+//! The queueing model: real dispatchers and agents' credits, fixed message time, virtual time.
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::time::Duration;
 
+use knapweedwall_core::agent::{Credits, Move};
 use knapweedwall_core::dispatch::{Dispatcher, Ended, Limits, Placement, WorkerKey};
 use knapweedwall_core::{JobKey, LinkKey, Now, TaskRef};
 
@@ -18,12 +19,18 @@
 /// Credits of a worker to which tasks are pushed without a free slot.
 const PUSH_CREDITS: u32 = 1_000_000;
 
+/// Time between two ticks of an entry process, in microseconds.
+const TICK_US: u64 = 10_000;
+
+/// Time between two calls of `Credits::rebalance`, in microseconds.
+const REBALANCE_US: u64 = 1_000_000;
+
 /// A policy under trial.
 #[derive(Debug)]
 pub struct Policy {
-    /// Placement policy.
-    pub placement: Box<dyn Placement>,
-    /// Limits of the dispatcher.
+    /// Placement policy of each entry process; jobs are spread over them.
+    pub placements: Vec<Box<dyn Placement>>,
+    /// Limits of the dispatchers.
     pub limits: Limits,
     /// Whether tasks are pushed to workers' queues instead of waiting for a slot credit.
     pub push: bool,
@@ -42,77 +49,129 @@
     Open,
 }
 
+/// Outcomes and the frames that moved credits.
+#[derive(Debug, Clone, Default)]
+pub struct RunResult {
+    /// Outcome of each job.
+    pub outcomes: Vec<Outcome>,
+    /// Tasks started.
+    pub starts: u64,
+    /// `Demand` frames.
+    pub demands: u64,
+    /// `Grant` (other than in a report), `Recall` and `Return` frames.
+    pub moves: u64,
+}
+
+/// Something that happens; the numbers are the entry process and the worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrive(usize),
-    Reach(usize, TaskRef),
-    Finish(usize, TaskRef, bool, u64),
-    Report(usize, TaskRef, bool, u64),
+    Tick,
+    Rebalance,
+    Start(usize, usize, TaskRef),
+    Finish(usize, usize, TaskRef, bool, u64),
+    Report(usize, usize, TaskRef, bool, u64),
+    Demand(usize, usize, u32, i32),
+    Grant(usize, usize, u32),
+    Recall(usize, usize, u32),
+    Return(usize, usize, u32),
 }
 
-#[derive(Debug)]
-struct WorkerState {
-    key: WorkerKey,
+struct Agent {
+    credits: Credits,
     free: u32,
-    queue: VecDeque<TaskRef>,
+    queue: VecDeque<(usize, TaskRef)>,
+}
+
+struct Entry {
+    dispatcher: Dispatcher,
+    /// Keys of the workers by place, and the reverse.
+    keys: Vec<WorkerKey>,
+    places: HashMap<WorkerKey, usize>,
 }
 
 struct Model<'a> {
     workload: &'a Workload,
-    dispatcher: Dispatcher,
     push: bool,
+    entries: Vec<Entry>,
+    agents: Vec<Agent>,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     next_seq: u64,
     now_us: u64,
-    workers: Vec<WorkerState>,
-    places: HashMap<WorkerKey, usize>,
     open: Vec<usize>,
-    outcomes: Vec<Outcome>,
+    open_jobs: usize,
+    result: RunResult,
 }
 
-/// Runs a policy on a workload; returns the outcome of each job.
+/// Runs a policy on a workload.
 #[must_use]
-pub fn run(workload: &Workload, policy: Policy, seed: u64) -> Vec<Outcome> {
-    let mut dispatcher = Dispatcher::new(seed, policy.placement, policy.limits);
-    dispatcher.configure(&document());
+pub fn run(workload: &Workload, policy: Policy, seed: u64) -> RunResult {
+    let outcomes = vec![Outcome::Open; workload.jobs.len()];
     let mut model = Model {
         workload,
-        dispatcher,
         push: policy.push,
+        entries: Vec::new(),
+        agents: Vec::new(),
         events: BinaryHeap::new(),
         next_seq: 0,
         now_us: 0,
-        workers: Vec::new(),
-        places: HashMap::new(),
         open: workload.jobs.iter().map(|j| j.tasks.len()).collect(),
-        outcomes: vec![Outcome::Open; workload.jobs.len()],
+        open_jobs: workload.jobs.len(),
+        result: RunResult {
+            outcomes,
+            ..RunResult::default()
+        },
     };
-    model.connect();
+    model.connect(policy, seed);
     for (index, job) in workload.jobs.iter().enumerate() {
         model.at((job.arrival_s * 1e6) as u64, Event::Arrive(index));
     }
-    while let Some(Reverse((time_us, _, event))) = model.events.pop() {
+    model.at(0, Event::Tick);
+    model.at(REBALANCE_US, Event::Rebalance);
+    while model.open_jobs > 0
+        && let Some(Reverse((time_us, _, event))) = model.events.pop()
+    {
         model.now_us = time_us;
         model.handle(event);
-        model.start_all();
     }
-    model.outcomes
+    model.result
 }
 
 impl Model<'_> {
-    fn connect(&mut self) {
-        for place in 0..self.workload.workers.len() {
-            let link = LinkKey(place as u64);
-            let name = format!("w{place}").into();
-            let key = self.dispatcher.worker_up(link, name, "z".into(), SLOTS);
-            self.dispatcher
-                .credit(key, if self.push { PUSH_CREDITS } else { SLOTS });
-            self.places.insert(key, place);
-            self.workers.push(WorkerState {
-                key,
+    fn connect(&mut self, policy: Policy, seed: u64) {
+        let workers = self.workload.workers.len();
+        for (number, placement) in policy.placements.into_iter().enumerate() {
+            let limits = policy.limits.clone();
+            let mut dispatcher = Dispatcher::new(seed + number as u64, placement, limits);
+            dispatcher.configure(&document());
+            let mut entry = Entry {
+                dispatcher,
+                keys: Vec::new(),
+                places: HashMap::new(),
+            };
+            for place in 0..workers {
+                let link = LinkKey(place as u64);
+                let name = format!("w{place}").into();
+                let key = entry.dispatcher.worker_up(link, name, "z".into(), SLOTS);
+                entry.keys.push(key);
+                entry.places.insert(key, place);
+                if self.push {
+                    entry.dispatcher.credit(key, PUSH_CREDITS);
+                }
+            }
+            self.entries.push(entry);
+        }
+        for place in 0..workers {
+            let mut credits = Credits::new(SLOTS);
+            for entry in 0..self.entries.len() {
+                credits.join(LinkKey(entry as u64));
+            }
+            self.agents.push(Agent {
+                credits,
                 free: SLOTS,
                 queue: VecDeque::new(),
             });
+            self.assign(place);
         }
     }
 
@@ -121,6 +180,11 @@
         self.events.push(Reverse((time_us, self.next_seq, event)));
     }
 
+    /// Sends a message that arrives as `event`.
+    fn send(&mut self, event: Event) {
+        self.at(self.now_us + MESSAGE_US, event);
+    }
+
     fn now(&self) -> Now {
         Now {
             mono: Duration::from_micros(self.now_us),
@@ -131,17 +195,81 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive(job) => self.arrive(job),
-            Event::Reach(place, task) => {
-                self.workers[place].queue.push_back(task);
-                self.run_queued(place);
+            Event::Tick => {
+                for entry in 0..self.entries.len() {
+                    self.dispatch(entry);
+                }
+                self.at(self.now_us + TICK_US, Event::Tick);
             }
-            Event::Finish(place, task, failed, run_us) => {
-                self.workers[place].free += 1;
-                let report = Event::Report(place, task, failed, run_us);
-                self.at(self.now_us + MESSAGE_US, report);
+            Event::Rebalance => self.rebalance(),
+            Event::Start(entry, place, task) => self.reach(entry, place, task),
+            Event::Finish(entry, place, task, failed, run_us) => {
+                self.agents[place].free += 1;
+                self.agents[place].credits.release(LinkKey(entry as u64));
+                self.send(Event::Report(entry, place, task, failed, run_us));
+                self.assign(place);
                 self.run_queued(place);
             }
-            Event::Report(place, task, failed, run_us) => self.report(place, task, failed, run_us),
+            Event::Report(entry, place, task, failed, run_us) => {
+                self.report(entry, place, task, failed, run_us);
+                self.dispatch(entry);
+            }
+            Event::Demand(entry, place, waiting, slack_ms) => {
+                let now = self.now().mono;
+                let link = LinkKey(entry as u64);
+                self.agents[place]
+                    .credits
+                    .demand(now, link, waiting, slack_ms);
+                self.assign(place);
+            }
+            Event::Grant(entry, place, credits) => {
+                let key = self.entries[entry].keys[place];
+                self.entries[entry].dispatcher.credit(key, credits);
+                self.dispatch(entry);
+            }
+            Event::Recall(entry, place, credits) => {
+                let key = self.entries[entry].keys[place];
+                let back = self.entries[entry].dispatcher.recall(key, credits);
+                self.result.moves += 1;
+                self.send(Event::Return(entry, place, back));
+            }
+            Event::Return(entry, place, credits) => {
+                let link = LinkKey(entry as u64);
+                self.agents[place].credits.give_back(link, credits);
+                self.assign(place);
+            }
+        }
+    }
+
+    fn rebalance(&mut self) {
+        for place in 0..self.agents.len() {
+            let mut moves = Vec::new();
+            self.agents[place].credits.rebalance(&mut moves);
+            self.carry_out(place, moves);
+        }
+        self.at(self.now_us + REBALANCE_US, Event::Rebalance);
+    }
+
+    fn assign(&mut self, place: usize) {
+        if self.push {
+            return;
+        }
+        let mut moves = Vec::new();
+        self.agents[place].credits.assign(&mut moves);
+        self.carry_out(place, moves);
+    }
+
+    fn carry_out(&mut self, place: usize, moves: Vec<Move>) {
+        for step in moves {
+            self.result.moves += 1;
+            match step {
+                Move::Grant(link, credits) => {
+                    self.send(Event::Grant(link.0 as usize, place, credits))
+                }
+                Move::Recall(link, credits) => {
+                    self.send(Event::Recall(link.0 as usize, place, credits))
+                }
+            }
         }
     }
 
@@ -150,28 +278,51 @@
         let class = class_names().nth(job.class).unwrap_or_default();
         let now = self.now();
         let count = u32::try_from(job.tasks.len()).unwrap_or(u32::MAX);
-        if self.dispatcher.admit(now, class, "t", count).is_err() {
-            self.outcomes[index] = Outcome::Refused;
+        let entry = index % self.entries.len();
+        let dispatcher = &mut self.entries[entry].dispatcher;
+        if dispatcher.admit(now, class, "t", count).is_err() {
+            self.result.outcomes[index] = Outcome::Refused;
+            self.open_jobs -= 1;
             return;
         }
         let indices: Vec<u32> = (0..count).collect();
         let key = JobKey::from(index as u128);
-        self.dispatcher
-            .push(now, key, class, "t", now.mono, &indices);
+        dispatcher.push(now, key, class, "t", now.mono, &indices);
+        self.dispatch(entry);
+    }
+
+    /// Starts what may start at an entry process and sends its demand.
+    fn dispatch(&mut self, entry: usize) {
+        let now = self.now();
+        while let Some(start) = self.entries[entry].dispatcher.next(now) {
+            let place = self.entries[entry].places[&start.worker];
+            self.result.starts += 1;
+            self.send(Event::Start(entry, place, start.task));
+        }
+        let mut demands = Vec::new();
+        self.entries[entry].dispatcher.demand(now, &mut demands);
+        for (link, waiting, slack_ms) in demands {
+            self.result.demands += 1;
+            self.send(Event::Demand(entry, link.0 as usize, waiting, slack_ms));
+        }
     }
 
-    fn start_all(&mut self) {
-        while let Some(start) = self.dispatcher.next(self.now()) {
-            let place = self.places[&start.worker];
-            self.at(self.now_us + MESSAGE_US, Event::Reach(place, start.task));
+    /// A start reaches a worker.
+    fn reach(&mut self, entry: usize, place: usize, task: TaskRef) {
+        let agent = &mut self.agents[place];
+        if !self.push {
+            agent.credits.spend(LinkKey(entry as u64));
         }
+        agent.queue.push_back((entry, task));
+        self.run_queued(place);
     }
 
     fn run_queued(&mut self, place: usize) {
-        while self.workers[place].free > 0
-            && let Some(task) = self.workers[place].queue.pop_front()
+        while self.agents[place].free > 0
+            && let Some((entry, task)) = self.agents[place].queue.pop_front()
         {
-            self.workers[place].free -= 1;
+            self.agents[place].free -= 1;
+            self.agents[place].credits.occupy();
             let worker = self.workload.workers[place];
             let failed = worker
                 .fails_from
@@ -183,14 +334,12 @@
                 work_s / worker.speed
             };
             let run_us = (run_s * 1e6) as u64;
-            self.at(
-                self.now_us + run_us,
-                Event::Finish(place, task, failed, run_us),
-            );
+            let finish = Event::Finish(entry, place, task, failed, run_us);
+            self.at(self.now_us + run_us, finish);
         }
     }
 
-    fn report(&mut self, place: usize, task: TaskRef, failed: bool, run_us: u64) {
+    fn report(&mut self, entry: usize, place: usize, task: TaskRef, failed: bool, run_us: u64) {
         let now = self.now();
         let run = Duration::from_micros(run_us);
         let ended = if failed {
@@ -198,22 +347,27 @@
         } else {
             Ended::Done { run }
         };
-        let key = self.workers[place].key;
-        self.dispatcher.ended(now, task, key, ended);
-        self.dispatcher.credit(key, 1);
+        let Entry {
+            dispatcher, keys, ..
+        } = &mut self.entries[entry];
+        dispatcher.ended(now, task, keys[place], ended);
+        if self.push {
+            dispatcher.credit(keys[place], 1);
+        }
         let job = job_index(task);
         self.open[job] -= 1;
         if failed {
-            self.outcomes[job] = Outcome::Failed;
-            self.open[job] -= self.dispatcher.cancel(task.job).len();
+            self.result.outcomes[job] = Outcome::Failed;
+            self.open[job] -= dispatcher.cancel(task.job).len();
         }
         if self.open[job] > 0 {
             return;
         }
-        self.dispatcher.remove(task.job);
-        if self.outcomes[job] == Outcome::Open {
+        dispatcher.remove(task.job);
+        self.open_jobs -= 1;
+        if self.result.outcomes[job] == Outcome::Open {
             let response_s = self.now_us as f64 / 1e6 - self.workload.jobs[job].arrival_s;
-            self.outcomes[job] = Outcome::Complete(response_s);
+            self.result.outcomes[job] = Outcome::Complete(response_s);
         }
     }
 }
--- a/crates/testing/src/dispatch_trial/report.rs
+++ b/crates/testing/src/dispatch_trial/report.rs
@@ -2,10 +2,10 @@
 
 use std::io::{self, Write};
 
-use knapweedwall_core::dispatch::{Limits, SpeedMatch};
+use knapweedwall_core::dispatch::{Limits, Placement, SpeedMatch};
 
 use super::baselines::{PushRandom, PushTwoChoices};
-use super::model::{Outcome, Policy, run};
+use super::model::{Outcome, Policy, RunResult, run};
 use super::reference::run_reference;
 use super::scenario::{Scenario, class_names, scenarios, target_s};
 
@@ -54,35 +54,48 @@
     }
 }
 
+/// Figures of all classes and the frames that moved credits, pooled over all seeds.
+#[derive(Debug, Default)]
+struct Pool {
+    classes: Vec<Figures>,
+    starts: u64,
+    demands: u64,
+    moves: u64,
+}
+
 /// Makes a policy for one run.
 type MakePolicy = fn() -> Policy;
 
 /// Policies under trial, by name.
 fn policies() -> Vec<(&'static str, MakePolicy)> {
     vec![
-        ("random", || Policy {
-            placement: Box::new(PushRandom),
-            limits: patient(),
-            push: true,
-        }),
-        ("two-choices", || Policy {
-            placement: Box::new(PushTwoChoices),
-            limits: patient(),
-            push: true,
-        }),
-        ("dispatch", || Policy {
-            placement: Box::new(SpeedMatch),
-            limits: patient(),
-            push: false,
-        }),
-        ("dispatch-refusing", || Policy {
-            placement: Box::new(SpeedMatch),
-            limits: Limits::default(),
-            push: false,
-        }),
+        ("random", || push(Box::new(PushRandom))),
+        ("two-choices", || push(Box::new(PushTwoChoices))),
+        ("dispatch", || dispatch(1, patient())),
+        ("dispatch-3", || dispatch(3, patient())),
+        ("dispatch-refusing", || dispatch(1, Limits::default())),
     ]
 }
 
+/// One entry process that pushes tasks to workers' queues.
+fn push(placement: Box<dyn Placement>) -> Policy {
+    Policy {
+        placements: vec![placement],
+        limits: patient(),
+        push: true,
+    }
+}
+
+/// The dispatcher in this many entry processes.
+fn dispatch(entries: usize, limits: Limits) -> Policy {
+    let placement = || Box::new(SpeedMatch) as Box<dyn Placement>;
+    Policy {
+        placements: (0..entries).map(|_| placement()).collect(),
+        limits,
+        push: false,
+    }
+}
+
 /// Limits without overload refusal, so that all policies serve the same jobs.
 fn patient() -> Limits {
     Limits {
@@ -91,7 +104,7 @@
     }
 }
 
-/// Runs all scenarios and writes one line per scenario, class and policy.
+/// Runs all scenarios, or only one, and writes one line per scenario, class and policy.
 ///
 /// # Errors
 /// The error of `out`.
@@ -100,39 +113,48 @@
         if only.is_some_and(|name| name != scenario.name) {
             continue;
         }
-        let reference = pooled(&scenario, &|workload, _| run_reference(workload));
+        let reference = pooled(&scenario, &|workload, _| RunResult {
+            outcomes: run_reference(workload),
+            ..RunResult::default()
+        });
         write_lines(out, scenario.name, "reference", &reference, &reference)?;
         for (name, policy) in policies() {
-            let figures = pooled(&scenario, &|workload, seed| run(workload, policy(), seed));
-            write_lines(out, scenario.name, name, &figures, &reference)?;
+            let pool = pooled(&scenario, &|workload, seed| run(workload, policy(), seed));
+            write_lines(out, scenario.name, name, &pool, &reference)?;
         }
     }
     Ok(())
 }
 
-type Runner<'a> = &'a dyn Fn(&super::scenario::Workload, u64) -> Vec<Outcome>;
+type Runner<'a> = &'a dyn Fn(&super::scenario::Workload, u64) -> RunResult;
 
-/// Figures of each class over all seeds.
-fn pooled(scenario: &Scenario, runner: Runner<'_>) -> Vec<Figures> {
-    let mut figures = vec![Figures::default(); class_names().count()];
+fn pooled(scenario: &Scenario, runner: Runner<'_>) -> Pool {
+    let mut pool = Pool {
+        classes: vec![Figures::default(); class_names().count()],
+        ..Pool::default()
+    };
     for seed in SEEDS {
         let workload = scenario.workload(seed);
-        for (job, outcome) in workload.jobs.iter().zip(runner(&workload, seed)) {
-            figures[job.class].add(outcome);
+        let result = runner(&workload, seed);
+        pool.starts += result.starts;
+        pool.demands += result.demands;
+        pool.moves += result.moves;
+        for (job, outcome) in workload.jobs.iter().zip(result.outcomes) {
+            pool.classes[job.class].add(outcome);
         }
     }
-    figures
+    pool
 }
 
 fn write_lines(
     out: &mut impl Write,
     scenario: &str,
     policy: &str,
-    figures: &[Figures],
-    reference: &[Figures],
+    pool: &Pool,
+    reference: &Pool,
 ) -> io::Result<()> {
     for (class, name) in class_names().enumerate() {
-        let (own, ideal) = (&figures[class], &reference[class]);
+        let (own, ideal) = (&pool.classes[class], &reference.classes[class]);
         if ideal.responses_s.is_empty() {
             continue;
         }
@@ -151,5 +173,14 @@
             own.open,
         )?;
     }
-    Ok(())
+    let starts = pool.starts.max(1) as f64;
+    if pool.demands + pool.moves == 0 {
+        return Ok(());
+    }
+    writeln!(
+        out,
+        "{scenario:8} frames {policy:18} demand {:.2} and grant, recall, return {:.2} per start",
+        pool.demands as f64 / starts,
+        pool.moves as f64 / starts,
+    )
 }
