perf(core): tell agents of the most urgent tasks only

Cause: a demand named all waiting tasks with the deadline of the first, and was not renewed when more urgent work arrived; agents gave slots to bulk work of one process while short work of another waited. Change: a demand names the waiting tasks of the most urgent class, at most the slots of the agent, and their deadline; it goes to as many agents as such tasks wait, is renewed when it is no longer about right, and ends after 20 ms. Budget: 0.1 frames a start and 5 a second.

--- a/crates/core/src/dispatch/demand.rs
+++ b/crates/core/src/dispatch/demand.rs
@@ -1,46 +1,58 @@
 //! Demand frames: which agents are told that tasks wait here.
 //!
-//! The agents told are about as many as tasks wait, and more from one interval to the next as
-//! long as tasks wait, so that a short wait among many agents costs few frames.
+//! An agent is told of the most urgent waiting tasks only: how many of their class wait, at most as
+//! many as it has slots, and when the first of them is due. The agents told are about as many as
+//! tasks wait, and more the longer they wait, so that a short wait among many agents costs few
+//! frames.
 
 use std::time::Duration;
 
 use super::dispatcher::Dispatcher;
-use super::worker::WorkerKey;
+use super::worker::{Told, WorkerKey};
 use crate::clock::Now;
 use crate::peer::LinkKey;
 
 /// Fewest agents told when tasks wait.
-const FEWEST_AGENTS: usize = 8;
+const FEWEST_AGENTS: usize = 2;
 
 /// Doublings after which any number of agents has been told.
 const MOST_DOUBLINGS: u32 = 24;
 
-/// Frames of demand allowed for each start. The end of a demand costs a second frame.
-const FRAMES_PER_START: f64 = 0.125;
+/// Time between two looks at what the agents have been told, unless more urgent tasks wait.
+const LOOK_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Frames of demand allowed for each start. Each is followed by about two that move credits, and
+/// often by one that ends the demand; all frames of a task are to stay near 2.5.
+const FRAMES_PER_START: f64 = 0.1;
 
 /// Frames of demand allowed each second without any start.
-const FRAMES_PER_SECOND: f64 = 200.0;
+const FRAMES_PER_SECOND: f64 = 5.0;
 
-/// Time after which an update is tried again when no frame was allowed.
-const RETRY_DELAY: Duration = Duration::from_millis(1);
+/// The most urgent waiting tasks.
+#[derive(Debug, Clone, Copy)]
+struct Urgent {
+    /// Waiting tasks of their class.
+    waiting: u32,
+    /// Earliest deadline.
+    due: Duration,
+    /// Difference between deadlines that is not worth a frame.
+    tolerance: Duration,
+}
 
-/// Which agents have been told what.
+/// Which agents are to be told what.
 #[derive(Debug, Default)]
 pub(super) struct Demand {
     /// All workers; the next one to tell is at `cursor`.
     ring: Vec<WorkerKey>,
     cursor: usize,
-    /// Workers told of a demand that has not been ended.
-    told: Vec<WorkerKey>,
-    /// Power of two of the waiting tasks, as told.
-    level: u32,
-    /// Since when tasks wait.
-    since: Option<Duration>,
-    /// Since when no task waits although agents have been told so.
+    /// Agents told of a demand that has not been ended.
+    told: usize,
+    /// The most urgent tasks and the time since when such tasks wait.
+    since: Option<(Urgent, Duration)>,
+    /// Since when no task waits.
     over: Option<Duration>,
-    /// Next time at which agents with an outdated level are looked for.
-    update: Duration,
+    /// Time of the next look.
+    look: Duration,
     /// Frames allowed now, and when this was last brought up to date.
     allowed: (f64, Duration),
 }
@@ -52,10 +64,10 @@
         self.allowed.0 += 1.0;
     }
 
-    /// Forgets a worker that is gone.
-    pub(super) fn remove(&mut self, key: WorkerKey) {
+    /// Forgets a worker that is gone and had been told this.
+    pub(super) fn remove(&mut self, key: WorkerKey, told: Told) {
         self.ring.retain(|k| *k != key);
-        self.told.retain(|k| *k != key);
+        self.told -= usize::from(told.waiting > 0);
     }
 
     /// A task has started.
@@ -71,21 +83,33 @@
         self.allowed = (allowed.min(most), now.mono);
     }
 
-    /// Uses up one frame if one is allowed.
-    fn take(&mut self) -> bool {
-        let any = self.allowed.0 >= 1.0;
-        if any {
-            self.allowed.0 -= 1.0;
+    /// Since when tasks of this urgency wait. More urgent ones begin anew.
+    fn wait(&mut self, now: Now, urgent: Urgent) -> Duration {
+        let (known, since) = *self.since.get_or_insert((urgent, now.mono));
+        let sooner = urgent.due.saturating_add(known.tolerance) < known.due;
+        let since = if sooner { now.mono } else { since };
+        if sooner {
+            self.look = Duration::ZERO;
         }
-        any
+        self.since = Some((urgent, since));
+        since
     }
+}
 
-    /// Sets the level; it falls only by a factor of four, so that it does not change to and fro.
-    fn set_level(&mut self, level: u32) {
-        if level > self.level || level + 2 <= self.level {
-            self.level = level;
-            self.update = Duration::ZERO;
-        }
+impl Told {
+    /// Whether the agent was told of tasks as urgent as these.
+    fn covers(&self, urgent: Urgent) -> bool {
+        self.waiting > 0 && self.due <= urgent.due.saturating_add(urgent.tolerance)
+    }
+
+    /// Whether the agent was told of tasks that are clearly more urgent.
+    fn exceeds(&self, urgent: Urgent) -> bool {
+        self.waiting > 0 && self.due.saturating_add(urgent.tolerance) < urgent.due
+    }
+
+    /// Whether as many tasks were told as wait, within a factor of two up and four down.
+    fn fits(&self, waiting: u32) -> bool {
+        waiting < 2 * self.waiting && waiting.saturating_mul(4) > self.waiting
     }
 }
 
@@ -93,113 +117,147 @@
     /// Appends the demand frames to send now: link, waiting tasks, milliseconds until the earliest
     /// deadline. Call it after [`Self::next`] has returned `None`.
     ///
-    /// An agent gets a frame when the level (the power of two of the waiting tasks) has changed,
-    /// at most once per `demand_interval`; a frame with 0 ends the demand after `demand_hold`.
+    /// An agent gets a frame when what it was told is no longer about right, at most once per
+    /// `demand_interval`; a frame with 0 ends the demand after `demand_hold`.
     pub fn demand(&mut self, now: Now, out: &mut Vec<(LinkKey, u32, i32)>) {
-        if self.queues.waiting == 0 {
+        let Some(urgent) = self.urgent() else {
             self.end_demand(now, out);
             return;
-        }
+        };
         self.demand.over = None;
+        let since = self.demand.wait(now, urgent);
+        if now.mono < self.demand.look {
+            return;
+        }
+        self.demand.look = now.mono + LOOK_INTERVAL;
         self.demand.allow(now);
-        let since = *self.demand.since.get_or_insert(now.mono);
-        let level = self.queues.waiting.checked_ilog2().map_or(0, |l| l + 1);
-        self.demand.set_level(level);
-        let slack_ms = self.slack_ms(now);
-        self.update_told(now, slack_ms, out);
         let interval_ms = self.limits.demand_interval.as_millis().max(1);
         let doublings = now.since(since).as_millis() / interval_ms;
         let doublings = u32::try_from(doublings).unwrap_or(u32::MAX);
-        let first = FEWEST_AGENTS.max(self.queues.waiting as usize);
+        let first = FEWEST_AGENTS.max(urgent.waiting as usize);
         let wanted = first.saturating_mul(1 << doublings.min(MOST_DOUBLINGS));
-        self.tell_more(now, slack_ms, wanted, out);
+        let covered = self.update_told(now, urgent, out);
+        self.tell_more(now, urgent, wanted.saturating_sub(covered), out);
     }
 
-    /// Tells agents whose last frame has another level.
-    fn update_told(&mut self, now: Now, slack_ms: i32, out: &mut Vec<(LinkKey, u32, i32)>) {
-        if now.mono < self.demand.update {
-            return;
-        }
-        let interval = self.limits.demand_interval;
-        self.demand.update = Duration::MAX;
-        for place in 0..self.demand.told.len() {
-            let Some(worker) = self.workers.get_mut(self.demand.told[place]) else {
+    /// Corrects agents that were told of more urgent tasks or of a very different number. Returns
+    /// how many agents know of tasks as urgent as these.
+    fn update_told(
+        &mut self,
+        now: Now,
+        urgent: Urgent,
+        out: &mut Vec<(LinkKey, u32, i32)>,
+    ) -> usize {
+        let mut covered = 0;
+        for place in 0..self.demand.ring.len() {
+            let key = self.demand.ring[place];
+            let Some(worker) = self.workers.get(key) else {
                 continue;
             };
-            if worker.told.0 == self.demand.level {
+            if !worker.told.covers(urgent) {
                 continue;
             }
-            let again = worker.told.1.map_or(Duration::ZERO, |at| at + interval);
-            if now.mono < again || !self.demand.take() {
-                let later = again.max(now.mono + RETRY_DELAY);
-                self.demand.update = self.demand.update.min(later);
-                continue;
+            covered += 1;
+            let held = worker
+                .told
+                .at
+                .is_some_and(|at| now.since(at) >= self.limits.demand_hold);
+            let exceeds = worker.told.exceeds(urgent) && held;
+            if exceeds || !worker.told.fits(urgent.waiting.min(worker.slots)) {
+                self.tell(now, key, urgent, out);
             }
-            worker.told = (self.demand.level, Some(now.mono));
-            out.push((worker.link, self.queues.waiting, slack_ms));
         }
+        covered
     }
 
-    /// Tells agents that have not been told, until `wanted` have.
+    /// Tells `more` agents that do not know of tasks as urgent as these.
     fn tell_more(
         &mut self,
         now: Now,
-        slack_ms: i32,
-        wanted: usize,
+        urgent: Urgent,
+        mut more: usize,
         out: &mut Vec<(LinkKey, u32, i32)>,
     ) {
-        let wanted = wanted.min(self.demand.ring.len());
         for _ in 0..self.demand.ring.len() {
-            if self.demand.told.len() >= wanted {
+            if more == 0 || self.demand.allowed.0 < 1.0 {
                 return;
             }
             self.demand.cursor = (self.demand.cursor + 1) % self.demand.ring.len();
             let key = self.demand.ring[self.demand.cursor];
-            let Some(worker) = self.workers.get_mut(key) else {
-                continue;
-            };
-            let interval = self.limits.demand_interval;
-            let recent = worker.told.1.is_some_and(|at| now.since(at) < interval);
-            if worker.told.0 > 0 || recent {
+            let known = |w: &super::worker::Worker| w.told.covers(urgent);
+            if self.workers.get(key).is_some_and(known) {
                 continue;
             }
-            if !self.demand.take() {
-                return;
-            }
-            worker.told = (self.demand.level, Some(now.mono));
-            out.push((worker.link, self.queues.waiting, slack_ms));
-            self.demand.told.push(key);
+            more -= usize::from(self.tell(now, key, urgent, out));
+        }
+    }
+
+    /// Tells one agent, unless it was told something a moment ago or no frame is allowed.
+    fn tell(
+        &mut self,
+        now: Now,
+        key: WorkerKey,
+        urgent: Urgent,
+        out: &mut Vec<(LinkKey, u32, i32)>,
+    ) -> bool {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return false;
+        };
+        let interval = self.limits.demand_interval;
+        let recent = worker.told.at.is_some_and(|at| now.since(at) < interval);
+        if recent || self.demand.allowed.0 < 1.0 {
+            return false;
         }
+        self.demand.allowed.0 -= 1.0;
+        self.demand.told += usize::from(worker.told.waiting == 0);
+        let waiting = urgent.waiting.min(worker.slots.max(1));
+        worker.told = Told {
+            waiting,
+            due: urgent.due,
+            at: Some(now.mono),
+        };
+        out.push((worker.link, waiting, slack_ms(now, urgent.due)));
+        true
     }
 
     /// Tells the agents that the demand is over.
     fn end_demand(&mut self, now: Now, out: &mut Vec<(LinkKey, u32, i32)>) {
         self.demand.since = None;
-        if self.demand.told.is_empty() {
+        if self.demand.told == 0 {
             return;
         }
         let over = *self.demand.over.get_or_insert(now.mono);
         if now.since(over) < self.limits.demand_hold {
             return;
         }
-        for key in self.demand.told.drain(..) {
-            let Some(worker) = self.workers.get_mut(key) else {
+        for worker in self.workers.values_mut() {
+            if worker.told.waiting == 0 {
                 continue;
-            };
-            worker.told = (0, Some(now.mono));
+            }
+            worker.told.waiting = 0;
+            worker.told.at = Some(now.mono);
             out.push((worker.link, 0, 0));
         }
-        self.demand.level = 0;
+        self.demand.told = 0;
     }
 
-    /// Time until the earliest deadline of a waiting task, in milliseconds.
-    fn slack_ms(&self, now: Now) -> i32 {
-        let Some((deadline, _)) = self.queues.heads().next() else {
-            return 0;
-        };
-        let ahead = deadline.saturating_sub(now.mono).as_millis();
-        let behind = now.since(deadline).as_millis();
-        let ahead = i32::try_from(ahead).unwrap_or(i32::MAX);
-        ahead.saturating_sub(i32::try_from(behind).unwrap_or(i32::MAX))
+    /// The most urgent waiting tasks.
+    fn urgent(&self) -> Option<Urgent> {
+        let (due, queue) = self.queues.heads().next()?;
+        let class = self.queues.pair(queue)?.0;
+        let class = self.queues.classes.get(class)?;
+        Some(Urgent {
+            waiting: class.waiting,
+            due,
+            tolerance: class.target,
+        })
     }
 }
+
+/// Time until `due`, in milliseconds; negative when it has passed.
+fn slack_ms(now: Now, due: Duration) -> i32 {
+    let ahead = due.saturating_sub(now.mono).as_millis();
+    let behind = now.since(due).as_millis();
+    let ahead = i32::try_from(ahead).unwrap_or(i32::MAX);
+    ahead.saturating_sub(i32::try_from(behind).unwrap_or(i32::MAX))
+}
--- a/crates/core/src/dispatch/fleet.rs
+++ b/crates/core/src/dispatch/fleet.rs
@@ -3,7 +3,7 @@
 use smol_str::SmolStr;
 
 use super::dispatcher::Dispatcher;
-use super::worker::{Worker, WorkerKey};
+use super::worker::{Told, Worker, WorkerKey};
 use crate::peer::LinkKey;
 
 /// Names of workers whose speed and health are remembered after they are gone. When there are
@@ -31,7 +31,7 @@
             running: 0,
             speed,
             health,
-            told: (0, None),
+            told: Told::default(),
         });
         self.demand.add(key);
         self.suspects.join(key, &health);
@@ -47,7 +47,7 @@
         self.slots -= worker.slots;
         self.held_credits -= worker.credits;
         self.credits.remove(key);
-        self.demand.remove(key);
+        self.demand.remove(key, worker.told);
         self.suspects.leave(key, &worker.health);
         if self.remembered.len() >= REMEMBERED_WORKERS {
             self.remembered.clear();
--- a/crates/core/src/dispatch/limits.rs
+++ b/crates/core/src/dispatch/limits.rs
@@ -34,7 +34,7 @@
             reserve_divisor: 8,
             reserve_time: Duration::from_secs(10),
             demand_interval: Duration::from_millis(20),
-            demand_hold: Duration::from_millis(100),
+            demand_hold: Duration::from_millis(20),
             zone: SmolStr::default(),
         }
     }
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -28,6 +28,17 @@
     pub(super) running: u32,
     pub(super) speed: Speed,
     pub(super) health: Health,
-    /// Demand level last sent, and when.
-    pub(super) told: (u32, Option<Duration>),
+    /// Demand that its agent was told of last.
+    pub(super) told: Told,
+}
+
+/// Demand that an agent was told of last.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Told {
+    /// Waiting tasks; 0 when there is no demand.
+    pub(super) waiting: u32,
+    /// Deadline of the most urgent of them.
+    pub(super) due: Duration,
+    /// When it was told.
+    pub(super) at: Option<Duration>,
 }
--- a/crates/testing/src/dispatch_trial/model.rs
+++ b/crates/testing/src/dispatch_trial/model.rs
@@ -1,7 +1,7 @@
 //! The queueing model: real dispatchers and agents' credits, fixed message time, virtual time.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::time::Duration;
 
 use knapweedwall_core::agent::{Credits, Move};
@@ -58,6 +58,8 @@
     pub starts: u64,
     /// `Demand` frames.
     pub demands: u64,
+    /// `Start` frames; one carries all starts of a turn for a worker.
+    pub start_frames: u64,
     /// `Grant` (other than in a report), `Recall` and `Return` frames.
     pub moves: u64,
 }
@@ -171,7 +173,7 @@
                 free: SLOTS,
                 queue: VecDeque::new(),
             });
-            self.assign(place);
+            self.assign(place, None);
         }
     }
 
@@ -207,7 +209,7 @@
                 self.agents[place].free += 1;
                 self.agents[place].credits.release(LinkKey(entry as u64));
                 self.send(Event::Report(entry, place, task, failed, run_us));
-                self.assign(place);
+                self.assign(place, Some(entry));
                 self.run_queued(place);
             }
             Event::Report(entry, place, task, failed, run_us) => {
@@ -220,7 +222,7 @@
                 self.agents[place]
                     .credits
                     .demand(now, link, waiting, slack_ms);
-                self.assign(place);
+                self.assign(place, None);
             }
             Event::Grant(entry, place, credits) => {
                 let key = self.entries[entry].keys[place];
@@ -236,7 +238,7 @@
             Event::Return(entry, place, credits) => {
                 let link = LinkKey(entry as u64);
                 self.agents[place].credits.give_back(link, credits);
-                self.assign(place);
+                self.assign(place, None);
             }
         }
     }
@@ -250,13 +252,18 @@
         self.at(self.now_us + REBALANCE_US, Event::Rebalance);
     }
 
-    fn assign(&mut self, place: usize) {
+    /// Moves credits of a worker; a grant to the entry process that gets a report goes with it.
+    fn assign(&mut self, place: usize, reported: Option<usize>) {
         if self.push {
             return;
         }
         let mut moves = Vec::new();
         self.agents[place].credits.assign(&mut moves);
+        let with_report =
+            |m: &&Move| matches!(m, Move::Grant(to, _) if Some(to.0 as usize) == reported);
+        let carried = moves.iter().filter(with_report).count() as u64;
         self.carry_out(place, moves);
+        self.result.moves -= carried;
     }
 
     fn carry_out(&mut self, place: usize, moves: Vec<Move>) {
@@ -294,11 +301,14 @@
     /// Starts what may start at an entry process and sends its demand.
     fn dispatch(&mut self, entry: usize) {
         let now = self.now();
+        let mut places = BTreeSet::new();
         while let Some(start) = self.entries[entry].dispatcher.next(now) {
             let place = self.entries[entry].places[&start.worker];
             self.result.starts += 1;
+            places.insert(place);
             self.send(Event::Start(entry, place, start.task));
         }
+        self.result.start_frames += places.len() as u64;
         let mut demands = Vec::new();
         self.entries[entry].dispatcher.demand(now, &mut demands);
         for (link, waiting, slack_ms) in demands {
