fix(testing): reserved ports are held by a bound socket

Cause: a stand-in could not bind its port in 1 of 8 runs of the system tests (address in use). Ruled out: a port left in TIME-WAIT; listeners with SO_REUSEADDR that ask for any port get it. Change: each reserved port is held by a bound socket that never listens.

--- a/crates/testing/src/cluster/build.rs
+++ b/crates/testing/src/cluster/build.rs
@@ -9,7 +9,7 @@
 use super::cluster::Cluster;
 use super::error::{Result, SystemSnafu};
 use super::node::{Node, Role};
-use super::ports::reserve;
+use super::ports::Port;
 use super::process::{Launch, Process};
 use super::settings::{self, EntryAddresses};
 use super::spec::Spec;
@@ -26,7 +26,7 @@
         let seeds = self.start_entries(spec, store)?;
         for (n, agent) in spec.agents.iter().enumerate() {
             let name = format!("agent-{}", n + 1);
-            let admin = port(&name)?;
+            let admin = self.port(&name)?;
             let endpoint = endpoints
                 .get(n / spec.sharing.max(1))
                 .copied()
@@ -40,7 +40,7 @@
     }
 
     fn start_store(&mut self, spec: &Spec) -> Result<SocketAddr> {
-        let (listen, control) = (port("store")?, port("store")?);
+        let (listen, control) = (self.port("store")?, self.port("store")?);
         let settings = json!({ "listen": listen, "control": control, "seed": spec.seed });
         let base = json!({ "controls": spec.store });
         let launch = self.launch("store", "standin-store", settings, &base)?;
@@ -52,7 +52,7 @@
         let mut endpoints = Vec::new();
         for (n, group) in spec.agents.chunks(spec.sharing.max(1)).enumerate() {
             let name = format!("endpoint-{}", n + 1);
-            let (listen, control) = (port(&name)?, port(&name)?);
+            let (listen, control) = (self.port(&name)?, self.port(&name)?);
             let slots: u32 = group.iter().map(|agent| agent.slots).sum();
             let speed = group.first().map_or(1.0, |agent| agent.speed);
             let seed = spec.seed + 1 + u64::try_from(n).unwrap_or_default();
@@ -70,13 +70,13 @@
         let mut places = Vec::new();
         for n in 1..=spec.entries {
             let name = format!("entry-{n}");
-            let frames = port(&name)?;
+            let frames = self.port(&name)?;
             let (mut advertised, mut store) = (frames, store);
             if spec.proxied {
                 advertised = self.lead(&name, frames)?;
                 store = self.lead(&format!("store@{name}"), store)?;
             }
-            let (http, admin) = (port(&name)?, port(&name)?);
+            let (http, admin) = (self.port(&name)?, self.port(&name)?);
             places.push((
                 name,
                 EntryAddresses {
@@ -155,8 +155,11 @@
         );
         Ok(())
     }
-}
 
-fn port(name: &str) -> Result<SocketAddr> {
-    reserve().context(SystemSnafu { step: "port", name })
+    fn port(&mut self, name: &str) -> Result<SocketAddr> {
+        let port = Port::reserve().context(SystemSnafu { step: "port", name })?;
+        let address = port.address();
+        self.ports.push(port);
+        Ok(address)
+    }
 }
--- a/crates/testing/src/cluster/cluster.rs
+++ b/crates/testing/src/cluster/cluster.rs
@@ -12,6 +12,7 @@
 use super::dir::Dir;
 use super::error::{Error, NoProcessSnafu, Result};
 use super::node::{Node, Role};
+use super::ports::Port;
 use super::process::Process;
 use super::spec::Spec;
 use super::wait::eventually;
@@ -34,6 +35,7 @@
 pub struct Cluster {
     pub(super) nodes: BTreeMap<String, Node>,
     pub(super) proxies: BTreeMap<String, Proxy>,
+    pub(super) ports: Vec<Port>,
     pub(super) http: Http,
     pub(super) dir: Dir,
 }
@@ -47,6 +49,7 @@
         let mut cluster = Self {
             nodes: BTreeMap::new(),
             proxies: BTreeMap::new(),
+            ports: Vec::new(),
             http: Http::default(),
             dir: Dir::open()?,
         };
--- a/crates/testing/src/cluster/mod.rs
+++ b/crates/testing/src/cluster/mod.rs
@@ -25,7 +25,7 @@
 pub use error::{Error, Result};
 pub use metrics::{Sample, parse};
 pub use node::{Node, Role};
-pub use ports::reserve;
+pub use ports::Port;
 pub use process::{Launch, Process};
 pub use spec::{AgentSpec, Spec};
 pub use usage::{Usage, usage};
--- a/crates/testing/src/cluster/ports.rs
+++ b/crates/testing/src/cluster/ports.rs
@@ -1,32 +1,40 @@
 //! Free ports for processes that are started later.
 
-use std::collections::HashSet;
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{LazyLock, Mutex, PoisonError};
+use std::net::{Ipv4Addr, SocketAddr};
 
-/// Ports handed out by this process.
-static TAKEN: LazyLock<Mutex<HashSet<u16>>> = LazyLock::new(Mutex::default);
+use tokio::net::TcpSocket;
 
-/// Reserves a port on loopback that the system chose.
+/// A port on loopback that nobody else gets as long as this value lives.
 ///
-/// One connection is opened and closed from the listener's side. It leaves the port in the state
-/// TIME-WAIT, in which the system gives it to nobody who asks for any free port for 60 s, while a
-/// listener with `SO_REUSEADDR` (as those of std and tokio) may bind it by number.
-///
-/// # Errors
-/// When the system has no free port.
-pub fn reserve() -> io::Result<SocketAddr> {
-    loop {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let address = listener.local_addr()?;
-        let client = TcpStream::connect(address)?;
-        let (accepted, _) = listener.accept()?;
-        drop(accepted);
-        drop(client);
-        let mut taken = TAKEN.lock().unwrap_or_else(PoisonError::into_inner);
-        if taken.insert(address.port()) {
-            return Ok(address);
-        }
+/// The socket is bound and never listens. With `SO_REUSEADDR` on both, a listener may bind the same
+/// port by its number, also again after a restart, while the system gives the port to nobody who
+/// asks for any free one.
+#[derive(Debug)]
+pub struct Port {
+    address: SocketAddr,
+    _socket: TcpSocket,
+}
+
+impl Port {
+    /// Reserves a port that the system chose.
+    ///
+    /// # Errors
+    /// When the system has no free port.
+    pub fn reserve() -> io::Result<Self> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+        let address = socket.local_addr()?;
+        Ok(Self {
+            address,
+            _socket: socket,
+        })
+    }
+
+    /// Its address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
     }
 }
--- a/crates/testing/src/scenario/mod.rs
+++ b/crates/testing/src/scenario/mod.rs
@@ -7,7 +7,7 @@
 //! | `answered NAME N` | waits until N jobs of the load are answered |
 //! | `settle NAME [allow=CODE,..]` | waits for all answers, checks them against the ledgers |
 //! | `submit ID [tasks=N] [ms=N] [entry=NAME] [wait=T]` | submits a job and shows its state |
-//! | `running ID` | waits until a task of the job runs |
+//! | `running ID [tasks=1]` | waits until so many tasks of the job have started |
 //! | `answer ID [entry=NAME]` | waits for the answer of a job and shows it |
 //! | `starts ID` | shows how many starts of the job the ledgers hold |
 //! | `kill`, `pause`, `continue`, `terminate`, `restart NAME` | acts on a process |
--- a/crates/testing/tests/lab/main.rs
+++ b/crates/testing/tests/lab/main.rs
@@ -4,4 +4,5 @@
 
 mod answer_checks;
 mod proxy_faults;
+mod reserved_ports;
 mod seeded_load;
