fix(testing): histograms hold times above two milliseconds

Cause: the demonstration showed 0.0 ms; saturating_record does not widen a histogram. Ruled out: record, which widens but can fail.

--- a/crates/testing/src/lab/measure/idle.rs
+++ b/crates/testing/src/lab/measure/idle.rs
@@ -24,6 +24,9 @@
 /// Run time of a task in milliseconds.
 const RUN_MS: (u64, u64) = (20, 60);
 
+/// Longest time that is told apart: one minute.
+const MAX_US: u64 = 60_000_000;
+
 /// Limit of the added time at p50 beyond one store write, in microseconds.
 const LIMIT_US: i64 = 1_000;
 
@@ -79,7 +82,7 @@
         runs.insert(start.job.clone(), ended.saturating_sub(start.started));
     }
     let unsound = |text: String| Error::Unsound { text };
-    let mut added = Histogram::new(3).map_err(|e| unsound(e.to_string()))?;
+    let mut added = Histogram::new_with_max(MAX_US, 3).map_err(|e| unsound(e.to_string()))?;
     for record in records {
         let key = JobId::parse(&record.id)
             .map_err(|e| unsound(e.to_string()))?
--- a/crates/testing/src/load/figures.rs
+++ b/crates/testing/src/load/figures.rs
@@ -13,6 +13,9 @@
 /// Significant digits of the histograms.
 const DIGITS: u8 = 3;
 
+/// Largest value that the histograms tell apart: one hour in microseconds.
+const MAX_VALUE: u64 = 3_600_000_000;
+
 /// Figures of one class.
 #[derive(Debug, Default)]
 pub struct ClassFigures {
@@ -160,7 +163,7 @@
 
 fn push(histogram: &mut Option<Histogram<u64>>, value: u128) {
     if histogram.is_none() {
-        *histogram = Histogram::new(DIGITS).ok();
+        *histogram = Histogram::new_with_max(MAX_VALUE, DIGITS).ok();
     }
     if let Some(histogram) = histogram {
         histogram.saturating_record(u64::try_from(value).unwrap_or(u64::MAX));
--- a/crates/testing/tests/lab/answer_checks.rs
+++ b/crates/testing/tests/lab/answer_checks.rs
@@ -71,3 +71,14 @@
     let figures = Figures::new(&[record(ending)], &ledgers(&[0]));
     assert_eq!(figures.miscounted.len(), 1);
 }
+
+/// Times of complete jobs are shown to three digits, not cut off at the histogram's bound.
+#[test]
+fn times_are_recorded() {
+    let figures = Figures::new(&[record(Ending::Complete)], &ledgers(&[0, 1]));
+    let class = &figures.classes["console"];
+    let millis = class.time(0.5).unwrap().as_secs_f64() * 1e3;
+    assert!((29.9..30.1).contains(&millis), "{millis}");
+    let ratio = class.ratio(0.5).unwrap();
+    assert!((1.49..1.51).contains(&ratio), "{ratio}");
+}
