feat(entry): metrics of the decisions; a stopping owner waits for a busy successor

Cause: an operator could not see responses against targets, refusals, queue ages or held-back workers; and on a busy machine a planned stop refused jobs as stopping because its peers had been silent for a second. Ruled out: a missing connection (the peers were connected). Change: counters, gauges and a response histogram by class, from the decisions themselves; a new job waits for a successor as long as one is connected.

--- a/crates/core/src/entry/answer.rs
+++ b/crates/core/src/entry/answer.rs
@@ -205,28 +205,22 @@
     )
 }
 
-/// A refusal by the dispatcher.
-pub fn refusal(refusal: Refusal) -> Reply {
-    match refusal {
-        Refusal::UnknownClass => refused(
-            404,
-            "unknown_class",
-            "there is no class of this name",
-            Ran::None,
-        ),
-        Refusal::Quota => refused(
+/// A refusal by the dispatcher, with its code.
+pub fn refusal(refusal: Refusal) -> (&'static str, Reply) {
+    let (status, code, text) = match refusal {
+        Refusal::UnknownClass => (404, "unknown_class", "there is no class of this name"),
+        Refusal::Quota => (
             429,
             "quota",
             "the team's quota is used and capacity is short",
-            Ran::None,
         ),
-        Refusal::Overloaded => refused(
+        Refusal::Overloaded => (
             503,
             "overloaded",
             "the work ahead of this job exceeds what its class's target allows",
-            Ran::None,
         ),
-    }
+    };
+    (code, refused(status, code, text, Ran::None))
 }
 
 /// A process that does not own the shard cannot tell whether an earlier submission of the id ran.
--- a/crates/core/src/entry/commit.rs
+++ b/crates/core/src/entry/commit.rs
@@ -58,6 +58,8 @@
             }
             Some(Verdict::Durable(subjects, covered)) => {
                 self.ownership.write_done();
+                self.metrics.writes.inc();
+                self.metrics.records.inc_by(subjects.len() as u64);
                 for subject in subjects {
                     self.durable(now, subject, &covered, out);
                 }
--- a/crates/core/src/entry/machine.rs
+++ b/crates/core/src/entry/machine.rs
@@ -16,6 +16,7 @@
 use super::jobs::{Jobs, Retention};
 use super::journal::Journal;
 use super::links::LinkTimes;
+use super::metrics::Metrics;
 use super::operate::Operations;
 use super::ownership::Ownership;
 use super::peers::{Peers, Watch};
@@ -81,6 +82,7 @@
     pub(super) checkpoints: Checkpoints,
     pub(super) operations: Operations,
     pub(super) times: LinkTimes,
+    pub(super) metrics: Metrics,
     pub(super) document: Document,
     pub(super) stopping: Option<Duration>,
     pub(super) ops: HashMap<StoreKey, Purpose>,
@@ -94,7 +96,7 @@
 impl Machine {
     /// Decisions of a process that has just started.
     #[must_use]
-    pub fn new(settings: Settings) -> Self {
+    pub fn new(settings: Settings, metrics: Metrics) -> Self {
         let retention = Retention {
             ids: settings.id_retention,
             answers: settings.answer_hold,
@@ -118,6 +120,7 @@
             checkpoints: Checkpoints::new(instance),
             operations: Operations::default(),
             times: LinkTimes::default(),
+            metrics,
             document: Document::default(),
             stopping: None,
             ops: HashMap::new(),
@@ -223,11 +226,26 @@
         if now.mono >= self.sweep {
             self.sweep = now.mono + Duration::from_secs(1);
             self.jobs.sweep(now);
+            self.set_gauges(now);
         }
         self.update_ready(out);
         self.try_exit(now, out);
     }
 
+    fn set_gauges(&self, now: Now) {
+        let whole = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        let metrics = &self.metrics;
+        metrics.open_jobs.set(whole(self.jobs.open_count()));
+        metrics.known_jobs.set(whole(self.jobs.known_count()));
+        metrics.journal_depth.set(whole(self.journal.depth()));
+        metrics.shards.set(whole(self.shards.owned().len()));
+        let slow = self.ownership.is_store_slow(now.mono);
+        metrics.store_slow.set(i64::from(slow));
+        let version = i64::try_from(self.document.version).unwrap_or(i64::MAX);
+        metrics.config_version.set(version);
+        metrics.set_status(&self.dispatcher.status(now));
+    }
+
     /// Adds an event for the log.
     #[expect(clippy::unused_self, reason = "keeps call sites uniform")]
     pub(super) fn log(
--- a/crates/core/src/entry/ownership.rs
+++ b/crates/core/src/entry/ownership.rs
@@ -402,6 +402,7 @@
                     self.shards.learn(shard, version, row);
                 }
                 let fields = vec![("shards", shards.len().to_string())];
+                self.metrics.claims.inc_by(shards.len() as u64);
                 self.log(out, 122, "shards claimed", false, fields);
                 self.load(now, shards.to_vec());
             }
--- a/crates/core/src/entry/peers.rs
+++ b/crates/core/src/entry/peers.rs
@@ -96,6 +96,13 @@
         self.by_name.values()
     }
 
+    /// Whether a peer is connected and not leaving, even if it has been silent for a moment.
+    pub fn has_successor(&self) -> bool {
+        self.by_name
+            .values()
+            .any(|peer| peer.link.is_some() && !peer.leaving)
+    }
+
     /// Peers that are alive and not leaving.
     pub fn staying(&self, now: Duration) -> impl Iterator<Item = &Peer> {
         self.by_name
--- a/crates/core/src/entry/submit.rs
+++ b/crates/core/src/entry/submit.rs
@@ -169,7 +169,7 @@
         }
         let shard = routed.key.shard(self.shards.count());
         match self.shards.role(shard) {
-            Role::Serving if self.is_for_successor(now, &routed) => {
+            Role::Serving if self.is_for_successor(&routed) => {
                 return self.routing.park(routed);
             }
             Role::Serving => return self.serve(now, shard, routed, out),
@@ -179,6 +179,7 @@
         let owner = self.shards.get(shard).map_or(0, |info| info.row.owner);
         match self.peers.link_of(now.mono, Instance(owner)) {
             Some(link) if owner != 0 && routed.hops < MAX_HOPS => {
+                self.metrics.forwarded.inc();
                 let frame = self.routing.send(now.mono, link, routed);
                 out.push(Action::Send(link, frame));
             }
@@ -187,10 +188,10 @@
     }
 
     /// Whether a new job should wait for the process that takes the shard over in a planned stop.
-    fn is_for_successor(&mut self, now: Now, routed: &Routed) -> bool {
+    fn is_for_successor(&mut self, routed: &Routed) -> bool {
         self.stopping.is_some()
             && matches!(routed.ask, Ask::Submit(_))
-            && self.peers.staying(now.mono).next().is_some()
+            && self.peers.has_successor()
             && self.jobs.find(routed.key).is_none()
     }
 
@@ -238,7 +239,9 @@
             return;
         }
         admit.admitted_ms = now.wall_ms;
-        if let Err(reply) = self.check(now, &admit) {
+        if let Err((code, reply)) = self.check(now, &admit) {
+            let known = self.document.classes.contains_key(admit.class.as_str());
+            self.metrics.refuse(&admit.class, known, code);
             out.push(waiter.answer(&reply));
             return;
         }
@@ -265,23 +268,25 @@
     }
 
     /// Checks a new submission before anything is recorded.
-    fn check(&self, now: Now, admit: &Admit) -> Result<(), Reply> {
+    fn check(&self, now: Now, admit: &Admit) -> Result<(), (&'static str, Reply)> {
+        let refuse =
+            |status, code, text, ran| Err((code, answer::refused(status, code, text, ran)));
         if admit.expires_ms != 0 && admit.expires_ms <= now.wall_ms {
             let text = "the time of this id is over; an earlier submission may have run";
-            return Err(answer::refused(410, "expired", text, Ran::Unknown));
+            return refuse(410, "expired", text, Ran::Unknown);
         }
         if self.stopping.is_some() {
             let text = "this process is stopping and no other can take the job";
-            return Err(answer::refused(503, "stopping", text, Ran::None));
+            return refuse(503, "stopping", text, Ran::None);
         }
         let bytes = admit.encoded_len();
         if bytes > MAX_RECORD_BYTES {
             let text = "the job is larger than 900 KiB";
-            return Err(answer::refused(413, "too_large", text, Ran::None));
+            return refuse(413, "too_large", text, Ran::None);
         }
         if !self.journal.has_room(bytes) {
             let text = "the store does not take admissions fast enough";
-            return Err(answer::refused(503, "store_unavailable", text, Ran::None));
+            return refuse(503, "store_unavailable", text, Ran::None);
         }
         let tasks = u32::try_from(admit.tasks.len()).unwrap_or(u32::MAX);
         self.dispatcher
--- a/crates/core/src/entry/tasks.rs
+++ b/crates/core/src/entry/tasks.rs
@@ -56,6 +56,7 @@
         }
         if let Some(job) = self.jobs.open(task.job) {
             job.tasks[task.index as usize] = TaskState::Running(agent);
+            self.metrics.starts.inc();
         }
     }
 
@@ -205,9 +206,14 @@
     pub(super) fn end_job(&mut self, now: Now, key: JobKey, ending: Ending, out: &mut Vec<Action>) {
         self.dispatcher.cancel(key);
         self.dispatcher.remove(key);
+        let Some(job) = self.jobs.open(key) else {
+            return;
+        };
+        let (class, arrived) = (std::mem::take(&mut job.admit.class), job.arrived);
         let Some(held) = self.jobs.end(now, key, ending) else {
             return;
         };
+        self.metrics.end(&class, &held.code(), now.since(arrived));
         if held.is_final() {
             deliver(now, held, out);
         }
--- a/crates/entry/src/cli.rs
+++ b/crates/entry/src/cli.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use clap::{Parser, Subcommand};
-use knapweedwall_core::entry::Machine;
+use knapweedwall_core::entry::{Machine, Metrics};
 use knapweedwall_platform::HttpPlatform;
 use knapweedwall_runtime::{log, settings, signals};
 use snafu::ResultExt;
@@ -88,7 +88,11 @@
     let platform = HttpPlatform::new(settings.store.address, settings.store.timeout);
     let decided = settings.clone();
     let parts = Parts {
-        decisions: Box::new(move |own, _registry| Box::new(Machine::new(decided.decisions(own)))),
+        decisions: Box::new(move |own, registry| {
+            let metrics = Metrics::default();
+            metrics.register(registry);
+            Box::new(Machine::new(decided.decisions(own), metrics))
+        }),
         platform: Arc::new(platform),
         log: log.clone(),
     };
--- a/crates/testing/tests/decisions/driver.rs
+++ b/crates/testing/tests/decisions/driver.rs
@@ -15,7 +15,8 @@
 };
 use knapweedwall_core::config::{Change, Class};
 use knapweedwall_core::entry::{
-    Action, CallKey, Decisions, Input, Machine, Operation, Settings, StoreKey,
+    Action, CallKey, Decisions, Input, Machine, Metrics as EntryMetrics, Operation, Settings,
+    StoreKey,
 };
 use knapweedwall_core::store::{Failure, Outcome, Reply, Request, Row, Transaction};
 use knapweedwall_core::{Instance, JobId, JobKey, LinkKey, Now, PeerInfo, Role, TaskRef};
@@ -139,7 +140,7 @@
         let mut settings = Settings::new(name, zone, instance, address);
         settings.seeds = vec!["entry-0".into(), "entry-1".into(), "entry-2".into()];
         let info = peer(Role::Entry, settings.name.clone(), instance, 0);
-        let entry = Some(Machine::new(settings));
+        let entry = Some(Machine::new(settings, EntryMetrics::default()));
         self.nodes
             .insert(Place::Entry(index), node(entry, None, info));
     }
