perf(core): no demand to agents whose slots are all used or held here

Cause: such an agent has no slot to give, and frames are short. Change: it is passed over when agents are chosen.

--- a/crates/core/src/dispatch/demand.rs
+++ b/crates/core/src/dispatch/demand.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use super::dispatcher::Dispatcher;
-use super::worker::{Told, WorkerKey};
+use super::worker::{Told, Worker, WorkerKey};
 use crate::clock::Now;
 use crate::peer::LinkKey;
 
@@ -184,8 +184,8 @@
             }
             self.demand.cursor = (self.demand.cursor + 1) % self.demand.ring.len();
             let key = self.demand.ring[self.demand.cursor];
-            let known = |w: &super::worker::Worker| w.told.covers(urgent);
-            if self.workers.get(key).is_some_and(known) {
+            let skip = |w: &Worker| w.told.covers(urgent) || w.all_here();
+            if self.workers.get(key).is_some_and(skip) {
                 continue;
             }
             more -= usize::from(self.tell(now, key, urgent, out));
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -32,6 +32,13 @@
     pub(super) told: Told,
 }
 
+impl Worker {
+    /// Whether this process uses or holds all slots, so that the agent has no others to give.
+    pub(super) fn all_here(&self) -> bool {
+        self.running.saturating_add(self.credits) >= self.slots
+    }
+}
+
 /// Demand that an agent was told of last.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Told {
