fix(runtime): stop dialling the own address and slow down repeated short links

Cause: the accepting side rejects a link to itself before the dialling side sees the Welcome, so the dialling side took the refusal for a fault and dialled the own address for ever. A peer that closed each link at once was dialled about 40 times a second. Ruled out: comparing addresses only, since one listener has several. Change: a refusal with the code own ends dialling; delays start over only after a link of 2 s.

--- a/crates/runtime/src/links/dial.rs
+++ b/crates/runtime/src/links/dial.rs
@@ -15,6 +15,10 @@
 /// Smallest and largest limit of the delay between attempts.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(2));
 
+/// A link that lasted this long starts the delays over. After a shorter one they keep growing, so
+/// that a peer which closes every link at once is not dialled many times a second.
+const SETTLED_AFTER: Duration = Duration::from_secs(2);
+
 /// An address that is not a seed is given up after this time without a link.
 const GIVE_UP_AFTER: Duration = Duration::from_secs(60);
 
@@ -55,12 +59,15 @@
         match handshake::dial(hub, address, target).await {
             Ok(joined) => {
                 instance = Some(joined.live.peer.instance);
+                let up = Instant::now();
                 session::run(hub, joined).await;
-                backoff.reset();
-                failing = false;
                 linked_at = Instant::now();
+                failing = false;
+                if linked_at - up >= SETTLED_AFTER {
+                    backoff.reset();
+                }
             }
-            Err(handshake::Error::Own) => return,
+            Err(error) if error.is_own() => return,
             Err(error) if error.is_duplicate() => {}
             Err(error) => {
                 if !failing {
--- a/crates/runtime/src/links/handshake.rs
+++ b/crates/runtime/src/links/handshake.rs
@@ -29,6 +29,9 @@
 /// Code of [`Error::Duplicate`].
 const DUPLICATE: &str = "duplicate";
 
+/// Code of [`Error::Own`].
+const OWN: &str = "own";
+
 /// Result of a hand-shake.
 pub(super) type Result<T, E = Error> = std::result::Result<T, E>;
 
@@ -73,15 +76,24 @@
             Self::Field { .. } => "bad_hello",
             Self::Refused { .. } => "refused",
             Self::Duplicate => DUPLICATE,
-            Self::Own => "own",
+            Self::Own => OWN,
         }
     }
 
     /// Whether either side found that the two processes have a link already.
     pub(super) fn is_duplicate(&self) -> bool {
+        self.found(DUPLICATE)
+    }
+
+    /// Whether either side found that both are this process.
+    pub(super) fn is_own(&self) -> bool {
+        self.found(OWN)
+    }
+
+    fn found(&self, wanted: &str) -> bool {
         match self {
-            Self::Refused { code, .. } => code == DUPLICATE,
-            other => other.code() == DUPLICATE,
+            Self::Refused { code, .. } => code == wanted,
+            other => other.code() == wanted,
         }
     }
 }
