--- a/crates/core/src/entry/submit.rs
+++ b/crates/core/src/entry/submit.rs
@@ -9,7 +9,7 @@
 use super::answer::{self, Cause, Ran, Reply};
 use super::io::{Action, CallKey};
 use super::jobs::{Ending, Found, Job, Phase, TaskState};
-use super::journal::{Guard, MAX_RECORD_BYTES};
+use super::journal::{Guard, MAX_RECORD_BYTES, Subject};
 use super::machine::Machine;
 use super::routing::{Ask, MAX_HOPS, Routed};
 use super::shards::Role;
@@ -179,9 +179,8 @@
         let owner = self.shards.get(shard).map_or(0, |info| info.row.owner);
         match self.peers.link_of(now.mono, Instance(owner)) {
             Some(link) if owner != 0 && routed.hops < MAX_HOPS => {
-                let frame = routed.clone();
-                let number = self.routing.send(link, routed);
-                out.push(Action::Send(link, frame.frame(number, now.mono)));
+                let frame = self.routing.send(now.mono, link, routed);
+                out.push(Action::Send(link, frame));
             }
             _ => self.routing.park(routed),
         }
@@ -215,8 +214,8 @@
         let waiter = routed.waiter;
         match routed.ask {
             Ask::Submit(admit) => self.submit(now, shard, routed.id, waiter, *admit, out),
-            Ask::Query => self.query(now, routed.key, waiter, out),
-            Ask::Cancel => self.cancel(now, routed.key, waiter, out),
+            Ask::Query => self.query(now, &routed.id, waiter, out),
+            Ask::Cancel => self.cancel(now, &routed.id, waiter, out),
         }
     }
 
@@ -232,7 +231,7 @@
         let key = id.key();
         if let Some(found) = self.jobs.find(key) {
             if found.digest() == admit.digest {
-                return self.query(now, key, waiter, out);
+                return self.query(now, &id, waiter, out);
             }
             let text = "the id belongs to a job with other content; none of this content ran";
             out.push(waiter.answer(&answer::refused(409, "id_reused", text, Ran::None)));
@@ -243,18 +242,28 @@
             out.push(waiter.answer(&reply));
             return;
         }
-        let record = JournalRecord {
-            shard: shard.0,
-            body: Some(Body::Admit(admit.clone())),
-        };
-        self.journal
-            .push(now.mono, record, Guard::Shard(shard), true);
+        let admit = self.record_admission(now, shard, key, admit);
         let mut job = Job::new(id, shard, admit, now.mono, Phase::Queued);
         job.waiters.push(waiter);
         self.jobs.insert(job);
         self.deadlines.add(waiter.until, key);
     }
 
+    /// Has an admission written to the journal; gives its content back.
+    fn record_admission(&mut self, now: Now, shard: Shard, key: JobKey, admit: Admit) -> Admit {
+        let record = JournalRecord {
+            shard: shard.0,
+            body: Some(Body::Admit(admit)),
+        };
+        let entry = (Subject::Admission(key), &record);
+        self.journal
+            .push(now.mono, entry, Guard::Shard(shard), true);
+        match record.body {
+            Some(Body::Admit(admit)) => admit,
+            _ => Admit::default(),
+        }
+    }
+
     /// Checks a new submission before anything is recorded.
     fn check(&self, now: Now, admit: &Admit) -> Result<(), Reply> {
         if admit.expires_ms != 0 && admit.expires_ms <= now.wall_ms {
@@ -281,7 +290,8 @@
     }
 
     /// Answers a waiter now, if the job has ended, else when it ends.
-    fn query(&mut self, now: Now, key: JobKey, waiter: Waiter, out: &mut Vec<Action>) {
+    fn query(&mut self, now: Now, id: &JobId, waiter: Waiter, out: &mut Vec<Action>) {
+        let key = id.key();
         match self.jobs.find(key) {
             None => {
                 let text = "no job of this id was admitted, or its time is over";
@@ -300,15 +310,16 @@
                 }
             }
             Some(Found::Forgotten(forgotten)) => {
-                let id = key.to_string();
-                out.push(waiter.answer(&answer::collected(&id, forgotten.complete)));
+                let reply = answer::collected(id.as_str(), &forgotten.code);
+                out.push(waiter.answer(&reply));
             }
         }
     }
 
-    fn cancel(&mut self, now: Now, key: JobKey, waiter: Waiter, out: &mut Vec<Action>) {
+    fn cancel(&mut self, now: Now, id: &JobId, waiter: Waiter, out: &mut Vec<Action>) {
+        let key = id.key();
         let Some(job) = self.jobs.open(key) else {
-            return self.query(now, key, waiter, out);
+            return self.query(now, id, waiter, out);
         };
         job.waiters.push(waiter);
         self.deadlines.add(waiter.until, key);
@@ -317,20 +328,18 @@
 
     /// Ends an open job as cancelled: tasks that wait are dropped, tasks that run are stopped.
     ///
-    /// A job whose record is in flight may be admitted, and a job of a former owner may have been
-    /// answered as complete, so its cancel waits until that is known.
+    /// A cancel is recorded behind the admission, so that a resubmission finds the job cancelled; it
+    /// waits for the admission. A job of a former owner may have been answered as complete, so its
+    /// cancel waits until all its tasks are accounted for.
     pub(super) fn cancel_now(&mut self, now: Now, key: JobKey, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.open(key) else {
             return;
         };
         let unaccounted = job.tasks.contains(&TaskState::Unaccounted);
-        if job.phase == Phase::Written || unaccounted {
+        if job.phase != Phase::Active || unaccounted {
             self.ownership.cancels.push(key);
             return;
         }
-        if job.phase == Phase::Queued {
-            self.journal.withdraw(|record| is_admission(record, key));
-        }
         for agent in job.witnesses() {
             self.agents.cancel(agent, key.to_bytes());
         }
@@ -385,7 +394,7 @@
         let text = "the store did not take the admission in time; it was never sent";
         let reply = answer::refused(503, "store_unavailable", text, Ran::None);
         for key in late {
-            self.journal.withdraw(|record| is_admission(record, key));
+            self.journal.withdraw(key);
             let Some(job) = self.jobs.discard(key) else {
                 continue;
             };
@@ -403,7 +412,3 @@
         until: now.mono + wait,
     }
 }
-
-fn is_admission(record: &JournalRecord, key: JobKey) -> bool {
-    matches!(&record.body, Some(Body::Admit(admit)) if admit.job == key.to_bytes())
-}
--- a/crates/core/src/entry/tasks.rs
+++ b/crates/core/src/entry/tasks.rs
@@ -10,7 +10,7 @@
 use super::answer::{Cause, IN_DOUBT};
 use super::io::Action;
 use super::jobs::{Ending, Held, Phase, TaskState};
-use super::journal::Guard;
+use super::journal::{Guard, Subject};
 use super::machine::Machine;
 use super::shards::Role;
 use crate::clock::Now;
@@ -205,31 +205,21 @@
     pub(super) fn end_job(&mut self, now: Now, key: JobKey, ending: Ending, out: &mut Vec<Action>) {
         self.dispatcher.cancel(key);
         self.dispatcher.remove(key);
-        let admitted = self
-            .jobs
-            .open(key)
-            .is_some_and(|job| job.phase != Phase::Queued);
         let Some(held) = self.jobs.end(now, key, ending) else {
             return;
         };
-        held.durable = !admitted;
         if held.is_final() {
             deliver(now, held, out);
         }
-        if admitted {
-            let urgent = !held.is_final();
-            let body = Some(RecordBody::End(held.record()));
-            let (shard, guard) = (held.shard, Guard::Shard(held.shard));
-            self.journal.push(
-                now.mono,
-                JournalRecord {
-                    shard: shard.0,
-                    body,
-                },
-                guard,
-                urgent,
-            );
-        }
+        let urgent = !held.is_final();
+        let body = Some(RecordBody::End(held.record()));
+        let (shard, guard) = (held.shard, Guard::Shard(held.shard));
+        let record = JournalRecord {
+            shard: shard.0,
+            body,
+        };
+        let entry = (Subject::End(key), &record);
+        self.journal.push(now.mono, entry, guard, urgent);
     }
 
     /// Ends jobs of which no task could be started in time.
