fix(core): do not refuse a burst for lack of credits at the moment

Cause: a process that holds few credits refused work as overloaded although demand would have brought it free slots within milliseconds. Ruled out: a fixed share of the slots for each process; the number of processes is not known here. Change: until tasks have waited for half of their target, the work ahead is divided by all slots of the fleet, afterwards by the slots that this process uses. Conclusion: refusals follow what tasks really wait.

--- a/crates/core/src/dispatch/door.rs
+++ b/crates/core/src/dispatch/door.rs
@@ -3,7 +3,7 @@
 use derive_more::Display;
 
 use super::dispatcher::Dispatcher;
-use super::queues::{Class, ClassKey, Team};
+use super::queues::{Class, Team};
 use crate::clock::Now;
 
 /// Reason why a submission is refused; none of its tasks ran.
@@ -32,8 +32,7 @@
             return Ok(());
         }
         let limit_s = self.limits.overload_factor * class.target.as_secs_f64();
-        let slots = f64::from(self.usable_slots());
-        if self.work_ahead_s(now, class) / slots > limit_s {
+        if self.is_overloaded(now, class, limit_s) {
             return Err(Refusal::Overloaded);
         }
         let team = self.queues.teams.get(self.queues.team(team));
@@ -43,33 +42,30 @@
         Ok(())
     }
 
-    /// Run time of the waiting tasks whose deadline is earlier than that of a task of `class`
-    /// that arrives now, in seconds.
-    fn work_ahead_s(&self, now: Now, class: &Class) -> f64 {
-        let mut total_s = 0.0;
+    /// Whether a task of `class` that arrives now has to wait longer than `limit_s`.
+    ///
+    /// Slots move to this process within milliseconds when other processes do not need them, so
+    /// the slots used now count only once tasks have waited; until then all slots do.
+    fn is_overloaded(&self, now: Now, class: &Class, limit_s: f64) -> bool {
+        let mut work_s = 0.0;
+        let mut waited = false;
         for (key, other) in &self.queues.classes {
-            if other.waiting == 0 {
+            let front = self.queues.fronts(key).map(|f| f.0).min();
+            let Some(front) = front.filter(|_| other.waiting > 0) else {
                 continue;
-            }
-            let ahead = self.share_ahead(now, class, key, other);
-            total_s += f64::from(other.waiting) * other.run_time.mean_s() * ahead;
+            };
+            let age = now.since(front);
+            let ahead = share_ahead(class, other, age.as_secs_f64());
+            work_s += f64::from(other.waiting) * other.run_time.mean_s() * ahead;
+            waited |= ahead > 0.0 && age > other.target / 2;
         }
-        total_s
-    }
-
-    /// Share of the waiting tasks of `other` with an earlier deadline than a task of `class` that
-    /// arrives now. Arrivals are taken as evenly spread since the oldest.
-    fn share_ahead(&self, now: Now, class: &Class, key: ClassKey, other: &Class) -> f64 {
-        let Some(oldest) = self.queues.fronts(key).map(|f| f.0).min() else {
-            return 0.0;
+        let usable = self.usable_slots();
+        let slots = if waited {
+            usable
+        } else {
+            usable.max(self.slots)
         };
-        let age_s = now.since(oldest).as_secs_f64();
-        let later_s = other.deadline_after().as_secs_f64();
-        let ahead_s = age_s + class.deadline_after().as_secs_f64() - later_s;
-        if age_s <= 0.0 {
-            return if ahead_s >= 0.0 { 1.0 } else { 0.0 };
-        }
-        (ahead_s / age_s).clamp(0.0, 1.0)
+        work_s / f64::from(slots) > limit_s
     }
 
     /// Whether the team is over its quota and its own waiting work takes longer than `limit_s`
@@ -83,3 +79,14 @@
         others_wait && team.running >= share && work_s / f64::from(share.max(1)) > limit_s
     }
 }
+
+/// Share of the waiting tasks of `other` with an earlier deadline than a task of `class` that
+/// arrives now. Arrivals are taken as evenly spread over the last `age_s` seconds.
+fn share_ahead(class: &Class, other: &Class, age_s: f64) -> f64 {
+    let later_s = other.deadline_after().as_secs_f64() - class.deadline_after().as_secs_f64();
+    let ahead_s = age_s - later_s;
+    if age_s <= 0.0 {
+        return if ahead_s >= 0.0 { 1.0 } else { 0.0 };
+    }
+    (ahead_s / age_s).clamp(0.0, 1.0)
+}
--- a/crates/core/tests/dispatch/overload.rs
+++ b/crates/core/tests/dispatch/overload.rs
@@ -5,7 +5,8 @@
 
 use crate::bench::Bench;
 
-/// Four slots that run tasks of `class` in one second each, with `waiting` tasks in the queue.
+/// Four slots that run tasks of `class` in one second each, with `waiting` tasks in the queue that
+/// have waited longer than their target. Four more slots of the worker are used by others.
 fn loaded(class: &str, waiting: u32) -> Bench {
     let mut bench = Bench::new();
     bench.worker("w", 4);
@@ -17,9 +18,21 @@
     bench.submit("running", class, "t", 4);
     assert_eq!(bench.start_all().len(), 4);
     bench.submit("waiting", class, "t", waiting);
+    bench.pass(if class == "bulk" { 155_000 } else { 2_900 });
     bench
 }
 
+/// Guards against a process without credits that refuses a burst although other processes would
+/// give it their slots at once, and against admitting one that the whole fleet cannot serve.
+#[rstest]
+#[case(31, Ok(()))]
+#[case(33, Err(Refusal::Overloaded))]
+fn a_sudden_burst_counts_all_slots(#[case] tasks: u32, #[case] verdict: Result<(), Refusal>) {
+    let mut bench = loaded("plain", 0);
+    bench.submit("burst", "plain", "t", tasks);
+    assert_eq!(bench.dispatcher.admit(bench.now, "plain", "t", 1), verdict);
+}
+
 /// Guards against admitting work that cannot meet its target by far, and against refusing work
 /// that can.
 #[rstest]
