--- a/crates/testing/src/lab/measure/mod.rs
+++ b/crates/testing/src/lab/measure/mod.rs
@@ -54,13 +54,7 @@
         return Ok((records, ledgers.total()));
     }
     let faults = figures.faults();
-    let text = format!(
-        "{complete} of {total} jobs complete\n{faults}{:?}",
-        figures
-            .classes
-            .iter()
-            .map(|(name, class)| (name, &class.failed, &class.refused))
-            .collect::<Vec<_>>()
-    );
+    let codes = figures.codes();
+    let text = format!("{complete} of {total} jobs complete, others: {codes:?}\n{faults}");
     UnsoundSnafu { text }.fail()
 }
--- a/crates/testing/src/lab/measure/takeover.rs
+++ b/crates/testing/src/lab/measure/takeover.rs
@@ -59,10 +59,15 @@
             .map_or_else(String::new, |t| t.as_millis().to_string())
     };
     let complete: u64 = figures.classes.values().map(|class| class.complete).sum();
+    let codes = figures
+        .codes()
+        .into_iter()
+        .map(|(code, count)| format!("{code}:{count}"));
     let values = [
         ("rounds", times.len().to_string()),
         ("jobs", records.len().to_string()),
         ("complete", complete.to_string()),
+        ("others", codes.collect::<Vec<_>>().join(",")),
         ("min", at(0)),
         ("median", at(times.len() / 2)),
         ("max", at(times.len().saturating_sub(1))),
--- a/crates/testing/src/load/figures.rs
+++ b/crates/testing/src/load/figures.rs
@@ -81,6 +81,21 @@
             && self.unwitnessed.is_empty()
     }
 
+    /// Codes of failed and refused jobs, and of those with an unknown outcome, with their numbers.
+    #[must_use]
+    pub fn codes(&self) -> BTreeMap<SmolStr, u64> {
+        let mut codes = BTreeMap::new();
+        for class in self.classes.values() {
+            for (code, count) in class.failed.iter().chain(&class.refused) {
+                *codes.entry(code.clone()).or_default() += count;
+            }
+        }
+        if self.unknown > 0 {
+            codes.insert("unknown".into(), self.unknown);
+        }
+        codes
+    }
+
     /// The broken promises with examples, one line for each kind; empty if sound.
     #[must_use]
     pub fn faults(&self) -> String {
--- a/crates/testing/src/scenario/loads.rs
+++ b/crates/testing/src/scenario/loads.rs
@@ -1,10 +1,8 @@
 //! Commands on loads.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use goldenscript::Command;
-use smol_str::SmolStr;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -94,17 +92,8 @@
 
 /// Numbers of answers; with allowed codes, whose number differs from run to run, without numbers.
 fn summary(name: &str, figures: &Figures, allowed: &[&str]) -> String {
-    let mut codes: BTreeMap<SmolStr, u64> = BTreeMap::new();
-    let mut complete = 0;
-    for class in figures.classes.values() {
-        complete += class.complete;
-        for (code, count) in class.failed.iter().chain(&class.refused) {
-            *codes.entry(code.clone()).or_default() += count;
-        }
-    }
-    if figures.unknown > 0 {
-        codes.insert("unknown".into(), figures.unknown);
-    }
+    let complete: u64 = figures.classes.values().map(|class| class.complete).sum();
+    let mut codes = figures.codes();
     codes.retain(|code, _| !allowed.contains(&code.as_str()));
     let others = codes
         .iter()
