fix(core): answers to earlier fences are not taken for the present one

Cause: reading for a job that stayed running in the script owner-pause (seen once on a busy machine): a report on an earlier fence was taken as the answer to the present one, and a refused fence kept an agent out of use. Ruled out: not yet that the stuck job has another cause; the new case woken_owner_serves passes without the change as well. Change: only a report with the epoch of the shard counts; a lost shard is no longer waited for at any agent. Conclusion: kept; the script is repeated under load to find the cause.

--- a/crates/core/src/entry/ownership.rs
+++ b/crates/core/src/entry/ownership.rs
@@ -221,6 +221,7 @@
     fn give_up(&mut self, now: Now, shard: Shard, out: &mut Vec<Action>) {
         self.shards.set_role(shard, Role::Foreign);
         self.inquiries.remove(&shard);
+        self.forget_syncs(shard);
         self.journal.withdraw_shard(shard);
         for recovery in &mut self.recoveries {
             recovery.shards.remove(&shard);
--- a/crates/core/src/entry/takeover.rs
+++ b/crates/core/src/entry/takeover.rs
@@ -5,7 +5,7 @@
 
 use knapweedwall_wire::{Admit, End, Fence, FenceReport, frame::Body};
 
-use super::agents::{AgentKey, Sync};
+use super::agents::{Agent, AgentKey, Sync};
 use super::answer::{Cause, Counts, IN_DOUBT};
 use super::checkpoint;
 use super::commit::waiting;
@@ -193,8 +193,15 @@
             return;
         };
         let shard = Shard(report.shard);
-        if Epoch(report.epoch) > self.shards.epoch(shard) {
-            return self.ownership.refresh();
+        let (epoch, found) = (self.shards.epoch(shard), Epoch(report.epoch));
+        if found > epoch {
+            // The fence was refused: a newer owner has fenced the agent.
+            self.ownership.refresh();
+            self.forget_sync(key, shard);
+        }
+        if found != epoch {
+            // An answer to an earlier fence says nothing of what has started since.
+            return;
         }
         let mut seen = Vec::new();
         for task in &report.tasks {
@@ -220,6 +227,24 @@
         }
     }
 
+    /// No longer waits for an agent's report on a shard.
+    fn forget_sync(&mut self, key: AgentKey, shard: Shard) {
+        if let Some(agent) = self.agents.get_mut(key) {
+            agent.syncs.remove(&shard);
+        }
+        self.try_employ(key);
+    }
+
+    /// No longer waits for any report on a shard that this process has lost.
+    pub(super) fn forget_syncs(&mut self, shard: Shard) {
+        let waiting =
+            |(key, agent): (AgentKey, &Agent)| agent.syncs.contains_key(&shard).then_some(key);
+        let keys: Vec<AgentKey> = self.agents.iter().filter_map(waiting).collect();
+        for key in keys {
+            self.forget_sync(key, shard);
+        }
+    }
+
     /// An agent has said everything that it knows of a shard.
     fn synced(&mut self, now: Now, key: AgentKey, shard: Shard, out: &mut Vec<Action>) {
         let Some(agent) = self.agents.get_mut(key) else {
--- a/crates/testing/tests/decisions/takeover.rs
+++ b/crates/testing/tests/decisions/takeover.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 
-use crate::driver::{Driver, Place};
+use crate::driver::{Driver, Place, Store};
 
 const TASKS: [&str; 8] = ["100", "200", "300", "400", "100", "200", "300", "400"];
 
@@ -140,3 +140,25 @@
     }
     assert_eq!(driver.doubled(), []);
 }
+
+/// Guards against an owner that gets its shards back after a pause and has no agent to use: it had
+/// fenced the agents with its old epoch, and waited for ever for an answer to that.
+#[rstest]
+fn woken_owner_serves() {
+    let mut driver = Driver::new(3, 4);
+    let tasks = ["8000"; 8];
+    for number in 0..6 {
+        driver.submit(number % 3, &format!("long-{number}"), &tasks[..1]);
+    }
+    driver.run(100);
+    driver.pause(Place::Entry(1), true);
+    driver.run(5_000);
+    // It meets the agents again before the store tells it that it has lost its shards.
+    driver.set_store(Store::Down);
+    driver.pause(Place::Entry(1), false);
+    driver.run(1_000);
+    driver.set_store(Store::Up);
+    driver.run(15_000);
+    let ids: Vec<String> = (0..24).map(|number| format!("job-{number}")).collect();
+    resubmit_through(&mut driver, 0, &ids);
+}
