--- a/crates/entry/src/http/router.rs
+++ b/crates/entry/src/http/router.rs
@@ -12,6 +12,7 @@
 use gotham::hyper::header::{CONTENT_TYPE, HeaderValue};
 use gotham::hyper::{Response, StatusCode};
 use gotham::prelude::*;
+use gotham::router::builder::RouterBuilder;
 use gotham::router::{Router, build_simple_router};
 use gotham::state::State;
 
@@ -27,58 +28,69 @@
 /// A handler of a path and method.
 type Handle = for<'a> fn(&'a Api, &'a mut State) -> Handling<'a>;
 
+/// Builder of routes without middleware.
+type Routes<'a> = RouterBuilder<'a, (), ()>;
+
 /// The router of the API.
 pub(super) fn build(api: Api) -> Router {
     let api = Arc::new(api);
     build_simple_router(|route| {
-        let to = |handle| handler(&api, handle);
         route.add_response_extender(StatusCode::NOT_FOUND, refuse_path);
         route.add_response_extender(StatusCode::METHOD_NOT_ALLOWED, refuse_method);
-        route
-            .post("/v1/jobs")
-            .with_query_string_extractor::<Wait>()
-            .to_new_handler(to(jobs::submit));
-        route
-            .get("/v1/jobs/:name")
-            .with_path_extractor::<Named>()
-            .with_query_string_extractor::<Wait>()
-            .to_new_handler(to(jobs::query));
-        route
-            .delete("/v1/jobs/:name")
-            .with_path_extractor::<Named>()
-            .with_query_string_extractor::<Wait>()
-            .to_new_handler(to(jobs::cancel));
-        route.get("/v1/config").to_new_handler(to(operators::show));
-        route
-            .get("/v1/status")
-            .to_new_handler(to(operators::status));
-        route
-            .get("/v1/history")
-            .with_query_string_extractor::<Limit>()
-            .to_new_handler(to(operators::history));
-        route
-            .put("/v1/classes/:name")
-            .with_path_extractor::<Named>()
-            .with_query_string_extractor::<Version>()
-            .to_new_handler(to(operators::set_class));
-        route
-            .delete("/v1/classes/:name")
-            .with_path_extractor::<Named>()
-            .with_query_string_extractor::<Version>()
-            .to_new_handler(to(operators::delete_class));
-        route
-            .put("/v1/teams/:name")
-            .with_path_extractor::<Named>()
-            .with_query_string_extractor::<Version>()
-            .to_new_handler(to(operators::set_team));
-        route
-            .delete("/v1/teams/:name")
-            .with_path_extractor::<Named>()
-            .with_query_string_extractor::<Version>()
-            .to_new_handler(to(operators::delete_team));
+        callers(route, &api);
+        operators(route, &api);
     })
 }
 
+fn callers(route: &mut Routes<'_>, api: &Arc<Api>) {
+    route
+        .post("/v1/jobs")
+        .with_query_string_extractor::<Wait>()
+        .to_new_handler(handler(api, jobs::submit));
+    route
+        .get("/v1/jobs/:name")
+        .with_path_extractor::<Named>()
+        .with_query_string_extractor::<Wait>()
+        .to_new_handler(handler(api, jobs::query));
+    route
+        .delete("/v1/jobs/:name")
+        .with_path_extractor::<Named>()
+        .with_query_string_extractor::<Wait>()
+        .to_new_handler(handler(api, jobs::cancel));
+}
+
+fn operators(route: &mut Routes<'_>, api: &Arc<Api>) {
+    let to = |handle| handler(api, handle);
+    route.get("/v1/config").to_new_handler(to(operators::show));
+    route
+        .get("/v1/status")
+        .to_new_handler(to(operators::status));
+    route
+        .get("/v1/history")
+        .with_query_string_extractor::<Limit>()
+        .to_new_handler(to(operators::history));
+    route
+        .put("/v1/classes/:name")
+        .with_path_extractor::<Named>()
+        .with_query_string_extractor::<Version>()
+        .to_new_handler(to(operators::set_class));
+    route
+        .delete("/v1/classes/:name")
+        .with_path_extractor::<Named>()
+        .with_query_string_extractor::<Version>()
+        .to_new_handler(to(operators::delete_class));
+    route
+        .put("/v1/teams/:name")
+        .with_path_extractor::<Named>()
+        .with_query_string_extractor::<Version>()
+        .to_new_handler(to(operators::set_team));
+    route
+        .delete("/v1/teams/:name")
+        .with_path_extractor::<Named>()
+        .with_query_string_extractor::<Version>()
+        .to_new_handler(to(operators::delete_team));
+}
+
 fn handler(api: &Arc<Api>, handle: Handle) -> impl NewHandler + use<> {
     // A handler that panics leaves only counters behind.
     let api = AssertUnwindSafe(Arc::clone(api));
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -95,44 +95,30 @@
         let ring = Ring::open(&mut registry);
         let stop = ring.port(Source::Control);
         let mut own = identity(settings)?;
-        let links = open_links(settings, &own, &ring, &mut registry, log.clone())?;
-        let frames = links.address().unwrap_or(settings.frames.listen);
-        if own.address.is_empty() {
-            own.address = frames.to_string().into();
-        }
+        let links = open_links(settings, &mut own, &ring, &mut registry, log.clone())?;
         let decisions = decisions(&own, &mut registry);
-        let calls = settings.store.calls;
-        let Store { sender, thread } =
-            store::spawn(platform, calls, ring.port(Source::Store), &mut registry).context(
-                SystemSnafu {
-                    what: "store thread",
-                },
-            )?;
+        let store = open_store(settings, platform, &ring, &mut registry)?;
         let http = open_http(settings, &ring, &mut registry)?;
         let ready = Readiness::default();
-        let address = settings.admin.listen;
-        let admin = admin::spawn(address, registry, ready.clone()).context(ListenSnafu {
-            what: "admin",
-            address,
-        })?;
+        let admin = open_admin(settings, registry, ready.clone())?;
+        let addresses = Addresses {
+            http: http.address,
+            frames: links.address().unwrap_or(settings.frames.listen),
+            admin: admin.address(),
+        };
         let outlets = Outlets {
             links: links.handle(),
-            store: sender,
+            store: store.sender,
             ready,
             log,
         };
-        let decider = Decider::new(decisions, ring, outlets);
         Ok(Self {
-            addresses: Addresses {
-                http: http.address,
-                frames,
-                admin: admin.address(),
-            },
+            addresses,
             stop,
-            decide: spawn_decide(decider)?,
+            decide: spawn_decide(Decider::new(decisions, ring, outlets))?,
             http,
             links,
-            store: thread,
+            store: store.thread,
             _admin: admin,
         })
     }
@@ -181,9 +167,10 @@
     })
 }
 
+/// Opens the links and completes `own` with the address of the listener.
 fn open_links(
     settings: &Settings,
-    own: &Identity,
+    own: &mut Identity,
     ring: &Ring,
     registry: &mut Registry,
     log: Logger,
@@ -196,9 +183,34 @@
         limits: settings.frames.limits,
     };
     let links = Links::spawn(settings, own.clone(), sink, registry, log);
-    links.context(ListenSnafu {
+    let links = links.context(ListenSnafu {
         what: "frame",
         address,
+    })?;
+    if own.address.is_empty() {
+        own.address = links.address().unwrap_or(address).to_string().into();
+    }
+    Ok(links)
+}
+
+fn open_store(
+    settings: &Settings,
+    platform: Arc<dyn Platform>,
+    ring: &Ring,
+    registry: &mut Registry,
+) -> Result<Store> {
+    let calls = settings.store.calls;
+    let store = store::spawn(platform, calls, ring.port(Source::Store), registry);
+    store.context(SystemSnafu {
+        what: "store thread",
+    })
+}
+
+fn open_admin(settings: &Settings, registry: Registry, ready: Readiness) -> Result<Admin> {
+    let address = settings.admin.listen;
+    admin::spawn(address, registry, ready).context(ListenSnafu {
+        what: "admin",
+        address,
     })
 }
 
