perf(agent): freed slots stay with their link while shares are about right

Cause: each slot that goes to another link than the one whose task ended costs a Grant frame; an endpoint that was down at the start was not logged; a busy endpoint was offered one connection more than it has slots by the check. Change: a link may be 4 slots ahead of its share before a slot of its own moves; the first check is logged whatever it finds; a reachable endpoint with runs under way is not checked.

--- a/crates/agent/src/endpoint/probe.rs
+++ b/crates/agent/src/endpoint/probe.rs
@@ -1,6 +1,6 @@
 //! Whether the endpoint accepts connections.
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use knapweedwall_core::agent::Input;
@@ -29,10 +29,13 @@
         }
     }
 
-    /// Checks the endpoint at regular times, and at once after a refused connection.
-    pub(super) async fn watch(&self, endpoint: &dyn Endpoint) {
+    /// Checks the endpoint at regular times, and at once after a refused connection. A reachable
+    /// endpoint that is `busy` is not checked: it may accept no more connections than it has slots.
+    pub(super) async fn watch(&self, endpoint: &dyn Endpoint, busy: impl Fn() -> bool) {
         loop {
-            self.report(endpoint.check().await);
+            if *self.reported() != Some(true) || !busy() {
+                self.report(endpoint.check().await);
+            }
             // The end of the time and the notification have the same effect.
             let _elapsed = tokio::time::timeout(CHECK_INTERVAL, self.check.notified()).await;
         }
@@ -45,9 +48,13 @@
     }
 
     fn report(&self, accepts: bool) {
-        let mut reported = self.reported.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut reported = self.reported();
         if *reported != Some(accepts) && self.inputs.send(Input::Endpoint(accepts)).is_ok() {
             *reported = Some(accepts);
         }
     }
+
+    fn reported(&self) -> MutexGuard<'_, Option<bool>> {
+        self.reported.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/crates/agent/src/endpoint/thread.rs
+++ b/crates/agent/src/endpoint/thread.rs
@@ -86,7 +86,10 @@
         runs: Mutex::default(),
     });
     let watched = Arc::clone(&running);
-    let watcher = tokio::spawn(async move { watched.reach.watch(&*watched.endpoint).await });
+    let watcher = tokio::spawn(async move {
+        let busy = || !watched.lock().is_empty();
+        watched.reach.watch(&*watched.endpoint, busy).await;
+    });
     let mut batch = Vec::with_capacity(BATCH);
     while ring.recv_many(&mut batch, BATCH).await > 0 {
         for command in batch.drain(..) {
--- a/crates/core/src/agent/credits.rs
+++ b/crates/core/src/agent/credits.rs
@@ -15,6 +15,10 @@
 /// One slot in the share counters of the proportional choice.
 const SHARE_UNIT: i64 = 1 << 20;
 
+/// Slots by which a link may get ahead of its share before a slot that its own task freed goes to
+/// another link: a slot that stays is granted with the report, one that moves costs a frame.
+const AHEAD_SLOTS: i64 = 4;
+
 /// A credit that goes to or is asked back from an entry process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Move {
@@ -238,7 +242,12 @@
                 best = Some((holder.share, *link));
             }
         }
-        let (_, link) = best?;
+        let (share, mut link) = best?;
+        let stays = |h: &Holder| h.freed > 0 && share - h.share < AHEAD_SLOTS * SHARE_UNIT;
+        let stay = self.holders.iter().find(|(_, h)| competes(h) && stays(h));
+        if let Some((home, _)) = stay {
+            link = *home;
+        }
         if let Some(holder) = self.holders.get_mut(&link) {
             holder.share -= SHARE_UNIT;
         }
--- a/crates/core/src/agent/machine.rs
+++ b/crates/core/src/agent/machine.rs
@@ -39,8 +39,8 @@
     pub(super) links: Links,
     pub(super) credits: Credits,
     pub(super) metrics: Metrics,
-    /// The endpoint accepts connections.
-    pub(super) reachable: bool,
+    /// Whether the endpoint accepts connections, once that is known.
+    pub(super) reachable: Option<bool>,
     /// Time of the stop, once there was one.
     pub(super) stopped: Option<Duration>,
     pub(super) exited: bool,
@@ -68,7 +68,7 @@
             links: Links::default(),
             credits: Credits::new(0),
             metrics,
-            reachable: false,
+            reachable: None,
             stopped: None,
             exited: false,
             full: false,
@@ -261,10 +261,9 @@
     }
 
     fn endpoint(&mut self, reachable: bool, out: &mut Vec<Action>) {
-        if reachable == self.reachable {
+        if self.reachable.replace(reachable) == Some(reachable) {
             return;
         }
-        self.reachable = reachable;
         let event = if reachable {
             info(203, "endpoint accepts connections")
         } else {
@@ -322,7 +321,7 @@
     }
 
     fn update_ready(&mut self, out: &mut Vec<Action>) {
-        let ready = self.reachable && self.links.len() > 0 && self.stopped.is_none();
+        let ready = self.reachable == Some(true) && self.links.len() > 0 && self.stopped.is_none();
         if ready != self.ready {
             self.ready = ready;
             out.push(Action::Ready(ready));
--- a/crates/core/src/agent/start.rs
+++ b/crates/core/src/agent/start.rs
@@ -97,7 +97,7 @@
         if self.stopped.is_some() {
             return Some(Outcome::Leaving);
         }
-        if !self.reachable {
+        if self.reachable != Some(true) {
             return Some(Outcome::Unreachable);
         }
         if !self.ledger.has_room() {
--- a/crates/core/tests/agent/credit_moves.rs
+++ b/crates/core/tests/agent/credit_moves.rs
@@ -92,6 +92,25 @@
     assert!((298..=302).contains(&to_b), "B got {to_b} of 400");
 }
 
+/// Guards against a frame for each slot that changes its link and soon changes back.
+#[rstest]
+fn freed_slots_stay_while_shares_are_about_right() {
+    let mut credits = busy(4);
+    credits.demand(NOW, A, 100, 100);
+    credits.demand(NOW, B, 100, 100);
+    let mut to_b = 0;
+    for round in 0..40 {
+        credits.release(A);
+        let Move::Grant(link, 1) = moves(&mut credits)[0] else {
+            panic!("one credit is granted");
+        };
+        assert!(round > 0 || link == A, "the first slot stays");
+        to_b += u32::from(link == B);
+        assert!(credits.spend(link) && credits.occupy());
+    }
+    assert!((16..=20).contains(&to_b), "B got {to_b} of 40");
+}
+
 /// Guards against a link that pays for slots it got while its need was larger.
 #[rstest]
 fn shares_follow_changed_needs() {
