--- a/crates/core/src/entry/submit.rs
+++ b/crates/core/src/entry/submit.rs
@@ -9,7 +9,7 @@
 use super::answer::{self, Cause, Ran, Reply};
 use super::io::{Action, CallKey};
 use super::jobs::{Ending, Found, Job, Phase, TaskState};
-use super::journal::{Guard, MAX_RECORD_BYTES};
+use super::journal::{Guard, MAX_RECORD_BYTES, Subject};
 use super::machine::Machine;
 use super::routing::{Ask, MAX_HOPS, Routed};
 use super::shards::Role;
@@ -169,7 +169,7 @@
         }
         let shard = routed.key.shard(self.shards.count());
         match self.shards.role(shard) {
-            Role::Serving if self.is_for_successor(now, &routed) => {
+            Role::Serving if self.is_for_successor(&routed) => {
                 return self.routing.park(routed);
             }
             Role::Serving => return self.serve(now, shard, routed, out),
@@ -179,19 +179,19 @@
         let owner = self.shards.get(shard).map_or(0, |info| info.row.owner);
         match self.peers.link_of(now.mono, Instance(owner)) {
             Some(link) if owner != 0 && routed.hops < MAX_HOPS => {
-                let frame = routed.clone();
-                let number = self.routing.send(link, routed);
-                out.push(Action::Send(link, frame.frame(number, now.mono)));
+                self.metrics.forwarded.inc();
+                let frame = self.routing.send(now.mono, link, routed);
+                out.push(Action::Send(link, frame));
             }
             _ => self.routing.park(routed),
         }
     }
 
     /// Whether a new job should wait for the process that takes the shard over in a planned stop.
-    fn is_for_successor(&mut self, now: Now, routed: &Routed) -> bool {
+    fn is_for_successor(&mut self, routed: &Routed) -> bool {
         self.stopping.is_some()
             && matches!(routed.ask, Ask::Submit(_))
-            && self.peers.staying(now.mono).next().is_some()
+            && self.peers.has_successor()
             && self.jobs.find(routed.key).is_none()
     }
 
@@ -239,40 +239,54 @@
             return;
         }
         admit.admitted_ms = now.wall_ms;
-        if let Err(reply) = self.check(now, &admit) {
+        if let Err((code, reply)) = self.check(now, &admit) {
+            let known = self.document.classes.contains_key(admit.class.as_str());
+            self.metrics.refuse(&admit.class, known, code);
             out.push(waiter.answer(&reply));
             return;
         }
-        let record = JournalRecord {
-            shard: shard.0,
-            body: Some(Body::Admit(admit.clone())),
-        };
-        self.journal
-            .push(now.mono, record, Guard::Shard(shard), true);
+        let admit = self.record_admission(now, shard, key, admit);
         let mut job = Job::new(id, shard, admit, now.mono, Phase::Queued);
         job.waiters.push(waiter);
         self.jobs.insert(job);
         self.deadlines.add(waiter.until, key);
     }
 
+    /// Has an admission written to the journal; gives its content back.
+    fn record_admission(&mut self, now: Now, shard: Shard, key: JobKey, admit: Admit) -> Admit {
+        let record = JournalRecord {
+            shard: shard.0,
+            body: Some(Body::Admit(admit)),
+        };
+        let entry = (Subject::Admission(key), &record);
+        self.journal
+            .push(now.mono, entry, Guard::Shard(shard), true);
+        match record.body {
+            Some(Body::Admit(admit)) => admit,
+            _ => Admit::default(),
+        }
+    }
+
     /// Checks a new submission before anything is recorded.
-    fn check(&self, now: Now, admit: &Admit) -> Result<(), Reply> {
+    fn check(&self, now: Now, admit: &Admit) -> Result<(), (&'static str, Reply)> {
+        let refuse =
+            |status, code, text, ran| Err((code, answer::refused(status, code, text, ran)));
         if admit.expires_ms != 0 && admit.expires_ms <= now.wall_ms {
             let text = "the time of this id is over; an earlier submission may have run";
-            return Err(answer::refused(410, "expired", text, Ran::Unknown));
+            return refuse(410, "expired", text, Ran::Unknown);
         }
         if self.stopping.is_some() {
             let text = "this process is stopping and no other can take the job";
-            return Err(answer::refused(503, "stopping", text, Ran::None));
+            return refuse(503, "stopping", text, Ran::None);
         }
         let bytes = admit.encoded_len();
         if bytes > MAX_RECORD_BYTES {
             let text = "the job is larger than 900 KiB";
-            return Err(answer::refused(413, "too_large", text, Ran::None));
+            return refuse(413, "too_large", text, Ran::None);
         }
         if !self.journal.has_room(bytes) {
             let text = "the store does not take admissions fast enough";
-            return Err(answer::refused(503, "store_unavailable", text, Ran::None));
+            return refuse(503, "store_unavailable", text, Ran::None);
         }
         let tasks = u32::try_from(admit.tasks.len()).unwrap_or(u32::MAX);
         self.dispatcher
@@ -385,7 +399,7 @@
         let text = "the store did not take the admission in time; it was never sent";
         let reply = answer::refused(503, "store_unavailable", text, Ran::None);
         for key in late {
-            self.journal.withdraw(|record| is_admission(record, key));
+            self.journal.withdraw(key);
             let Some(job) = self.jobs.discard(key) else {
                 continue;
             };
@@ -403,7 +417,3 @@
         until: now.mono + wait,
     }
 }
-
-fn is_admission(record: &JournalRecord, key: JobKey) -> bool {
-    matches!(&record.body, Some(Body::Admit(admit)) if admit.job == key.to_bytes())
-}
