test(testing): a target of 5 s where overload is not what a test is about

Cause: owner-kill failed in 1 of 5 runs: 1 of 300 jobs, submitted during the takeover, was refused as overloaded, truly, since the waiting jobs exceed four times a target of 250 ms at once. Ruled out: allowing overloaded in the scripts; the number of complete jobs would not be checked.

--- a/crates/testing/src/cluster/spec.rs
+++ b/crates/testing/src/cluster/spec.rs
@@ -51,7 +51,9 @@
             ],
             sharing: 1,
             store: json!({}),
-            classes: BTreeMap::from([("console".into(), Duration::from_millis(250))]),
+            // Work that waits for a takeover arrives at once afterwards; with a target of 250 ms
+            // a few of its jobs were refused as overloaded on a busy machine.
+            classes: BTreeMap::from([("console".into(), Duration::from_secs(5))]),
             proxied: false,
             entry: json!({}),
             agent: json!({}),
--- a/crates/testing/src/scenario/mod.rs
+++ b/crates/testing/src/scenario/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! | Command | Effect |
 //! |---|---|
-//! | `start [entries=3] [agents=3] [slots=8] [target=250ms] [proxied=yes]` | starts a cluster with the class `console` |
+//! | `start [entries=3] [agents=3] [slots=8] [target=5s] [proxied=yes]` | starts a cluster with the class `console` |
 //! | `load NAME jobs=N rate=R [tasks=A..B] [ms=A..B] [marked=yes] [cancelled=0.1]` | generates a load beside the next commands |
 //! | `answered NAME N` | waits until N jobs of the load are answered |
 //! | `settle NAME [allow=CODE,..]` | waits for all answers, checks them against the ledgers |
