--- a/crates/cli/src/table.rs
+++ b/crates/cli/src/table.rs
@@ -36,6 +36,9 @@
     match value {
         Value::String(text) => text.clone(),
         Value::Null => "-".to_owned(),
+        Value::Number(number) if number.is_f64() => {
+            format!("{:.2}", number.as_f64().unwrap_or_default())
+        }
         other => other.to_string(),
     }
 }
@@ -69,8 +72,8 @@
         return format!("{}\n", cells.join(" "));
     };
     let mut head: Vec<&str> = first.keys().map(String::as_str).collect();
-    // The fields of an object come in alphabetical order; its name identifies the row.
-    head.sort_by_key(|field| *field != "name");
+    // The fields of an object come in alphabetical order; the one that identifies the row is first.
+    head.sort_by_key(|field| !["name", "task"].contains(field));
     let row = |v: &Value| head.iter().map(|h| cell(&v[*h])).collect();
     let rows: Vec<Vec<String>> = list.iter().map(row).collect();
     columns(&head, &rows)
