perf(core,wire): fixed fast hash for maps; frames are encoded without a copy

Ruled out: a randomly seeded fast hash, since the same inputs must decide the same. Change: foldhash with a fixed state behind one alias; the codec writes into the connection's buffer.

--- a/crates/core/src/agent/settled.rs
+++ b/crates/core/src/agent/settled.rs
@@ -1,9 +1,10 @@
 //! Keys of jobs that were settled a short time ago.
 
-use std::collections::{HashSet, VecDeque};
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::ids::JobKey;
+use crate::maps::KeySet;
 
 /// How long a key is kept, so that a delayed start of a settled job is still refused.
 const KEEP: Duration = Duration::from_secs(60);
@@ -12,7 +13,7 @@
 #[derive(Debug)]
 pub(super) struct SettledJobs {
     limit: usize,
-    keys: HashSet<JobKey>,
+    keys: KeySet<JobKey>,
     order: VecDeque<(Duration, JobKey)>,
 }
 
@@ -20,7 +21,7 @@
     pub(super) fn new(limit: usize) -> Self {
         Self {
             limit,
-            keys: HashSet::new(),
+            keys: KeySet::default(),
             order: VecDeque::new(),
         }
     }
--- a/crates/core/src/agent/shards.rs
+++ b/crates/core/src/agent/shards.rs
@@ -1,8 +1,7 @@
 //! The highest epoch seen of each shard, and the link of its owner.
 
-use std::collections::HashMap;
-
 use crate::ids::{Epoch, Shard};
+use crate::maps::KeyMap;
 use crate::peer::LinkKey;
 
 /// What is known of one shard.
@@ -15,7 +14,7 @@
 /// Epochs and owners.
 #[derive(Debug, Default)]
 pub(super) struct Shards {
-    known: HashMap<Shard, Known>,
+    known: KeyMap<Shard, Known>,
 }
 
 impl Shards {
--- a/crates/core/src/dispatch/queues.rs
+++ b/crates/core/src/dispatch/queues.rs
@@ -4,7 +4,7 @@
 //! but a large job goes behind smaller ones that arrive soon after it.
 //! The heads of all queues are in order of deadline, `arrival + DEADLINE_TARGETS * target`.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use slotmap::{SlotMap, new_key_type};
@@ -13,6 +13,7 @@
 use super::jobs::JobSlot;
 use super::learning::RunTime;
 use crate::config::Document;
+use crate::maps::KeyMap;
 
 new_key_type! {
     /// A class that is configured or has jobs.
@@ -78,13 +79,13 @@
     pub(super) classes: SlotMap<ClassKey, Class>,
     pub(super) teams: SlotMap<TeamKey, Team>,
     queues: SlotMap<QueueKey, Queue>,
-    class_names: HashMap<SmolStr, ClassKey>,
+    class_names: KeyMap<SmolStr, ClassKey>,
     /// Teams with a quota.
-    team_names: HashMap<SmolStr, TeamKey>,
+    team_names: KeyMap<SmolStr, TeamKey>,
     /// The key that all teams without a quota share. It keeps the number of queues bounded by the
     /// configuration, whatever team names callers give.
     no_quota: TeamKey,
-    pairs: HashMap<(ClassKey, TeamKey), QueueKey>,
+    pairs: KeyMap<(ClassKey, TeamKey), QueueKey>,
     heads: BTreeSet<(Duration, u64, QueueKey)>,
     /// Shortest target of a configured class.
     pub(super) shortest: Option<Duration>,
@@ -101,10 +102,10 @@
             classes: SlotMap::with_key(),
             teams,
             queues: SlotMap::with_key(),
-            class_names: HashMap::new(),
-            team_names: HashMap::new(),
+            class_names: KeyMap::default(),
+            team_names: KeyMap::default(),
             no_quota,
-            pairs: HashMap::new(),
+            pairs: KeyMap::default(),
             heads: BTreeSet::new(),
             shortest: None,
             waiting: 0,
--- a/crates/core/src/entry/agents.rs
+++ b/crates/core/src/entry/agents.rs
@@ -1,6 +1,5 @@
 //! Agents that this process knows, and the frames that gather for them in a turn.
 
-use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,6 +9,7 @@
 use super::io::Action;
 use crate::dispatch::WorkerKey;
 use crate::ids::{Instance, Shard, TaskRef};
+use crate::maps::{KeyMap, KeySet};
 use crate::peer::{LinkKey, PeerInfo};
 
 new_key_type! {
@@ -34,7 +34,7 @@
     /// Tasks whose starts may have been lost with an earlier connection.
     pub sent: Vec<TaskRef>,
     /// Tasks that the report has named so far.
-    pub seen: HashSet<TaskRef>,
+    pub seen: KeySet<TaskRef>,
 }
 
 /// One agent instance.
@@ -53,7 +53,7 @@
     /// Whether the agent said that it leaves.
     pub leaving: bool,
     /// Fences that it has not answered yet.
-    pub syncs: HashMap<Shard, Sync>,
+    pub syncs: KeyMap<Shard, Sync>,
     /// Credits that arrived before it could be used.
     pub credits: u32,
     starts: Vec<TaskStart>,
@@ -66,8 +66,8 @@
 #[derive(Debug, Default)]
 pub struct Agents {
     arena: SlotMap<AgentKey, Agent>,
-    links: HashMap<LinkKey, AgentKey>,
-    instances: HashMap<Instance, AgentKey>,
+    links: KeyMap<LinkKey, AgentKey>,
+    instances: KeyMap<Instance, AgentKey>,
     touched: Vec<AgentKey>,
 }
 
@@ -229,7 +229,7 @@
             roster: Roster::Absent,
             lost: None,
             leaving: false,
-            syncs: HashMap::new(),
+            syncs: KeyMap::default(),
             credits: 0,
             starts: Vec::new(),
             settled: Vec::new(),
--- a/crates/core/src/entry/jobs.rs
+++ b/crates/core/src/entry/jobs.rs
@@ -3,7 +3,7 @@
 //! Owned by the entry process's state machine; one job is in one of the three places at a time.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::BinaryHeap;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,6 +17,7 @@
 use super::waiters::Waiter;
 use crate::clock::Now;
 use crate::ids::{JobId, JobKey, Shard};
+use crate::maps::KeyMap;
 
 new_key_type! {
     /// Key of an open job.
@@ -243,7 +244,7 @@
 #[derive(Debug)]
 pub struct Jobs {
     open: SlotMap<JobSlot, Job>,
-    known: HashMap<JobKey, Known>,
+    known: KeyMap<JobKey, Known>,
     holds: BinaryHeap<Reverse<(Duration, JobKey)>>,
     ids: BinaryHeap<Reverse<(u64, JobKey)>>,
     retention: Retention,
@@ -276,7 +277,7 @@
     pub fn new(retention: Retention) -> Self {
         Self {
             open: SlotMap::with_key(),
-            known: HashMap::new(),
+            known: KeyMap::default(),
             holds: BinaryHeap::new(),
             ids: BinaryHeap::new(),
             retention,
--- a/crates/core/src/entry/links.rs
+++ b/crates/core/src/entry/links.rs
@@ -11,6 +11,7 @@
 use super::shards::Role as ShardRole;
 use crate::clock::Now;
 use crate::ids::{Instance, Shard};
+use crate::maps::KeyMap;
 use crate::peer::{LinkKey, PeerInfo, Role};
 
 /// Pause between two heartbeats.
@@ -36,7 +37,7 @@
     dial: Duration,
     settle: Duration,
     addresses: Vec<SmolStr>,
-    heard: std::collections::HashMap<LinkKey, Duration>,
+    heard: KeyMap<LinkKey, Duration>,
 }
 
 impl Machine {
--- a/crates/core/src/entry/machine.rs
+++ b/crates/core/src/entry/machine.rs
@@ -4,7 +4,6 @@
 //! area: `submit` (callers), `commit` (journal), `tasks` (agents' reports), `links`, `ownership`,
 //! `takeover`, `operate`.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use knapweedwall_wire::frame::Body;
@@ -30,6 +29,7 @@
 use crate::dispatch::{Dispatcher, SpeedMatch};
 use crate::event::Event;
 use crate::ids::{Instance, Shard};
+use crate::maps::KeyMap;
 use crate::peer::LinkKey;
 use crate::store::{Outcome, Request};
 
@@ -77,15 +77,15 @@
     pub(super) deadlines: Deadlines,
     pub(super) ownership: Ownership,
     pub(super) recoveries: Vec<Recovery>,
-    pub(super) inquiries: HashMap<Shard, Inquiry>,
-    pub(super) watches: HashMap<Instance, Watch>,
+    pub(super) inquiries: KeyMap<Shard, Inquiry>,
+    pub(super) watches: KeyMap<Instance, Watch>,
     pub(super) checkpoints: Checkpoints,
     pub(super) operations: Operations,
     pub(super) times: LinkTimes,
     pub(super) metrics: Metrics,
     pub(super) document: Document,
     pub(super) stopping: Option<Duration>,
-    pub(super) ops: HashMap<StoreKey, Purpose>,
+    pub(super) ops: KeyMap<StoreKey, Purpose>,
     op: u64,
     ready: bool,
     exited: bool,
@@ -115,15 +115,15 @@
             deadlines: Deadlines::default(),
             ownership: Ownership::default(),
             recoveries: Vec::new(),
-            inquiries: HashMap::new(),
-            watches: HashMap::new(),
+            inquiries: KeyMap::default(),
+            watches: KeyMap::default(),
             checkpoints: Checkpoints::new(instance),
             operations: Operations::default(),
             times: LinkTimes::default(),
             metrics,
             document: Document::default(),
             stopping: None,
-            ops: HashMap::new(),
+            ops: KeyMap::default(),
             op: 0,
             ready: false,
             exited: false,
--- a/crates/core/src/entry/metrics.rs
+++ b/crates/core/src/entry/metrics.rs
@@ -1,6 +1,5 @@
 //! Counters, gauges and histograms of the decisions of an entry process.
 
-use std::collections::HashMap;
 use std::fmt;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
@@ -13,6 +12,7 @@
 use smol_str::SmolStr;
 
 use crate::dispatch::Status;
+use crate::maps::KeyMap;
 
 /// Names and values of labels.
 type Labels = Vec<(&'static str, String)>;
@@ -69,7 +69,7 @@
     pub config_version: Gauge,
     /// Workers that are held back because they fail what they start.
     pub held_back: Gauge,
-    cached: HashMap<SmolStr, Cached>,
+    cached: KeyMap<SmolStr, Cached>,
 }
 
 /// Handles of one class, so that an answer needs no look-up by labels.
@@ -107,7 +107,7 @@
             store_slow: Gauge::default(),
             config_version: Gauge::default(),
             held_back: Gauge::default(),
-            cached: HashMap::new(),
+            cached: KeyMap::default(),
         }
     }
 }
--- a/crates/core/src/entry/operate.rs
+++ b/crates/core/src/entry/operate.rs
@@ -1,6 +1,5 @@
 //! Operators' requests: the configuration, its history, and the state of the system.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,6 +16,7 @@
 use crate::clock::Now;
 use crate::config::{Audit, Change, Document, Error};
 use crate::dispatch::Status as DispatchStatus;
+use crate::maps::KeyMap;
 use crate::store::{Condition, Outcome, Reply, Request, Row, Transaction, Write};
 
 /// Pause between two reads of the configuration.
@@ -58,7 +58,7 @@
 /// Requests of operators that wait for the store.
 #[derive(Debug, Default)]
 pub struct Operations {
-    running: HashMap<u64, Running>,
+    running: KeyMap<u64, Running>,
     number: u64,
     version: u64,
     reading: bool,
--- a/crates/core/src/entry/ownership.rs
+++ b/crates/core/src/entry/ownership.rs
@@ -1,6 +1,6 @@
 //! Which shards this process owns: start-up, claims, releases, and the death of other owners.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use knapweedwall_wire::{LiveRow, OwnerRow};
@@ -17,6 +17,7 @@
 use crate::clock::Now;
 use crate::dispatch::WorkerKey;
 use crate::ids::{Instance, JobId, JobKey, Shard};
+use crate::maps::{KeyMap, KeySet};
 use crate::store::{Condition, Outcome, Reply, Request, Transaction, Write};
 
 /// Time after start for which claims wait for other processes to be seen.
@@ -47,7 +48,7 @@
 #[derive(Debug, Default)]
 pub struct Ownership {
     /// Agents by their keys in the dispatcher.
-    pub workers: HashMap<WorkerKey, AgentKey>,
+    pub workers: KeyMap<WorkerKey, AgentKey>,
     /// Jobs to cancel once it is known whether they are admitted and what has started.
     pub cancels: Vec<JobKey>,
     counted: bool,
@@ -278,7 +279,7 @@
 
     /// Reads the counters of owners that are silent.
     fn watch_owners(&mut self, now: Now, out: &mut Vec<Action>) {
-        let mut silent = HashMap::new();
+        let mut silent = KeyMap::default();
         for (_, info) in self.shards.iter() {
             let owner = Instance(info.row.owner);
             let known = owner.0 == 0 || owner == self.settings.instance;
@@ -430,7 +431,7 @@
                 }
             }
         }
-        let shards: HashSet<Shard> = shards.into_iter().collect();
+        let shards: KeySet<Shard> = shards.into_iter().collect();
         self.recoveries.push(Recovery::new(now.mono, shards, logs));
     }
 
--- a/crates/core/src/entry/recovery.rs
+++ b/crates/core/src/entry/recovery.rs
@@ -1,6 +1,6 @@
 //! Reads the records of claimed shards from the journals of their former owners.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use knapweedwall_wire::{Admit, Checkpoint, End, JournalRecord, journal_record::Body};
@@ -10,6 +10,7 @@
 use super::io::StoreKey;
 use super::{journal, rows};
 use crate::ids::{Instance, JobKey, Shard};
+use crate::maps::{KeyMap, KeySet};
 use crate::store::{Outcome, Reply, Request, Row};
 
 /// Rows in one read.
@@ -47,11 +48,11 @@
 #[derive(Debug)]
 pub struct Recovery {
     /// Shards to read.
-    pub shards: HashSet<Shard>,
+    pub shards: KeySet<Shard>,
     /// Jobs found.
-    pub jobs: HashMap<JobKey, Record>,
+    pub jobs: KeyMap<JobKey, Record>,
     /// Agent instances that may have started tasks of the shards.
-    pub roster: HashSet<Instance>,
+    pub roster: KeySet<Instance>,
     /// Monotonic time at which the claim was durable.
     pub since: Duration,
     logs: VecDeque<Instance>,
@@ -63,11 +64,11 @@
 
 impl Recovery {
     /// A reader of `logs`, oldest first.
-    pub fn new(now: Duration, shards: HashSet<Shard>, logs: VecDeque<Instance>) -> Self {
+    pub fn new(now: Duration, shards: KeySet<Shard>, logs: VecDeque<Instance>) -> Self {
         Self {
             shards,
-            jobs: HashMap::new(),
-            roster: HashSet::new(),
+            jobs: KeyMap::default(),
+            roster: KeySet::default(),
             since: now,
             logs,
             step: Step::Pointer,
@@ -241,7 +242,7 @@
 #[derive(Debug)]
 pub struct Inquiry {
     /// Agents that have not answered.
-    pub awaiting: HashSet<Instance>,
+    pub awaiting: KeySet<Instance>,
     /// Whether an agent is gone for good.
     pub missing: bool,
     /// Monotonic time after which agents that have not answered count as gone.
--- a/crates/core/src/entry/takeover.rs
+++ b/crates/core/src/entry/takeover.rs
@@ -1,8 +1,6 @@
 //! Takeover of shards: jobs are rebuilt from the journals, agents are fenced and asked what they
 //! started, and what stays unaccounted is put in doubt.
 
-use std::collections::{HashMap, HashSet};
-
 use knapweedwall_wire::{Admit, End, Fence, FenceReport, frame::Body};
 
 use super::agents::{Agent, AgentKey, Sync};
@@ -16,6 +14,7 @@
 use super::shards::Role;
 use crate::clock::Now;
 use crate::ids::{Epoch, Instance, JobId, JobKey, Shard, TaskRef};
+use crate::maps::{KeyMap, KeySet};
 use crate::peer::LinkKey;
 use crate::store::Outcome;
 
@@ -304,8 +303,8 @@
     }
 
     /// Shards with tasks that run at an agent as far as this process knows.
-    pub(super) fn shards_at(&self, agent: AgentKey) -> HashSet<Shard> {
-        let mut shards = HashSet::new();
+    pub(super) fn shards_at(&self, agent: AgentKey) -> KeySet<Shard> {
+        let mut shards = KeySet::default();
         for job in self.jobs.iter_open() {
             if job.tasks.contains(&TaskState::Running(agent)) {
                 shards.insert(job.shard);
@@ -349,19 +348,14 @@
         if ended.is_empty() {
             return;
         }
-        let ended: HashMap<Shard, bool> = ended.into_iter().collect();
+        let ended: KeyMap<Shard, bool> = ended.into_iter().collect();
         for shard in ended.keys() {
             self.inquiries.remove(shard);
         }
         self.decide_unaccounted(now, &ended, out);
     }
 
-    fn decide_unaccounted(
-        &mut self,
-        now: Now,
-        ended: &HashMap<Shard, bool>,
-        out: &mut Vec<Action>,
-    ) {
+    fn decide_unaccounted(&mut self, now: Now, ended: &KeyMap<Shard, bool>, out: &mut Vec<Action>) {
         let mut open = Vec::new();
         for job in self.jobs.iter_open() {
             if let Some(missing) = ended.get(&job.shard) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 mod clock;
 mod event;
 mod ids;
+mod maps;
 mod peer;
 
 pub use clock::Now;
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -1,6 +1,6 @@
 //! Length-delimited framing of [`Frame`] messages.
 
-use bytes::{Bytes, BytesMut};
+use bytes::{BufMut, BytesMut};
 use prost::Message;
 use snafu::{ResultExt, Snafu, ensure};
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
@@ -14,6 +14,9 @@
 /// Largest frame that is sent or accepted, in bytes.
 pub const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
 
+/// Bytes of the length before each frame.
+const HEAD_BYTES: usize = 4;
+
 /// Result of the codec.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
@@ -41,6 +44,12 @@
         /// Version in the frame.
         found: u32,
     },
+    /// A frame to be sent is longer than [`MAX_FRAME_BYTES`].
+    #[snafu(display("frame of {length} bytes is longer than {MAX_FRAME_BYTES}"))]
+    TooLong {
+        /// Length of the frame in bytes.
+        length: usize,
+    },
     /// The frame has no body known to this build.
     #[snafu(display("frame has no known body"))]
     Empty,
@@ -54,6 +63,7 @@
             Self::Io { .. } => "io",
             Self::Decode { .. } => "bad_frame",
             Self::Version { .. } => "bad_version",
+            Self::TooLong { .. } => "too_long",
             Self::Empty => "unknown_body",
         }
     }
@@ -97,7 +107,12 @@
     type Error = Error;
 
     fn encode(&mut self, body: Body, dst: &mut BytesMut) -> Result<()> {
-        let bytes = Bytes::from(Frame::from(body).encode_to_vec());
-        Ok(self.inner.encode(bytes, dst)?)
+        let frame = Frame::from(body);
+        let length = frame.encoded_len();
+        ensure!(length <= MAX_FRAME_BYTES, TooLongSnafu { length });
+        dst.reserve(HEAD_BYTES + length);
+        dst.put_u32(u32::try_from(length).unwrap_or(u32::MAX));
+        // Encoding fails only for lack of room, and the buffer grows.
+        frame.encode(dst).or(TooLongSnafu { length }.fail())
     }
 }
