fix(core): a checkpoint drops only the sources of the shards that it contains

Change: images list their shards with epochs; records are bound to the epoch in which they were made; a checkpoint follows the loss of an agent; silent connections of entry processes are closed after 2 s; a request goes by way of a third process when its owner is out of reach.

--- a/crates/core/src/entry/checkpoint.rs
+++ b/crates/core/src/entry/checkpoint.rs
@@ -13,7 +13,7 @@
 use super::jobs::{Ending, Forgotten, Job, Jobs, Phase};
 use super::rows;
 use super::shards::{Role, Shards};
-use crate::ids::{Instance, JobKey, Shard};
+use crate::ids::{Epoch, Instance, JobKey, Shard};
 use crate::store::{Condition, Outcome, Reply, Request, Row, Transaction, Write};
 
 /// Rows after which a checkpoint is written.
@@ -28,6 +28,9 @@
 /// Pause before an unfinished step is repeated.
 const RETRY: Duration = Duration::from_millis(200);
 
+/// Shards in an image, with the epochs in which they were owned.
+type Contents = Vec<(Shard, Epoch)>;
+
 /// What is in flight.
 #[derive(Debug)]
 enum Step {
@@ -36,12 +39,14 @@
     Object {
         op: StoreKey,
         seq: u64,
+        shards: Contents,
     },
     /// The image is durable; the row that names it is to be written, or is being written.
     Pointer {
         op: Option<StoreKey>,
         seq: u64,
         retry: Duration,
+        shards: Contents,
         rows: Vec<(Shard, OwnerRow)>,
     },
     /// Rows up to `to` are being deleted.
@@ -95,11 +100,18 @@
     }
 
     /// Starts a checkpoint with the given image.
-    pub fn begin(&mut self, now: Duration, op: StoreKey, seq: u64, image: Bytes) -> Request {
+    pub fn begin(
+        &mut self,
+        now: Duration,
+        op: StoreKey,
+        (seq, image): (u64, Bytes),
+        shards: &Shards,
+    ) -> Request {
         self.next = now + PAUSE;
         // A new number for each attempt: a delayed write of an older image cannot replace it.
         self.number += 1;
-        self.step = Step::Object { op, seq };
+        let shards = contents(shards);
+        self.step = Step::Object { op, seq, shards };
         Request::PutObject(rows::checkpoint(self.log, self.number), image)
     }
 
@@ -108,12 +120,14 @@
     /// Both happen at once: a row of an owner that names only this journal always finds an image
     /// that contains the shard. The transaction is conditional on the ownership of all shards in
     /// the image: a successor may be reading the former image, which knows agents that this one
-    /// does not name any more.
+    /// does not name any more. Shards that were claimed after the image was made keep their
+    /// sources.
     pub fn point(&mut self, now: Duration, op: StoreKey, shards: &Shards) -> Option<Request> {
         let Step::Pointer {
             op: flight @ None,
             seq,
             retry,
+            shards: contents,
             rows,
         } = &mut self.step
         else {
@@ -122,9 +136,12 @@
         if now < *retry {
             return None;
         }
+        let Some((changed, mut transaction)) = drop_sources(self.log, contents, shards) else {
+            self.step = Step::Idle;
+            return None;
+        };
         *flight = Some(op);
-        let mut transaction = Transaction::default();
-        *rows = drop_sources(self.log, shards, &mut transaction);
+        *rows = changed;
         let key = rows::pointer(self.log);
         transaction.conditions.push(match self.version {
             0 => Condition::Absent(key.clone()),
@@ -139,12 +156,17 @@
     /// Takes the outcome of an operation. `None` when `op` is not in flight here.
     pub fn outcome(&mut self, now: Duration, op: StoreKey, outcome: &Outcome) -> Option<Progress> {
         match &mut self.step {
-            Step::Object { op: own, seq } if *own == op => {
+            Step::Object {
+                op: own,
+                seq,
+                shards,
+            } if *own == op => {
                 let applied = matches!(outcome, Ok(Reply::Done));
                 let pointer = Step::Pointer {
                     op: None,
                     seq: *seq,
                     retry: now,
+                    shards: std::mem::take(shards),
                     rows: Vec::new(),
                 };
                 self.step = if applied { pointer } else { Step::Idle };
@@ -180,7 +202,9 @@
                     Some(row) if row.value == rows::pointer_value(self.number, seq) => {
                         self.covered(seq, row.version)
                     }
-                    _ => {
+                    other => {
+                        // An attempt of a checkpoint that was given up may have taken effect.
+                        self.version = other.map_or(self.version, |row| row.version);
                         self.step = Step::Idle;
                         Progress::Moved(rows.clone())
                     }
@@ -294,16 +318,30 @@
     Ending::Failed(super::answer::Cause::new(&end.code, &end.text))
 }
 
-/// Adds what makes this process's journal the only source of its shards; returns the new rows.
+/// Shards that this process serves, with their epochs.
+fn contents(shards: &Shards) -> Contents {
+    let mut contents = Contents::new();
+    for (shard, info) in shards.iter() {
+        if info.role == Role::Serving {
+            contents.push((shard, Epoch(info.row.epoch)));
+        }
+    }
+    contents
+}
+
+/// What makes this process's journal the only source of the shards in an image: the new rows, and
+/// the transaction that writes them. `None` when a shard has been lost since.
 fn drop_sources(
     log: Instance,
+    contents: &Contents,
     shards: &Shards,
-    transaction: &mut Transaction,
-) -> Vec<(Shard, OwnerRow)> {
+) -> Option<(Vec<(Shard, OwnerRow)>, Transaction)> {
+    let mut transaction = Transaction::default();
     let mut changed = Vec::new();
-    for (shard, info) in shards.iter() {
-        if info.role != Role::Serving {
-            continue;
+    for &(shard, epoch) in contents {
+        let info = shards.get(shard)?;
+        if info.role != Role::Serving || Epoch(info.row.epoch) != epoch {
+            return None;
         }
         let key = rows::owner(shard);
         let condition = Condition::Version(key.clone(), info.version);
@@ -317,5 +355,5 @@
         transaction.writes.push(write);
         changed.push((shard, row));
     }
-    changed
+    Some((changed, transaction))
 }
--- a/crates/core/src/entry/commit.rs
+++ b/crates/core/src/entry/commit.rs
@@ -24,7 +24,9 @@
             let Subject::Admission(key) = subject else {
                 return;
             };
-            if let Some(job) = jobs.open(key) {
+            if let Some(job) = jobs.open(key)
+                && job.phase == Phase::Queued
+            {
                 job.phase = Phase::Written;
             }
         };
@@ -66,8 +68,7 @@
             }
             Some(Verdict::Moved(rows)) => {
                 self.take_moved(now, &rows, out);
-                let owned = self.shards.owned();
-                self.journal.strip(|shard| !owned.contains_key(&shard));
+                self.journal.strip(self.shards.owned());
             }
             Some(Verdict::Foreign) => {
                 self.log(
@@ -180,7 +181,7 @@
             return;
         }
         let log = self.settings.instance;
-        let mut force = false;
+        let mut force = self.ownership.roster_shrunk;
         for (_, info) in self.shards.iter() {
             if info.role == Role::Serving {
                 force |= info.row.sources != [log.0];
@@ -194,7 +195,9 @@
         let op = self.next_op();
         let request = if self.checkpoints.is_due(now.mono, seq, force) {
             let image = checkpoint::image(seq, &self.jobs, &self.agents, &self.shards);
-            Some(self.checkpoints.begin(now.mono, op, seq, image))
+            self.ownership.roster_shrunk = false;
+            let content = (seq, image);
+            Some(self.checkpoints.begin(now.mono, op, content, &self.shards))
         } else {
             let point = self.checkpoints.point(now.mono, op, &self.shards);
             point.or_else(|| self.checkpoints.delete(op))
--- a/crates/core/src/entry/journal.rs
+++ b/crates/core/src/entry/journal.rs
@@ -17,7 +17,8 @@
 
 use super::io::StoreKey;
 use super::rows;
-use crate::ids::{Instance, JobKey, Shard};
+use super::shards::Owned;
+use crate::ids::{Epoch, Instance, JobKey, Shard};
 use crate::store::{Condition, Failure, Outcome, Reply, Transaction, Write};
 
 /// Largest batch, in bytes. One record may be larger, up to [`MAX_RECORD_BYTES`].
@@ -57,6 +58,16 @@
     urgent: bool,
 }
 
+impl Waiting {
+    /// Whether the record may be written as far as this process knows.
+    fn is_owned(&self, owned: &BTreeMap<Shard, Owned>) -> bool {
+        match self.guard {
+            Guard::Shard(shard, epoch) => owned.get(&shard).is_some_and(|row| row.epoch == epoch),
+            Guard::All => true,
+        }
+    }
+}
+
 /// What a record is about.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Subject {
@@ -71,8 +82,9 @@
 /// Which shards must still be owned when a record is written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Guard {
-    /// This shard.
-    Shard(Shard),
+    /// This shard, in this epoch. A shard that was lost and claimed again has another epoch, and
+    /// another process may have served it in between.
+    Shard(Shard, Epoch),
     /// All shards that the process owns.
     All,
 }
@@ -198,7 +210,7 @@
 
     /// Removes the records of a shard that wait.
     pub fn withdraw_shard(&mut self, shard: Shard) {
-        self.remove(|waiting| waiting.guard == Guard::Shard(shard));
+        self.remove(|waiting| matches!(waiting.guard, Guard::Shard(of, _) if of == shard));
     }
 
     fn remove(&mut self, gone: impl Fn(&Waiting) -> bool) {
@@ -215,13 +227,13 @@
 
     /// Starts the next write, or repeats the one in flight, if it is time.
     ///
-    /// `versions` gives the version of the row of each shard that this process owns; records of
-    /// other shards are dropped. Calls `sent` for each record that goes into its first write.
+    /// `owned` gives the row of each shard that this process owns; records of other shards or
+    /// epochs are dropped. Calls `sent` for each record that goes into its first write.
     pub fn next(
         &mut self,
         now: Duration,
         op: StoreKey,
-        versions: &BTreeMap<Shard, u64>,
+        owned: &BTreeMap<Shard, Owned>,
         mut sent: impl FnMut(Subject),
     ) -> Option<Transaction> {
         self.refill(now);
@@ -233,7 +245,7 @@
                 if !self.is_due(now) {
                     return None;
                 }
-                self.fill(versions, &mut sent);
+                self.fill(owned, &mut sent);
             }
             Some(flight) if flight.op.is_some() || flight.retry > now => return None,
             Some(_) => {}
@@ -244,7 +256,7 @@
         flight.attempts += 1;
         self.tokens -= 1.0;
         let mut conditions = vec![Condition::Absent(key.clone())];
-        conditions.extend(guards(&flight.records, versions));
+        conditions.extend(guards(&flight.records, owned));
         Some(Transaction {
             conditions,
             writes: vec![Write::Put(key, flight.value.clone())],
@@ -273,14 +285,11 @@
     ///
     /// An earlier attempt with these records cannot take effect any more, since the rows that it
     /// is conditional on have newer versions.
-    pub fn strip(&mut self, lost: impl Fn(Shard) -> bool) {
+    pub fn strip(&mut self, owned: &BTreeMap<Shard, Owned>) {
         let Some(mut flight) = self.flight.take() else {
             return;
         };
-        flight.records.retain(|waiting| match waiting.guard {
-            Guard::Shard(shard) => !lost(shard),
-            Guard::All => true,
-        });
+        flight.records.retain(|waiting| waiting.is_owned(owned));
         flight.value = encode(&flight.records);
         if !flight.records.is_empty() {
             self.flight = Some(flight);
@@ -300,7 +309,7 @@
         now.saturating_sub(first.since) >= LAZY_DELAY || self.urgent > 0
     }
 
-    fn fill(&mut self, versions: &BTreeMap<Shard, u64>, sent: &mut impl FnMut(Subject)) {
+    fn fill(&mut self, owned: &BTreeMap<Shard, Owned>, sent: &mut impl FnMut(Subject)) {
         let mut records = Vec::new();
         let mut size = 0;
         while let Some(waiting) = self.waiting.front() {
@@ -312,7 +321,7 @@
             };
             self.bytes -= waiting.encoded.len();
             self.urgent -= usize::from(waiting.urgent);
-            if matches!(waiting.guard, Guard::Shard(shard) if !versions.contains_key(&shard)) {
+            if !waiting.is_owned(owned) {
                 continue;
             }
             sent(waiting.subject);
@@ -323,7 +332,7 @@
             return;
         }
         let value = encode(&records);
-        let covered = versions.keys().copied().collect();
+        let covered = owned.keys().copied().collect();
         let retry = Duration::ZERO;
         self.flight = Some(Flight {
             op: None,
@@ -391,21 +400,27 @@
     batch.into()
 }
 
-fn guards(records: &[Waiting], versions: &BTreeMap<Shard, u64>) -> Vec<Condition> {
-    let mut shards = Vec::new();
+fn guards(records: &[Waiting], owned: &BTreeMap<Shard, Owned>) -> Vec<Condition> {
+    let mut versions = BTreeMap::new();
     for waiting in records {
         match waiting.guard {
-            Guard::Shard(shard) => shards.push(shard),
-            Guard::All => shards.extend(versions.keys().copied()),
+            Guard::Shard(shard, epoch) => {
+                let row = owned.get(&shard).filter(|row| row.epoch == epoch);
+                // Without the epoch the record must not be written: version 0 never exists, so
+                // the write fails and the record is taken out.
+                let version = row.map_or(0, |row| row.version);
+                let lowest = versions.entry(shard).or_insert(version);
+                *lowest = version.min(*lowest);
+            }
+            Guard::All => {
+                for (shard, row) in owned {
+                    versions.entry(*shard).or_insert(row.version);
+                }
+            }
         }
     }
-    shards.sort_unstable();
-    shards.dedup();
-    let mut conditions = Vec::with_capacity(shards.len());
-    for shard in shards {
-        // A shard without a version was lost since; version 0 never exists, so the write fails
-        // and the records are taken out.
-        let version = versions.get(&shard).copied().unwrap_or_default();
+    let mut conditions = Vec::with_capacity(versions.len());
+    for (shard, version) in versions {
         conditions.push(Condition::Version(rows::owner(shard), version));
     }
     conditions
--- a/crates/core/src/entry/links.rs
+++ b/crates/core/src/entry/links.rs
@@ -29,6 +29,10 @@
 /// Silence after which an agent's connection is closed.
 const AGENT_SILENCE: Duration = Duration::from_secs(3);
 
+/// Silence after which the connection of an entry process is closed, so that requests passed on
+/// over it go to the next owner.
+const ENTRY_SILENCE: Duration = Duration::from_secs(2);
+
 /// Times of periodic work on connections.
 #[derive(Debug, Default)]
 pub struct LinkTimes {
@@ -199,6 +203,8 @@
             return;
         };
         self.miss(agent.info.instance);
+        // Until a checkpoint leaves the agent out, a successor would wait for it.
+        self.ownership.roster_shrunk = true;
         if let Some(link) = agent.link {
             out.push(Action::Close(link, "replaced"));
         }
@@ -420,6 +426,12 @@
                 silent.push(link);
             }
         }
+        for peer in self.peers.iter() {
+            let Some(link) = peer.link else { continue };
+            if now.since(peer.heard) >= ENTRY_SILENCE {
+                silent.push(link);
+            }
+        }
         for link in silent {
             out.push(Action::Close(link, "silent"));
             self.link_down(now, link, out);
--- a/crates/core/src/entry/ownership.rs
+++ b/crates/core/src/entry/ownership.rs
@@ -51,6 +51,8 @@
     pub workers: KeyMap<WorkerKey, AgentKey>,
     /// Jobs to cancel once it is known whether they are admitted and what has started.
     pub cancels: Vec<JobKey>,
+    /// Whether an agent has gone since the last checkpoint, which still names it.
+    pub roster_shrunk: bool,
     counted: bool,
     scanned: bool,
     configured: bool,
--- a/crates/core/src/entry/peers.rs
+++ b/crates/core/src/entry/peers.rs
@@ -84,6 +84,12 @@
         self.by_name.values().find(of_instance)?.link
     }
 
+    /// A peer that can pass a request on, other than the one that it came from.
+    pub fn relay(&self, now: Duration, from: Option<LinkKey>) -> Option<LinkKey> {
+        let other = |peer: &&Peer| peer.link != from;
+        self.staying(now).find(other)?.link
+    }
+
     /// Whether an instance of this name other than `instance` is connected.
     pub fn is_replaced(&self, name: &str, instance: Instance) -> bool {
         self.by_name
--- a/crates/core/src/entry/shards.rs
+++ b/crates/core/src/entry/shards.rs
@@ -44,11 +44,29 @@
     pub claimed: Duration,
 }
 
+/// Row of a shard that this process owns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Owned {
+    /// Version of the row.
+    pub version: u64,
+    /// Epoch of the shard.
+    pub epoch: Epoch,
+}
+
+impl ShardInfo {
+    fn owned(&self) -> Owned {
+        Owned {
+            version: self.version,
+            epoch: Epoch(self.row.epoch),
+        }
+    }
+}
+
 /// All shards.
 #[derive(Debug, Default)]
 pub struct Shards {
     list: Vec<ShardInfo>,
-    owned: BTreeMap<Shard, u64>,
+    owned: BTreeMap<Shard, Owned>,
 }
 
 impl Shards {
@@ -87,8 +105,8 @@
             .map(|(i, info)| (Shard(u32::try_from(i).unwrap_or(0)), info))
     }
 
-    /// Versions of the rows of shards that this process owns.
-    pub fn owned(&self) -> &BTreeMap<Shard, u64> {
+    /// Rows of shards that this process owns.
+    pub fn owned(&self) -> &BTreeMap<Shard, Owned> {
         &self.owned
     }
 
@@ -113,7 +131,7 @@
                 self.owned.remove(&shard);
             }
             Role::Loading | Role::Serving | Role::Draining | Role::Releasing => {
-                self.owned.insert(shard, info.version);
+                self.owned.insert(shard, info.owned());
             }
         }
     }
@@ -130,7 +148,7 @@
         info.row = row;
         info.claimable = None;
         if let Some(owned) = self.owned.get_mut(&shard) {
-            *owned = version;
+            *owned = info.owned();
         }
         true
     }
--- a/crates/core/src/entry/submit.rs
+++ b/crates/core/src/entry/submit.rs
@@ -177,7 +177,11 @@
             _ => return self.routing.park(routed),
         }
         let owner = self.shards.get(shard).map_or(0, |info| info.row.owner);
-        match self.peers.link_of(now.mono, Instance(owner)) {
+        let direct = self.peers.link_of(now.mono, Instance(owner));
+        let relay = || self.peers.relay(now.mono, routed.waiter.link());
+        // A live owner that this process has lost may be in reach of another.
+        let link = direct.or_else(|| (routed.hops == 0).then(relay).flatten());
+        match link {
             Some(link) if owner != 0 && routed.hops < MAX_HOPS => {
                 self.metrics.forwarded.inc();
                 let frame = self.routing.send(now.mono, link, routed);
@@ -259,8 +263,8 @@
             body: Some(Body::Admit(admit)),
         };
         let entry = (Subject::Admission(key), &record);
-        self.journal
-            .push(now.mono, entry, Guard::Shard(shard), true);
+        let guard = Guard::Shard(shard, self.shards.epoch(shard));
+        self.journal.push(now.mono, entry, guard, true);
         match record.body {
             Some(Body::Admit(admit)) => admit,
             _ => Admit::default(),
--- a/crates/core/src/entry/tasks.rs
+++ b/crates/core/src/entry/tasks.rs
@@ -46,7 +46,8 @@
         let start = self.task_start(task);
         let (Some(agent), Some(start)) = (agent, start) else {
             self.dispatcher.ended(now, task, worker, Ended::NotStarted);
-            self.dispatcher.cancel(task.job);
+            // It is pushed again when its tasks may start.
+            self.dispatcher.remove(task.job);
             return;
         };
         if !self.agents.start(agent, start) {
@@ -219,7 +220,8 @@
         }
         let urgent = !held.is_final();
         let body = Some(RecordBody::End(held.record()));
-        let (shard, guard) = (held.shard, Guard::Shard(held.shard));
+        let shard = held.shard;
+        let guard = Guard::Shard(shard, self.shards.epoch(shard));
         let record = JournalRecord {
             shard: shard.0,
             body,
--- a/crates/core/src/entry/waiters.rs
+++ b/crates/core/src/entry/waiters.rs
@@ -31,6 +31,14 @@
 }
 
 impl Waiter {
+    /// Connection over which the request came, if another process passed it on.
+    pub fn link(self) -> Option<LinkKey> {
+        match self.target {
+            Target::Peer(link, _) => Some(link),
+            Target::Call(_) => None,
+        }
+    }
+
     /// The action that answers the waiter.
     pub fn answer(self, reply: &Reply) -> Action {
         match self.target {
