feat(dispatch): count grants against the demand an entry process told

Cause: an agent compared told waiting tasks with the unused credits of the link, so a link that used its credits at once was served the same demand again and again, ahead of others. Ruled out: subtracting unused credits when a demand arrives; these include credits that starts under way have used, so the agent could take a demand as met that the entry process still counts. Change: a grant lowers the unmet demand of its link, and the entry process counts arriving credits likewise and tells its demand again when it is used up. Unused credits are still recalled only from links that ended their demand. The property test compares unmet demand by the same count and also requires that no credit is granted without demand while demand is left; tests of shares tell the demand each round, so that its end does not even out the shares.

--- a/crates/core/src/agent/credits.rs
+++ b/crates/core/src/agent/credits.rs
@@ -2,6 +2,10 @@
 //!
 //! One credit is one free slot. Granted credits and running tasks together never exceed the
 //! slots, except right after the number of slots was lowered; the excess is then recalled.
+//!
+//! Each grant counts against the demand that its entry process told. One whose demand is used up
+//! gets no more slots ahead of others until it tells its demand again; counting its unused credits
+//! instead would serve the same demand anew after every start.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -35,8 +39,10 @@
     granted: u32,
     /// Credits asked back and not yet answered.
     recalled: u32,
-    /// Tasks that wait for a credit, as last told.
+    /// Tasks that wait for a credit, as last told; 0 when it has no demand.
     waiting: u32,
+    /// Those of them for which no credit has been granted since.
+    unmet: u32,
     /// Time at which the most urgent of them misses its target, in milliseconds.
     due_ms: i64,
     /// Slots that its tasks freed since the last assignment.
@@ -48,11 +54,6 @@
 }
 
 impl Holder {
-    /// Waiting tasks that its credits do not cover.
-    fn need(&self) -> u32 {
-        self.waiting.saturating_sub(self.granted)
-    }
-
     /// Unused credits that have not been asked back.
     fn spare(&self) -> u32 {
         self.granted.saturating_sub(self.recalled)
@@ -156,6 +157,7 @@
         };
         let now_ms = i64::try_from(now.as_millis()).unwrap_or(i64::MAX);
         holder.waiting = waiting;
+        holder.unmet = waiting;
         holder.due_ms = now_ms.saturating_add(i64::from(slack_ms));
     }
 
@@ -216,6 +218,7 @@
             };
             if let Some(holder) = self.holders.get_mut(&link) {
                 holder.granted += 1;
+                holder.unmet = holder.unmet.saturating_sub(1);
                 holder.assigned += 1;
                 holder.freed = holder.freed.saturating_sub(1);
             }
@@ -226,18 +229,18 @@
     /// those due at about the same time, each in proportion to its need (smooth weighted
     /// round robin).
     fn neediest(&mut self) -> Option<LinkKey> {
-        let needy = self.holders.values().filter(|h| h.need() > 0);
+        let needy = self.holders.values().filter(|h| h.unmet > 0);
         let earliest = needy.map(|h| h.due_ms).min()?;
         let latest = earliest.saturating_add(SLACK_BAND_MS);
-        let competes = |h: &Holder| h.need() > 0 && h.due_ms <= latest;
+        let competes = |h: &Holder| h.unmet > 0 && h.due_ms <= latest;
         let needs = self.holders.values().filter(|h| competes(h));
-        let total = needs.map(|h| i64::from(h.need())).sum::<i64>();
+        let total = needs.map(|h| i64::from(h.unmet)).sum::<i64>();
         let mut best: Option<(i64, LinkKey)> = None;
         for (link, holder) in &mut self.holders {
             if !competes(holder) {
                 continue;
             }
-            holder.share += i64::from(holder.need()) * SHARE_UNIT / total;
+            holder.share += i64::from(holder.unmet) * SHARE_UNIT / total;
             if best.is_none_or(|(share, _)| holder.share > share) {
                 best = Some((holder.share, *link));
             }
@@ -276,7 +279,7 @@
 
     /// Recalls unused credits from holders without demand for those with demand.
     fn recall_for_demand(&mut self, out: &mut Vec<Move>) {
-        let need = self.holders.values().map(|h| u64::from(h.need()));
+        let need = self.holders.values().map(|h| u64::from(h.unmet));
         let need = u32::try_from(need.sum::<u64>()).unwrap_or(u32::MAX);
         let recalled = self.holders.values().map(|h| h.recalled).sum();
         self.recall(need.saturating_sub(recalled), |h| h.waiting == 0, out);
--- a/crates/core/src/dispatch/demand.rs
+++ b/crates/core/src/dispatch/demand.rs
@@ -4,6 +4,11 @@
 //! many as it has slots, and when the first of them is due. The agents told are about as many as
 //! tasks wait, and more the longer they wait, so that a short wait among many agents costs few
 //! frames.
+//!
+//! An agent counts each credit that it grants against the demand it was told of, and this process
+//! counts each that arrives. Credits under way when the demand is told are counted here only, so a
+//! demand that the agent takes as used up is used up here at the latest when its grants arrive,
+//! and is told again while tasks wait.
 
 use std::time::Duration;
 
@@ -97,9 +102,9 @@
 }
 
 impl Told {
-    /// Whether the agent was told of tasks as urgent as these.
+    /// Whether the agent knows of tasks as urgent as these that it has not granted credits for.
     fn covers(&self, urgent: Urgent) -> bool {
-        self.waiting > 0 && self.due <= urgent.due.saturating_add(urgent.tolerance)
+        self.unmet > 0 && self.due <= urgent.due.saturating_add(urgent.tolerance)
     }
 
     /// Whether the agent was told of tasks that are clearly more urgent.
@@ -213,6 +218,7 @@
         let waiting = urgent.waiting.min(worker.slots.max(1));
         worker.told = Told {
             waiting,
+            unmet: waiting,
             due: urgent.due,
             at: Some(now.mono),
         };
@@ -235,6 +241,7 @@
                 continue;
             }
             worker.told.waiting = 0;
+            worker.told.unmet = 0;
             worker.told.at = Some(now.mono);
             out.push((worker.link, 0, 0));
         }
--- a/crates/core/src/dispatch/fleet.rs
+++ b/crates/core/src/dispatch/fleet.rs
@@ -74,6 +74,7 @@
         };
         let added = credits.min(u32::MAX - worker.credits);
         worker.credits += added;
+        worker.told.unmet = worker.told.unmet.saturating_sub(credits);
         self.held_credits = self.held_credits.saturating_add(added);
         if worker.health.held() {
             self.suspects.credited();
--- a/crates/core/src/dispatch/worker.rs
+++ b/crates/core/src/dispatch/worker.rs
@@ -44,6 +44,8 @@
 pub(super) struct Told {
     /// Waiting tasks; 0 when there is no demand.
     pub(super) waiting: u32,
+    /// Those of them for which no credit has come since; the agent counts its grants likewise.
+    pub(super) unmet: u32,
     /// Deadline of the most urgent of them.
     pub(super) due: Duration,
     /// When it was told.
--- a/crates/core/tests/dispatch/demand.rs
+++ b/crates/core/tests/dispatch/demand.rs
@@ -53,6 +53,42 @@
     assert_eq!(frames(&mut bench)[0].1, 8);
 }
 
+/// Guards against waiting tasks that no agent counts any more: an agent counts its grants against
+/// what it was told, so it is told again when the credits have come.
+#[rstest]
+#[case::all_came(3, &[3])]
+#[case::one_is_missing(2, &[])]
+fn used_up_demand_is_told_again(#[case] credits: u32, #[case] told: &[u32]) {
+    let mut bench = Bench::new();
+    let worker = bench.worker("w", 0);
+    bench.submit("a", "plain", "t", 3);
+    assert_eq!(frames(&mut bench).len(), 1);
+    bench.submit("b", "plain", "t", 3);
+    for _ in 0..credits {
+        bench.dispatcher.credit(worker, 1);
+        assert_eq!(bench.start_all().len(), 1);
+    }
+    bench.pass(19);
+    assert_eq!(frames(&mut bench), [], "within the interval");
+    bench.pass(6);
+    let waiting: Vec<u32> = frames(&mut bench).iter().map(|f| f.1).collect();
+    assert_eq!(waiting, told);
+}
+
+/// Guards against credits that nobody can recall because a used-up demand was never ended.
+#[rstest]
+fn used_up_demand_is_ended() {
+    let mut bench = Bench::new();
+    let worker = bench.worker("w", 0);
+    bench.submit("a", "plain", "t", 1);
+    assert_eq!(frames(&mut bench).len(), 1);
+    bench.dispatcher.credit(worker, 2);
+    assert_eq!(bench.start_all().len(), 1);
+    assert_eq!(frames(&mut bench), []);
+    bench.pass(100);
+    assert_eq!(frames(&mut bench), [(LinkKey(1), 0, 0)]);
+}
+
 /// Guards against short work that waits behind bulk work of another process because its agents
 /// know only of the bulk work that waits here.
 #[rstest]
