--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -1,6 +1,6 @@
 //! Events for the log.
 
-/// An event for the log. Numbers and texts are in `docs/events.md`.
+/// An event for the log. Numbers and texts are in the pages `docs/events-*.md`.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Event {
     /// Stable number.
--- a/crates/testing/tests/decisions/lost_agents.rs
+++ b/crates/testing/tests/decisions/lost_agents.rs
@@ -53,3 +53,32 @@
     }
     assert_eq!(driver.doubled(), []);
 }
+
+/// Guards against jobs that are put in doubt because of an agent that was gone long before them.
+#[rstest]
+fn long_gone() {
+    let mut driver = Driver::new(3, 4);
+    for number in 0..12 {
+        driver.submit(number % 3, &format!("before-{number}"), &["20"]);
+    }
+    driver.run(2_000);
+    driver.kill(Place::Agent(0));
+    driver.run(60_000);
+    let ids: Vec<String> = (0..12).map(|number| format!("job-{number}")).collect();
+    for (number, id) in ids.iter().enumerate() {
+        driver.submit(number % 3, id, &["400"; 8]);
+    }
+    driver.run(150);
+    driver.kill(Place::Entry(1));
+    driver.run(200);
+    let calls: Vec<u64> = ids
+        .iter()
+        .map(|id| driver.submit(2, id, &["400"; 8]))
+        .collect();
+    driver.run(40_000);
+    for call in calls {
+        let (_, body) = driver.reply(call);
+        assert!(body.contains("complete"), "{body}");
+    }
+    assert_eq!(driver.doubled(), []);
+}
--- a/crates/testing/tests/decisions/takeover.rs
+++ b/crates/testing/tests/decisions/takeover.rs
@@ -162,3 +162,37 @@
     let ids: Vec<String> = (0..24).map(|number| format!("job-{number}")).collect();
     resubmit_through(&mut driver, 0, &ids);
 }
+
+/// Guards against callers that get no answer because their requests were passed on to an owner
+/// that stays paused.
+#[rstest]
+fn owner_stays_paused() {
+    let mut driver = Driver::new(3, 4);
+    let calls: Vec<u64> = (0..12)
+        .map(|number| driver.submit(0, &format!("job-{number}"), &["3000"; 2]))
+        .collect();
+    driver.run(300);
+    driver.pause(Place::Entry(1), true);
+    driver.run(30_000);
+    for call in calls {
+        let (_, body) = driver.reply(call);
+        assert!(body.contains("complete"), "{body}");
+    }
+    assert_eq!(driver.doubled(), []);
+}
+
+/// Guards against refusals while the owner of a job is alive and only one connection is cut.
+#[rstest]
+fn owner_out_of_reach() {
+    let mut driver = Driver::new(3, 4);
+    driver.cut(Place::Entry(0), Place::Entry(1));
+    driver.run(2_000);
+    let calls: Vec<u64> = (0..12)
+        .map(|number| driver.submit(0, &format!("job-{number}"), &["20"]))
+        .collect();
+    driver.run(3_000);
+    for call in calls {
+        let (_, body) = driver.reply(call);
+        assert!(body.contains("complete"), "{body}");
+    }
+}
