--- a/crates/core/src/entry/links.rs
+++ b/crates/core/src/entry/links.rs
@@ -20,6 +20,13 @@
 /// Heartbeats to agents are sent once in so many.
 const AGENT_SHARE: u64 = 4;
 
+/// Heartbeats to agents that name the entry processes after a change or a new agent.
+const NAMING_BEATS: u32 = 4;
+
+/// Without a change, one heartbeat to agents in so many names them; agents forget an entry process
+/// that is not named for 30 s.
+const NAMING_SHARE: u64 = 10;
+
 /// Pause between two attempts to connect to known addresses.
 const DIAL_PAUSE: Duration = Duration::from_secs(1);
 
@@ -41,9 +48,25 @@
     dial: Duration,
     settle: Duration,
     addresses: Vec<SmolStr>,
+    named: Vec<EntryAddress>,
+    naming: u32,
     heard: KeyMap<LinkKey, Duration>,
 }
 
+impl LinkTimes {
+    /// Whether the next heartbeat to agents names the entry processes: for some heartbeats after a
+    /// change, and now and then, since the list would be most of a heartbeat in a large system.
+    fn names_entries(&mut self, entries: &[EntryAddress]) -> bool {
+        if self.named != entries {
+            self.named = entries.to_vec();
+            self.naming = NAMING_BEATS;
+        }
+        let due = self.naming > 0 || (self.counter / AGENT_SHARE).is_multiple_of(NAMING_SHARE);
+        self.naming = self.naming.saturating_sub(1);
+        due
+    }
+}
+
 impl Machine {
     pub(super) fn link_up(
         &mut self,
@@ -87,6 +110,7 @@
     }
 
     fn agent_up(&mut self, now: Now, link: LinkKey, peer: PeerInfo, out: &mut Vec<Action>) {
+        self.times.naming = NAMING_BEATS;
         self.replace_agent(now, &peer, out);
         let instance = peer.instance;
         let fields = vec![
@@ -369,7 +393,7 @@
         }
     }
 
-    fn beat(&self, out: &mut Vec<Action>) {
+    fn beat(&mut self, out: &mut Vec<Action>) {
         let mut heartbeat = Heartbeat {
             counter: self.times.counter,
             config_version: self.document.version,
@@ -392,6 +416,9 @@
         if !self.times.counter.is_multiple_of(AGENT_SHARE) {
             return;
         }
+        if !self.times.names_entries(&heartbeat.entries) {
+            heartbeat.entries.clear();
+        }
         for (_, agent) in self.agents.iter() {
             if let Some(link) = agent.link {
                 out.push(Action::Send(link, Body::Heartbeat(heartbeat.clone())));
--- a/crates/entry/src/http/refusal.rs
+++ b/crates/entry/src/http/refusal.rs
@@ -1,4 +1,4 @@
-//! Refusals of the API itself. None of them started or recorded anything.
+//! Refusals of the API itself. None of these requests started or recorded anything.
 
 use std::fmt::Display;
 
@@ -86,13 +86,21 @@
 
     /// Too many requests wait for the decisions.
     pub(super) fn overloaded() -> Self {
-        let text = "too many requests wait in this process".to_owned();
-        Self::new(503, "overloaded", text)
+        Self::unasked("overloaded", "too many requests wait in this process")
     }
 
     /// The process has ended its work.
     pub(super) fn stopping() -> Self {
-        Self::new(503, "stopping", "this process is stopping".to_owned())
+        Self::unasked("stopping", "this process is stopping")
+    }
+
+    /// The decisions were not asked: an earlier submission of the same id may have run.
+    fn unasked(code: &'static str, text: &str) -> Self {
+        let text = format!("{text}; this request started nothing, an earlier one may have");
+        Self {
+            ran: Ran::Unknown,
+            ..Self::new(503, code, text)
+        }
     }
 
     /// The request was taken and its outcome cannot be learned here any more.
