refactor(core): drop unused queries of the credits

Cause: no placement uses them any more. Change: Credits keeps what policies use: fastest, pick, pick_any, running, is_empty. Conclusion: no change of decisions.

--- a/crates/core/src/dispatch/credits.rs
+++ b/crates/core/src/dispatch/credits.rs
@@ -81,12 +81,6 @@
         self.filled == 0
     }
 
-    /// Number of workers with an unused credit.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.places.len()
-    }
-
     /// The fastest group that has a worker.
     #[must_use]
     pub fn fastest(&self) -> Option<u8> {
@@ -95,19 +89,6 @@
             .and_then(|g| u8::try_from(g).ok())
     }
 
-    /// The slowest group that has a worker and is at least as fast as `group`.
-    #[must_use]
-    pub fn slowest_from(&self, group: u8) -> Option<u8> {
-        let at_least = self.filled & (u32::MAX << group.min(31));
-        (at_least != 0).then(|| at_least.trailing_zeros() as u8)
-    }
-
-    /// The group of a speed factor.
-    #[must_use]
-    pub fn group_of(&self, speed: f64) -> u8 {
-        group_of(speed.log2())
-    }
-
     /// A random worker of `group`; one of the same zone is preferred.
     pub fn pick(&self, group: u8, random: &mut ChaCha8Rng) -> Option<WorkerKey> {
         let entries = self.groups.get(usize::from(group))?;
