refactor(core): claims, releases and callers' requests each in one place

Ruled out: nothing. Change: claims.rs and release.rs; one function for callers and one for passed-on requests; the tests' driver in three files.

--- /dev/null
+++ b/crates/core/src/entry/claims.rs
@@ -0,0 +1,149 @@
+//! Claims of shards that nobody owns.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use knapweedwall_wire::OwnerRow;
+use prost::Message;
+
+use super::io::Action;
+use super::machine::{Machine, Purpose};
+use super::recovery::Recovery;
+use super::shards::Role;
+use super::{peers, rows};
+use crate::clock::Now;
+use crate::ids::{Instance, Shard};
+use crate::maps::KeySet;
+use crate::store::{Condition, Outcome, Reply, Request, Transaction, Write};
+
+/// Time after start for which claims wait for other processes to be seen.
+const SETTLE: Duration = Duration::from_millis(1_000);
+
+/// Delay of a claim for each rank above the process's own.
+const RANK_DELAY: Duration = Duration::from_millis(500);
+
+impl Machine {
+    fn is_claimable(&self, owner: Instance, name: &str) -> bool {
+        owner.0 == 0
+            || self.watches.get(&owner).is_some_and(peers::Watch::is_dead)
+            || self.peers.is_replaced(name, owner)
+            || (name == self.settings.name && owner != self.settings.instance)
+    }
+
+    /// Claims shards that nobody owns, best-ranked process first.
+    pub(super) fn claim_free(&mut self, now: Now, out: &mut Vec<Action>) {
+        if !self.ownership.scanned || self.stopping.is_some() || now.mono < SETTLE {
+            return;
+        }
+        let mut chosen = Vec::new();
+        let mut free = Vec::new();
+        for (shard, info) in self.shards.iter() {
+            let owner = Instance(info.row.owner);
+            if info.role != Role::Foreign || !self.is_claimable(owner, &info.row.name) {
+                continue;
+            }
+            let since = info.claimable.unwrap_or(now.mono);
+            free.push((shard, since));
+            let rank = self.peers.rank(now.mono, &self.settings.name, shard);
+            if now.since(since) >= RANK_DELAY * rank {
+                chosen.push(shard);
+            }
+        }
+        for (shard, since) in free {
+            if let Some(info) = self.shards.get_mut(shard) {
+                info.claimable = Some(since);
+            }
+        }
+        if !chosen.is_empty() {
+            self.claim(chosen, out);
+        }
+    }
+
+    fn claim(&mut self, shards: Vec<Shard>, out: &mut Vec<Action>) {
+        let mut transaction = Transaction::default();
+        for &shard in &shards {
+            let Some(info) = self.shards.get(shard) else {
+                continue;
+            };
+            let key = rows::owner(shard);
+            transaction.conditions.push(match info.version {
+                0 => Condition::Absent(key.clone()),
+                version => Condition::Version(key.clone(), version),
+            });
+            let row = self.claimed(&info.row);
+            transaction
+                .writes
+                .push(Write::Put(key, row.encode_to_vec().into()));
+        }
+        for &shard in &shards {
+            self.shards.set_role(shard, Role::Claiming);
+        }
+        self.start_op(Purpose::Claim(shards), Request::Transact(transaction), out);
+    }
+
+    fn claimed(&self, former: &OwnerRow) -> OwnerRow {
+        let own = self.settings.instance.0;
+        let mut sources = former.sources.clone();
+        if !sources.contains(&own) {
+            sources.push(own);
+        }
+        OwnerRow {
+            owner: own,
+            name: self.settings.name.to_string(),
+            address: self.settings.address.to_string(),
+            epoch: former.epoch + 1,
+            sources,
+        }
+    }
+
+    pub(super) fn take_claim(
+        &mut self,
+        now: Now,
+        shards: &[Shard],
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        for &shard in shards {
+            self.shards.set_role(shard, Role::Foreign);
+        }
+        match outcome {
+            Ok(Reply::Committed(version)) => {
+                for &shard in shards {
+                    let Some(info) = self.shards.get(shard) else {
+                        continue;
+                    };
+                    let row = self.claimed(&info.row);
+                    self.shards.learn(shard, version, row);
+                }
+                let fields = vec![("shards", shards.len().to_string())];
+                self.metrics.claims.inc_by(shards.len() as u64);
+                self.log(out, 122, "shards claimed", false, fields);
+                self.load(now, shards.to_vec());
+            }
+            Ok(Reply::Conflict(rows)) => self.take_moved(now, &rows, out),
+            // The claim may have taken effect; the rows tell.
+            _ => self.ownership.refresh(),
+        }
+    }
+
+    /// Starts to read the records of claimed shards.
+    pub(super) fn load(&mut self, now: Now, shards: Vec<Shard>) {
+        let mut logs = VecDeque::new();
+        for &shard in &shards {
+            self.shards.set_role(shard, Role::Loading);
+            let Some(info) = self.shards.get_mut(shard) else {
+                continue;
+            };
+            info.claimed = now.mono;
+            for &source in &info.row.sources {
+                let log = Instance(source);
+                let unused = log == self.settings.instance && self.journal.durable_seq() == 0;
+                if !unused && !logs.contains(&log) {
+                    logs.push_back(log);
+                }
+            }
+        }
+        let shards: KeySet<Shard> = shards.into_iter().collect();
+        self.recoveries.push(Recovery::new(now.mono, shards, logs));
+    }
+}
--- a/crates/core/src/entry/machine.rs
+++ b/crates/core/src/entry/machine.rs
@@ -10,6 +10,7 @@
 use smol_str::SmolStr;
 
 use super::agents::Agents;
+use super::answer::{Ran, refused};
 use super::checkpoint::Checkpoints;
 use super::io::{Action, Decisions, Input, StoreKey};
 use super::jobs::{Jobs, Retention};
@@ -20,7 +21,7 @@
 use super::ownership::Ownership;
 use super::peers::{Peers, Watch};
 use super::recovery::{Inquiry, Recovery};
-use super::routing::Routing;
+use super::routing::{Ask, Routing};
 use super::settings::Settings;
 use super::shards::Shards;
 use super::waiters::Deadlines;
@@ -28,7 +29,7 @@
 use crate::config::Document;
 use crate::dispatch::{Dispatcher, SpeedMatch};
 use crate::event::Event;
-use crate::ids::{Instance, Shard};
+use crate::ids::{Instance, JobId, Shard};
 use crate::maps::KeyMap;
 use crate::peer::LinkKey;
 use crate::store::{Outcome, Request};
@@ -176,9 +177,22 @@
             Body::FenceReport(report) => self.take_fence_report(now, link, report, out),
             Body::Leaving(_) => self.take_leaving(link),
             Body::ConfigUpdate(update) => self.take_update(&update, out),
-            Body::Submit(submit) => self.take_submit(now, link, submit, out),
-            Body::Query(query) => self.take_query(now, link, &query, out),
-            Body::CancelJob(cancel) => self.take_cancel(now, link, &cancel, out),
+            Body::Submit(submit) => {
+                let admit = Box::new(submit.admit.unwrap_or_default());
+                let (id, limits) = (admit.id.clone(), (submit.wait_ms, submit.hops));
+                let asked = (id.as_str(), Ask::Submit(admit));
+                self.take_passed(now, (link, submit.number), asked, limits, out);
+            }
+            Body::Query(query) => {
+                let (asked, limits) =
+                    ((query.id.as_str(), Ask::Query), (query.wait_ms, query.hops));
+                self.take_passed(now, (link, query.number), asked, limits, out);
+            }
+            Body::CancelJob(cancel) => {
+                let asked = (cancel.id.as_str(), Ask::Cancel);
+                let limits = (cancel.wait_ms, cancel.hops);
+                self.take_passed(now, (link, cancel.number), asked, limits, out);
+            }
             Body::Reply(reply) => self.take_reply(link, reply, out),
             _ => out.push(Action::Close(link, "unexpected_frame")),
         }
@@ -273,9 +287,23 @@
 impl Decisions for Machine {
     fn step(&mut self, now: Now, input: Input, out: &mut Vec<Action>) {
         match input {
-            Input::Submit { call, admit, wait } => self.call_submit(now, call, admit, wait, out),
-            Input::Query { call, id, wait } => self.call_query(now, call, id, wait, out),
-            Input::Cancel { call, id, wait } => self.call_cancel(now, call, id, wait, out),
+            Input::Submit { call, admit, wait } => {
+                let id = JobId::parse(&admit.id);
+                let ask = Ask::Submit(Box::new(admit));
+                match id {
+                    Ok(id) => self.take_call(now, call, (id, ask), wait, out),
+                    Err(error) => {
+                        let reply = refused(400, "bad_id", &error.to_string(), Ran::None);
+                        out.push(Action::Reply(call, reply.status, reply.body));
+                    }
+                }
+            }
+            Input::Query { call, id, wait } => {
+                self.take_call(now, call, (id, Ask::Query), wait, out);
+            }
+            Input::Cancel { call, id, wait } => {
+                self.take_call(now, call, (id, Ask::Cancel), wait, out);
+            }
             Input::Operate { call, operation } => self.operate(now, call, operation, out),
             // Replies to calls that are gone are dropped by the listener.
             Input::CallGone(_) | Input::Tick => {}
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -3,6 +3,7 @@
 mod agents;
 mod answer;
 mod checkpoint;
+mod claims;
 mod commit;
 mod io;
 mod jobs;
@@ -14,6 +15,7 @@
 mod ownership;
 mod peers;
 mod recovery;
+mod release;
 mod routing;
 mod rows;
 mod settings;
--- a/crates/core/src/entry/ownership.rs
+++ b/crates/core/src/entry/ownership.rs
@@ -1,6 +1,5 @@
-//! Which shards this process owns: start-up, claims, releases, and the death of other owners.
+//! Which shards this process owns: start-up, rows of owners, and the death of other owners.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use knapweedwall_wire::{LiveRow, OwnerRow};
@@ -9,35 +8,25 @@
 use super::agents::AgentKey;
 use super::io::Action;
 use super::machine::{Machine, Purpose};
-use super::recovery::Recovery;
 use super::routing::{Ask, Routed};
+use super::rows;
 use super::shards::{self, Role};
 use super::waiters::Waiter;
-use super::{peers, rows};
 use crate::clock::Now;
 use crate::dispatch::WorkerKey;
 use crate::ids::{Instance, JobId, JobKey, Shard};
-use crate::maps::{KeyMap, KeySet};
+use crate::maps::KeyMap;
 use crate::store::{Condition, Outcome, Reply, Request, Transaction, Write};
 
-/// Time after start for which claims wait for other processes to be seen.
-const SETTLE: Duration = Duration::from_millis(1_000);
-
 /// Pause between two rounds of ownership work.
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// Pause between two reads of the owners' rows.
 const SCAN_PAUSE: Duration = Duration::from_secs(3);
 
-/// Delay of a claim for each rank above the process's own.
-const RANK_DELAY: Duration = Duration::from_millis(500);
-
 /// Pause between two writes of the own liveness counter.
 const LIVE_PAUSE: Duration = Duration::from_secs(1);
 
-/// Time for which another process must have been the better owner before a shard goes there.
-const HANDOVER_DELAY: Duration = Duration::from_secs(3);
-
 /// Time without an answer after which the store counts as slow.
 const SLOW: Duration = Duration::from_secs(1);
 
@@ -54,7 +43,8 @@
     /// Whether an agent has gone since the last checkpoint, which still names it.
     pub roster_shrunk: bool,
     counted: bool,
-    scanned: bool,
+    /// Whether the rows of owners have been read.
+    pub scanned: bool,
     configured: bool,
     counting: bool,
     scanning: bool,
@@ -63,7 +53,8 @@
     next_round: Duration,
     next_live: Duration,
     counter: u64,
-    releasing: bool,
+    /// Whether a release is on its way to the store.
+    pub releasing: bool,
     writing: Option<Duration>,
     failed: Option<Duration>,
 }
@@ -312,217 +303,4 @@
         let found = found.map(|live| (Instance(live.instance), live.counter));
         watch.take(now.mono, instance, found);
     }
-
-    fn is_claimable(&self, owner: Instance, name: &str) -> bool {
-        owner.0 == 0
-            || self.watches.get(&owner).is_some_and(peers::Watch::is_dead)
-            || self.peers.is_replaced(name, owner)
-            || (name == self.settings.name && owner != self.settings.instance)
-    }
-
-    /// Claims shards that nobody owns, best-ranked process first.
-    fn claim_free(&mut self, now: Now, out: &mut Vec<Action>) {
-        if !self.ownership.scanned || self.stopping.is_some() || now.mono < SETTLE {
-            return;
-        }
-        let mut chosen = Vec::new();
-        let mut free = Vec::new();
-        for (shard, info) in self.shards.iter() {
-            let owner = Instance(info.row.owner);
-            if info.role != Role::Foreign || !self.is_claimable(owner, &info.row.name) {
-                continue;
-            }
-            let since = info.claimable.unwrap_or(now.mono);
-            free.push((shard, since));
-            let rank = self.peers.rank(now.mono, &self.settings.name, shard);
-            if now.since(since) >= RANK_DELAY * rank {
-                chosen.push(shard);
-            }
-        }
-        for (shard, since) in free {
-            if let Some(info) = self.shards.get_mut(shard) {
-                info.claimable = Some(since);
-            }
-        }
-        if !chosen.is_empty() {
-            self.claim(chosen, out);
-        }
-    }
-
-    fn claim(&mut self, shards: Vec<Shard>, out: &mut Vec<Action>) {
-        let mut transaction = Transaction::default();
-        for &shard in &shards {
-            let Some(info) = self.shards.get(shard) else {
-                continue;
-            };
-            let key = rows::owner(shard);
-            transaction.conditions.push(match info.version {
-                0 => Condition::Absent(key.clone()),
-                version => Condition::Version(key.clone(), version),
-            });
-            let row = self.claimed(&info.row);
-            transaction
-                .writes
-                .push(Write::Put(key, row.encode_to_vec().into()));
-        }
-        for &shard in &shards {
-            self.shards.set_role(shard, Role::Claiming);
-        }
-        self.start_op(Purpose::Claim(shards), Request::Transact(transaction), out);
-    }
-
-    fn claimed(&self, former: &OwnerRow) -> OwnerRow {
-        let own = self.settings.instance.0;
-        let mut sources = former.sources.clone();
-        if !sources.contains(&own) {
-            sources.push(own);
-        }
-        OwnerRow {
-            owner: own,
-            name: self.settings.name.to_string(),
-            address: self.settings.address.to_string(),
-            epoch: former.epoch + 1,
-            sources,
-        }
-    }
-
-    pub(super) fn take_claim(
-        &mut self,
-        now: Now,
-        shards: &[Shard],
-        outcome: Outcome,
-        out: &mut Vec<Action>,
-    ) {
-        for &shard in shards {
-            self.shards.set_role(shard, Role::Foreign);
-        }
-        match outcome {
-            Ok(Reply::Committed(version)) => {
-                for &shard in shards {
-                    let Some(info) = self.shards.get(shard) else {
-                        continue;
-                    };
-                    let row = self.claimed(&info.row);
-                    self.shards.learn(shard, version, row);
-                }
-                let fields = vec![("shards", shards.len().to_string())];
-                self.metrics.claims.inc_by(shards.len() as u64);
-                self.log(out, 122, "shards claimed", false, fields);
-                self.load(now, shards.to_vec());
-            }
-            Ok(Reply::Conflict(rows)) => self.take_moved(now, &rows, out),
-            // The claim may have taken effect; the rows tell.
-            _ => self.ownership.refresh(),
-        }
-    }
-
-    /// Starts to read the records of claimed shards.
-    fn load(&mut self, now: Now, shards: Vec<Shard>) {
-        let mut logs = VecDeque::new();
-        for &shard in &shards {
-            self.shards.set_role(shard, Role::Loading);
-            let Some(info) = self.shards.get_mut(shard) else {
-                continue;
-            };
-            info.claimed = now.mono;
-            for &source in &info.row.sources {
-                let log = Instance(source);
-                let unused = log == self.settings.instance && self.journal.durable_seq() == 0;
-                if !unused && !logs.contains(&log) {
-                    logs.push_back(log);
-                }
-            }
-        }
-        let shards: KeySet<Shard> = shards.into_iter().collect();
-        self.recoveries.push(Recovery::new(now.mono, shards, logs));
-    }
-
-    /// Releases shards that another process should own, or all of them before a planned stop.
-    fn hand_over(&mut self, now: Now, out: &mut Vec<Action>) {
-        if self.ownership.releasing {
-            return;
-        }
-        let Some(shard) = self.next_release(now) else {
-            return;
-        };
-        let Some(info) = self.shards.get(shard) else {
-            return;
-        };
-        let mut row = info.row.clone();
-        (row.owner, row.name, row.address) = (0, String::new(), String::new());
-        let key = rows::owner(shard);
-        let transaction = Transaction {
-            conditions: vec![Condition::Version(key.clone(), info.version)],
-            writes: vec![Write::Put(key, row.encode_to_vec().into())],
-        };
-        self.shards.set_role(shard, Role::Releasing);
-        self.ownership.releasing = true;
-        self.start_op(Purpose::Release(shard), Request::Transact(transaction), out);
-    }
-
-    fn next_release(&self, now: Now) -> Option<Shard> {
-        let mut others = self.peers.staying(now.mono).peekable();
-        others.peek()?;
-        let settled = self.recoveries.is_empty()
-            && others.all(|peer| now.since(peer.since) >= HANDOVER_DELAY);
-        for (shard, info) in self.shards.iter() {
-            if info.role == Role::Draining {
-                return Some(shard);
-            }
-            if info.role != Role::Serving || self.inquiries.contains_key(&shard) {
-                continue;
-            }
-            // A shard that came back was not taken by the better owner; it stays here for a while.
-            let kept = now.since(info.claimed) >= HANDOVER_DELAY;
-            let better = kept && self.peers.rank(now.mono, &self.settings.name, shard) > 0;
-            if self.stopping.is_some() || (settled && better) {
-                return Some(shard);
-            }
-        }
-        None
-    }
-
-    pub(super) fn take_release(
-        &mut self,
-        now: Now,
-        shard: Shard,
-        outcome: Outcome,
-        out: &mut Vec<Action>,
-    ) {
-        self.ownership.releasing = false;
-        match outcome {
-            Ok(Reply::Committed(version)) => {
-                let Some(info) = self.shards.get(shard) else {
-                    return;
-                };
-                let mut row = info.row.clone();
-                (row.owner, row.name, row.address) = (0, String::new(), String::new());
-                let fields = vec![("shard", shard.to_string())];
-                self.log(out, 123, "shard released", false, fields);
-                self.learn_owner(now, shard, version, row, out);
-            }
-            Ok(Reply::Conflict(rows)) => {
-                self.shards.set_role(shard, Role::Draining);
-                self.take_moved(now, &rows, out);
-            }
-            // The release may have taken effect; until that is known the shard takes no work.
-            _ => {
-                self.shards.set_role(shard, Role::Draining);
-                self.ownership.refresh();
-            }
-        }
-    }
-
-    /// Whether a planned stop is complete.
-    pub(super) fn is_finished(&self, now: Now) -> bool {
-        let Some(since) = self.stopping else {
-            return false;
-        };
-        if self.shards.owned().is_empty() {
-            return self.routing.len() == 0;
-        }
-        let idle = self.jobs.open_count() == 0 && self.journal.is_idle();
-        let alone = self.peers.staying(now.mono).next().is_none();
-        (alone && idle) || now.since(since) >= self.settings.stop_limit
-    }
 }
--- /dev/null
+++ b/crates/core/src/entry/release.rs
@@ -0,0 +1,107 @@
+//! Releases of shards: to a better owner, and before a planned stop.
+
+use std::time::Duration;
+
+use prost::Message;
+
+use super::io::Action;
+use super::machine::{Machine, Purpose};
+use super::rows;
+use super::shards::Role;
+use crate::clock::Now;
+use crate::ids::Shard;
+use crate::store::{Condition, Outcome, Reply, Request, Transaction, Write};
+
+/// Time for which another process must have been the better owner before a shard goes there.
+const HANDOVER_DELAY: Duration = Duration::from_secs(3);
+
+impl Machine {
+    /// Releases shards that another process should own, or all of them before a planned stop.
+    pub(super) fn hand_over(&mut self, now: Now, out: &mut Vec<Action>) {
+        if self.ownership.releasing {
+            return;
+        }
+        let Some(shard) = self.next_release(now) else {
+            return;
+        };
+        let Some(info) = self.shards.get(shard) else {
+            return;
+        };
+        let mut row = info.row.clone();
+        (row.owner, row.name, row.address) = (0, String::new(), String::new());
+        let key = rows::owner(shard);
+        let transaction = Transaction {
+            conditions: vec![Condition::Version(key.clone(), info.version)],
+            writes: vec![Write::Put(key, row.encode_to_vec().into())],
+        };
+        self.shards.set_role(shard, Role::Releasing);
+        self.ownership.releasing = true;
+        self.start_op(Purpose::Release(shard), Request::Transact(transaction), out);
+    }
+
+    fn next_release(&self, now: Now) -> Option<Shard> {
+        let mut others = self.peers.staying(now.mono).peekable();
+        others.peek()?;
+        let settled = self.recoveries.is_empty()
+            && others.all(|peer| now.since(peer.since) >= HANDOVER_DELAY);
+        for (shard, info) in self.shards.iter() {
+            if info.role == Role::Draining {
+                return Some(shard);
+            }
+            if info.role != Role::Serving || self.inquiries.contains_key(&shard) {
+                continue;
+            }
+            // A shard that came back was not taken by the better owner; it stays here for a while.
+            let kept = now.since(info.claimed) >= HANDOVER_DELAY;
+            let better = kept && self.peers.rank(now.mono, &self.settings.name, shard) > 0;
+            if self.stopping.is_some() || (settled && better) {
+                return Some(shard);
+            }
+        }
+        None
+    }
+
+    pub(super) fn take_release(
+        &mut self,
+        now: Now,
+        shard: Shard,
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        self.ownership.releasing = false;
+        match outcome {
+            Ok(Reply::Committed(version)) => {
+                let Some(info) = self.shards.get(shard) else {
+                    return;
+                };
+                let mut row = info.row.clone();
+                (row.owner, row.name, row.address) = (0, String::new(), String::new());
+                let fields = vec![("shard", shard.to_string())];
+                self.log(out, 123, "shard released", false, fields);
+                self.learn_owner(now, shard, version, row, out);
+            }
+            Ok(Reply::Conflict(rows)) => {
+                self.shards.set_role(shard, Role::Draining);
+                self.take_moved(now, &rows, out);
+            }
+            // The release may have taken effect; until that is known the shard takes no work.
+            _ => {
+                self.shards.set_role(shard, Role::Draining);
+                self.ownership.refresh();
+            }
+        }
+    }
+
+    /// Whether a planned stop is complete.
+    pub(super) fn is_finished(&self, now: Now) -> bool {
+        let Some(since) = self.stopping else {
+            return false;
+        };
+        if self.shards.owned().is_empty() {
+            return self.routing.len() == 0;
+        }
+        let idle = self.jobs.open_count() == 0 && self.journal.is_idle();
+        let alone = self.peers.staying(now.mono).next().is_none();
+        (alone && idle) || now.since(since) >= self.settings.stop_limit
+    }
+}
--- a/crates/core/src/entry/submit.rs
+++ b/crates/core/src/entry/submit.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use knapweedwall_wire::{
-    Admit, CancelJob, JournalRecord, Query, Reply as ReplyFrame, Submit, journal_record::Body,
-};
+use knapweedwall_wire::{Admit, JournalRecord, Reply as ReplyFrame, journal_record::Body};
 
 use super::answer::{self, Cause, Ran, Reply};
 use super::io::{Action, CallKey};
@@ -23,104 +21,61 @@
 /// Least time for which a submission waits for the store before it is refused.
 const MIN_STORE_WAIT: Duration = Duration::from_secs(2);
 
-/// What a rerouted request needs besides its job.
-fn routed(now: Now, waiter: Waiter, id: JobId, ask: Ask, hops: u32) -> Routed {
-    let key = id.key();
-    Routed {
-        waiter,
-        id,
-        key,
-        ask,
-        hops,
-        since: now.mono,
-        sent: false,
-    }
-}
-
 impl Machine {
-    pub(super) fn call_submit(
+    /// Takes a request of a caller at this process.
+    pub(super) fn take_call(
         &mut self,
         now: Now,
         call: CallKey,
-        admit: Admit,
+        (id, ask): (JobId, Ask),
         wait: Duration,
         out: &mut Vec<Action>,
     ) {
-        let waiter = Waiter {
-            target: Target::Call(call),
-            until: now.mono + wait,
-        };
-        self.accept_submit(now, waiter, admit, 0, out);
+        let target = Target::Call(call);
+        let until = now.mono + wait;
+        self.ask(now, Waiter { target, until }, id, ask, 0, out);
     }
 
-    pub(super) fn call_query(
+    /// Takes a request that another entry process passed on.
+    pub(super) fn take_passed(
         &mut self,
         now: Now,
-        call: CallKey,
-        id: JobId,
-        wait: Duration,
+        (link, number): (LinkKey, u64),
+        (id, ask): (&str, Ask),
+        (wait_ms, hops): (u32, u32),
         out: &mut Vec<Action>,
     ) {
-        let waiter = Waiter {
-            target: Target::Call(call),
-            until: now.mono + wait,
-        };
-        self.route(now, routed(now, waiter, id, Ask::Query, 0), out);
+        let target = Target::Peer(link, number);
+        let until = now.mono + Duration::from_millis(u64::from(wait_ms));
+        let waiter = Waiter { target, until };
+        match JobId::parse(id) {
+            Ok(id) => self.ask(now, waiter, id, ask, hops, out),
+            Err(error) => {
+                let reply = answer::refused(400, "bad_id", &error.to_string(), Ran::None);
+                out.push(waiter.answer(&reply));
+            }
+        }
     }
 
-    pub(super) fn call_cancel(
+    fn ask(
         &mut self,
         now: Now,
-        call: CallKey,
+        waiter: Waiter,
         id: JobId,
-        wait: Duration,
-        out: &mut Vec<Action>,
-    ) {
-        let waiter = Waiter {
-            target: Target::Call(call),
-            until: now.mono + wait,
-        };
-        self.route(now, routed(now, waiter, id, Ask::Cancel, 0), out);
-    }
-
-    pub(super) fn take_submit(
-        &mut self,
-        now: Now,
-        link: LinkKey,
-        submit: Submit,
-        out: &mut Vec<Action>,
-    ) {
-        let waiter = peer_waiter(now, link, submit.number, submit.wait_ms);
-        let admit = submit.admit.unwrap_or_default();
-        self.accept_submit(now, waiter, admit, submit.hops, out);
-    }
-
-    pub(super) fn take_query(
-        &mut self,
-        now: Now,
-        link: LinkKey,
-        query: &Query,
-        out: &mut Vec<Action>,
-    ) {
-        let waiter = peer_waiter(now, link, query.number, query.wait_ms);
-        let Ok(id) = JobId::parse(&query.id) else {
-            return;
-        };
-        self.route(now, routed(now, waiter, id, Ask::Query, query.hops), out);
-    }
-
-    pub(super) fn take_cancel(
-        &mut self,
-        now: Now,
-        link: LinkKey,
-        cancel: &CancelJob,
+        ask: Ask,
+        hops: u32,
         out: &mut Vec<Action>,
     ) {
-        let waiter = peer_waiter(now, link, cancel.number, cancel.wait_ms);
-        let Ok(id) = JobId::parse(&cancel.id) else {
-            return;
+        let routed = Routed {
+            waiter,
+            key: id.key(),
+            id,
+            ask,
+            hops,
+            since: now.mono,
+            sent: false,
         };
-        self.route(now, routed(now, waiter, id, Ask::Cancel, cancel.hops), out);
+        self.route(now, routed, out);
     }
 
     /// Passes a reply of the owner on to the one who asked.
@@ -140,27 +95,6 @@
         out.push(routed.waiter.answer(&reply));
     }
 
-    fn accept_submit(
-        &mut self,
-        now: Now,
-        waiter: Waiter,
-        mut admit: Admit,
-        hops: u32,
-        out: &mut Vec<Action>,
-    ) {
-        let Ok(id) = JobId::parse(&admit.id) else {
-            let reply = answer::refused(400, "bad_id", "the job id is not valid", Ran::None);
-            out.push(waiter.answer(&reply));
-            return;
-        };
-        admit.job = id.key().to_bytes();
-        self.route(
-            now,
-            routed(now, waiter, id, Ask::Submit(Box::new(admit)), hops),
-            out,
-        );
-    }
-
     /// Serves a request here, passes it on to the owner, or keeps it until there is one.
     pub(super) fn route(&mut self, now: Now, routed: Routed, out: &mut Vec<Action>) {
         if self.shards.count() == 0 {
@@ -242,6 +176,7 @@
             out.push(waiter.answer(&answer::refused(409, "id_reused", text, Ran::None)));
             return;
         }
+        admit.job = key.to_bytes();
         admit.admitted_ms = now.wall_ms;
         if let Err((code, reply)) = self.check(now, &admit) {
             let known = self.document.classes.contains_key(admit.class.as_str());
@@ -413,11 +348,3 @@
         }
     }
 }
-
-fn peer_waiter(now: Now, link: LinkKey, number: u64, wait_ms: u32) -> Waiter {
-    let wait = Duration::from_millis(u64::from(wait_ms));
-    Waiter {
-        target: Target::Peer(link, number),
-        until: now.mono + wait,
-    }
-}
--- a/crates/testing/tests/decisions/driver.rs
+++ b/crates/testing/tests/decisions/driver/mod.rs
@@ -8,7 +8,6 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
-use bytes::Bytes;
 use knapweedwall_core::agent::{
     Action as AgentAction, Agent, Input as AgentInput, LedgerLimits, Metrics, RunEnd, RunKey,
     Settings as AgentSettings,
@@ -21,13 +20,16 @@
 use knapweedwall_core::store::{Failure, Outcome, Reply, Request, Row, Transaction};
 use knapweedwall_core::{Instance, JobId, JobKey, LinkKey, Now, PeerInfo, Role, TaskRef};
 use knapweedwall_testing::table::Engine;
-use knapweedwall_wire::{Admit, AdmitTask, frame::Body};
+use knapweedwall_wire::frame::Body;
 use smol_str::{SmolStr, format_smolstr};
 
 const STORE_MS: u64 = 5;
 const FRAME_MS: u64 = 1;
 const WALL_START_MS: u64 = 1_700_000_000_000;
 
+mod calls;
+mod faults;
+
 /// A process in the driver.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Place {
@@ -161,119 +163,10 @@
         self.nodes.insert(Place::Agent(index), node);
     }
 
-    /// Ends a process without notice.
-    pub fn kill(&mut self, place: Place) {
-        self.note(format!("{place:?} killed"));
-        self.nodes.get_mut(&place).unwrap().up = false;
-        let of_place = |ends: &(Place, Place)| ends.0 == place || ends.1 == place;
-        let gone: Vec<LinkKey> = self
-            .links
-            .iter()
-            .filter(|(_, e)| of_place(e))
-            .map(|(key, _)| *key)
-            .collect();
-        for key in gone {
-            self.disconnect(key);
-        }
-    }
-
-    pub fn pause(&mut self, place: Place, paused: bool) {
-        self.note(format!("{place:?} paused: {paused}"));
-        self.nodes.get_mut(&place).unwrap().paused = paused;
-    }
-
-    pub fn stop(&mut self, entry: usize) {
-        self.call(entry, Input::Stop);
-    }
-
-    /// Cuts the connections between two processes and keeps them from connecting.
-    pub fn cut(&mut self, a: Place, b: Place) {
-        self.note(format!("{a:?} cut from {b:?}"));
-        self.blocked.insert((a, b));
-        self.blocked.insert((b, a));
-        let gone: Vec<LinkKey> = self
-            .links
-            .iter()
-            .filter(|(_, ends)| **ends == (a, b) || **ends == (b, a))
-            .map(|(key, _)| *key)
-            .collect();
-        for key in gone {
-            self.disconnect(key);
-        }
-    }
-
-    pub fn heal(&mut self) {
-        self.blocked.clear();
-    }
-
     pub fn is_up(&self, place: Place) -> bool {
         self.nodes[&place].up
     }
 
-    /// Submits a job of tasks with these payloads: run time in milliseconds, or `fail`.
-    pub fn submit(&mut self, entry: usize, id: &str, payloads: &[&str]) -> u64 {
-        let call = self.number();
-        let mut admit = Admit {
-            id: id.to_owned(),
-            class: "short".to_owned(),
-            digest: xxhash_rust::xxh3::xxh3_64(payloads.join(" ").as_bytes()),
-            ..Admit::default()
-        };
-        for payload in payloads {
-            let payload = Bytes::from((*payload).to_owned());
-            admit.tasks.push(AdmitTask {
-                payload,
-                non_idempotent: true,
-            });
-        }
-        let wait = Duration::from_secs(60);
-        self.call(
-            entry,
-            Input::Submit {
-                call: CallKey(call),
-                admit,
-                wait,
-            },
-        );
-        call
-    }
-
-    pub fn query(&mut self, entry: usize, id: &str) -> u64 {
-        let call = self.number();
-        let id = JobId::parse(id).unwrap();
-        let wait = Duration::from_secs(60);
-        self.call(
-            entry,
-            Input::Query {
-                call: CallKey(call),
-                id,
-                wait,
-            },
-        );
-        call
-    }
-
-    pub fn cancel(&mut self, entry: usize, id: &str) -> u64 {
-        let call = self.number();
-        let id = JobId::parse(id).unwrap();
-        let wait = Duration::from_secs(60);
-        self.call(
-            entry,
-            Input::Cancel {
-                call: CallKey(call),
-                id,
-                wait,
-            },
-        );
-        call
-    }
-
-    fn call(&mut self, entry: usize, input: Input) {
-        let now = self.now_ms;
-        let node = self.nodes.get_mut(&Place::Entry(entry)).unwrap();
-        node.inbox.push_back((now, Event::Call(input)));
-    }
-
     /// The reply to a call; panics when there is none.
     pub fn reply(&self, call: u64) -> &(u16, String) {
         let log = &self.log[self.log.len().saturating_sub(60)..];
