refactor: the crate of stand-ins, demonstration and measurements is called lab

Cause: the name testing hid that most of the crate is tools that people run: the stand-ins, the launcher, the load generator, the demonstration and the measurements. Ruled out: a crate of its own for each, since they share the launcher. Change: crates/testing becomes crates/lab; nothing else changes.

--- a/crates/agent/tests/process/endpoint_faults.rs
+++ b/crates/agent/tests/process/endpoint_faults.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeSet;
 
-use knapweedwall_testing::Chance;
-use knapweedwall_testing::standin_endpoint::Controls;
+use knapweedwall_lab::Chance;
+use knapweedwall_lab::standin_endpoint::Controls;
 use knapweedwall_wire::{Cancel, Outcome, TaskReport, frame::Body};
 use rstest::rstest;
 
--- a/crates/entry/tests/command/fixture.rs
+++ b/crates/entry/tests/command/fixture.rs
@@ -6,7 +6,7 @@
 use std::process::{Child, ChildStderr, Command, Stdio};
 
 use assert_cmd::cargo::cargo_bin;
-use knapweedwall_testing::standin_store::{Settings, StandinStore};
+use knapweedwall_lab::standin_store::{Settings, StandinStore};
 
 /// Writes a settings file for this test process; `name` keeps files of tests apart.
 pub fn settings_file(name: &str, text: &str) -> PathBuf {
--- a/crates/testing/examples/dispatch_trial.rs
+++ b/crates/lab/examples/dispatch_trial.rs
@@ -3,7 +3,7 @@
 
 use std::io;
 
-use knapweedwall_testing::dispatch_trial::write_report;
+use knapweedwall_lab::dispatch_trial::write_report;
 
 fn main() -> io::Result<()> {
     let only = std::env::args().nth(1);
--- a/crates/testing/src/bin/knapweedwall-lab.rs
+++ b/crates/lab/src/bin/knapweedwall-lab.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use clap::Parser;
-use knapweedwall_testing::lab::{Args, run};
+use knapweedwall_lab::lab::{Args, run};
 
 fn main() -> ExitCode {
     run(&Args::parse())
--- a/crates/testing/src/bin/standin-endpoint.rs
+++ b/crates/lab/src/bin/standin-endpoint.rs
@@ -3,8 +3,8 @@
 use std::error::Error;
 
 use clap::Parser;
-use knapweedwall_testing::process::announce;
-use knapweedwall_testing::standin_endpoint::{Options, StandinEndpoint};
+use knapweedwall_lab::process::announce;
+use knapweedwall_lab::standin_endpoint::{Options, StandinEndpoint};
 
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> Result<(), Box<dyn Error>> {
--- a/crates/testing/src/bin/standin-store.rs
+++ b/crates/lab/src/bin/standin-store.rs
@@ -3,8 +3,8 @@
 use std::error::Error;
 
 use clap::Parser;
-use knapweedwall_testing::process::announce;
-use knapweedwall_testing::standin_store::{Options, StandinStore};
+use knapweedwall_lab::process::announce;
+use knapweedwall_lab::standin_store::{Options, StandinStore};
 
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> Result<(), Box<dyn Error>> {
--- a/crates/testing/tests/decisions/driver/mod.rs
+++ b/crates/lab/tests/decisions/driver/mod.rs
@@ -19,7 +19,7 @@
 };
 use knapweedwall_core::store::{Failure, Outcome, Reply, Request, Row, Transaction};
 use knapweedwall_core::{Instance, JobId, JobKey, LinkKey, Now, PeerInfo, Role, TaskRef};
-use knapweedwall_testing::table::Engine;
+use knapweedwall_lab::table::Engine;
 use knapweedwall_wire::frame::Body;
 use smol_str::{SmolStr, format_smolstr};
 
--- a/crates/testing/tests/endpoint/client.rs
+++ b/crates/lab/tests/endpoint/client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use knapweedwall_testing::standin_endpoint::{Controls, Settings, StandinEndpoint};
+use knapweedwall_lab::standin_endpoint::{Controls, Settings, StandinEndpoint};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
--- a/crates/testing/tests/endpoint/control_api.rs
+++ b/crates/lab/tests/endpoint/control_api.rs
@@ -1,6 +1,6 @@
 //! Changes of the behaviour at run time.
 
-use knapweedwall_testing::standin_endpoint::Controls;
+use knapweedwall_lab::standin_endpoint::Controls;
 use rstest::rstest;
 
 use crate::client::{Client, call, endpoint};
--- a/crates/testing/tests/endpoint/faults.rs
+++ b/crates/lab/tests/endpoint/faults.rs
@@ -4,8 +4,8 @@
 use std::io::ErrorKind;
 use std::time::{Duration, Instant};
 
-use knapweedwall_testing::Chance;
-use knapweedwall_testing::standin_endpoint::{Controls, Outcome};
+use knapweedwall_lab::Chance;
+use knapweedwall_lab::standin_endpoint::{Controls, Outcome};
 use rstest::rstest;
 use tokio::net::TcpStream;
 
--- a/crates/testing/tests/endpoint/ledger_counts.rs
+++ b/crates/lab/tests/endpoint/ledger_counts.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use knapweedwall_testing::standin_endpoint::{Controls, Doubled, Outcome, Start, Summary};
+use knapweedwall_lab::standin_endpoint::{Controls, Doubled, Outcome, Start, Summary};
 use rstest::rstest;
 use tokio::runtime::Builder;
 use tokio::task::JoinSet;
--- a/crates/testing/tests/endpoint/run_times.rs
+++ b/crates/lab/tests/endpoint/run_times.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use knapweedwall_testing::standin_endpoint::{Controls, Speed, Stall};
+use knapweedwall_lab::standin_endpoint::{Controls, Speed, Stall};
 use rstest::rstest;
 
 use crate::client::{Client, endpoint};
--- a/crates/testing/tests/endpoint/slots.rs
+++ b/crates/lab/tests/endpoint/slots.rs
@@ -1,7 +1,7 @@
 //! Slots and their violations.
 
-use knapweedwall_testing::Chance;
-use knapweedwall_testing::standin_endpoint::{Controls, Outcome};
+use knapweedwall_lab::Chance;
+use knapweedwall_lab::standin_endpoint::{Controls, Outcome};
 use rstest::rstest;
 
 use crate::client::{Client, endpoint, until_running};
--- a/crates/testing/tests/lab/answer_checks.rs
+++ b/crates/lab/tests/lab/answer_checks.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use knapweedwall_core::JobId;
-use knapweedwall_testing::load::{Ending, Figures, Ledgers, Record};
-use knapweedwall_testing::standin_endpoint::{Outcome, Start};
+use knapweedwall_lab::load::{Ending, Figures, Ledgers, Record};
+use knapweedwall_lab::standin_endpoint::{Outcome, Start};
 use rstest::rstest;
 
 fn record(ending: Ending) -> Record {
--- a/crates/testing/tests/lab/proxy_faults.rs
+++ b/crates/lab/tests/lab/proxy_faults.rs
@@ -4,7 +4,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
-use knapweedwall_testing::proxy::{Direction, Proxy};
+use knapweedwall_lab::proxy::{Direction, Proxy};
 
 /// Time within which nothing must arrive on a cut connection.
 const QUIET: Duration = Duration::from_millis(100);
--- a/crates/testing/tests/lab/reserved_ports.rs
+++ b/crates/lab/tests/lab/reserved_ports.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 use std::net::TcpListener;
 
-use knapweedwall_testing::cluster::Port;
+use knapweedwall_lab::cluster::Port;
 
 #[test]
 fn reserved_port_is_bound_by_number_only() {
--- a/crates/testing/tests/lab/seeded_load.rs
+++ b/crates/lab/tests/lab/seeded_load.rs
@@ -9,7 +9,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use knapweedwall_testing::load::{Arrivals, Ending, Entries, Mix, Plan, jobs, run};
+use knapweedwall_lab::load::{Arrivals, Ending, Entries, Mix, Plan, jobs, run};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
--- a/crates/testing/tests/platform/fixture.rs
+++ b/crates/lab/tests/platform/fixture.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use knapweedwall_core::store::{Condition, Outcome, Reply, Request, Row, Transaction, Write};
+use knapweedwall_lab::standin_store::{Controls, Settings, StandinStore};
 use knapweedwall_platform::{HttpPlatform, Platform};
-use knapweedwall_testing::standin_store::{Controls, Settings, StandinStore};
 
 /// Longer than any delay of a busy machine; only failing tests wait for it.
 pub const PATIENT: Duration = Duration::from_secs(60);
--- a/crates/testing/tests/platform/lost_reply.rs
+++ b/crates/lab/tests/platform/lost_reply.rs
@@ -1,9 +1,9 @@
 //! Replies lost after the write took effect.
 
 use knapweedwall_core::store::{Failure, Reply};
+use knapweedwall_lab::Chance;
+use knapweedwall_lab::standin_store::LostAs;
 use knapweedwall_platform::{HttpPlatform, Platform};
-use knapweedwall_testing::Chance;
-use knapweedwall_testing::standin_store::LostAs;
 use rstest::rstest;
 
 use crate::fixture::{BRIEF, PATIENT, put_absent, row, store, until};
--- a/crates/testing/tests/platform/memory_platform.rs
+++ b/crates/lab/tests/platform/memory_platform.rs
@@ -1,8 +1,8 @@
 //! The platform inside the test's own process.
 
 use knapweedwall_core::store::Failure;
+use knapweedwall_lab::table::{Fault, MemoryPlatform};
 use knapweedwall_platform::Platform;
-use knapweedwall_testing::table::{Fault, MemoryPlatform};
 use rstest::rstest;
 
 use crate::fixture::{committed, put_absent, row};
--- a/crates/testing/tests/platform/outage.rs
+++ b/crates/lab/tests/platform/outage.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use knapweedwall_core::store::Failure;
+use knapweedwall_lab::standin_store::Outage;
 use knapweedwall_platform::{HttpPlatform, Platform};
-use knapweedwall_testing::standin_store::Outage;
 use rstest::rstest;
 
 use crate::fixture::{BRIEF, committed, put_absent, row, store, until};
--- a/crates/testing/tests/platform/rate_limit.rs
+++ b/crates/lab/tests/platform/rate_limit.rs
@@ -4,8 +4,8 @@
 use std::time::Instant;
 
 use knapweedwall_core::store::{Failure, Reply, Request};
+use knapweedwall_lab::standin_store::Controls;
 use knapweedwall_platform::Platform;
-use knapweedwall_testing::standin_store::Controls;
 use rstest::rstest;
 
 use crate::fixture::{put_absent, store, store_with};
--- a/crates/testing/tests/platform/write_time.rs
+++ b/crates/lab/tests/platform/write_time.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use knapweedwall_lab::standin_store::Controls;
 use knapweedwall_platform::Platform;
-use knapweedwall_testing::standin_store::Controls;
 use rstest::rstest;
 
 use crate::fixture::{committed, put_absent, store_with};
--- a/crates/testing/tests/processes/settings_file.rs
+++ b/crates/lab/tests/processes/settings_file.rs
@@ -6,8 +6,8 @@
 
 use assert_cmd::Command;
 use clap::Parser;
-use knapweedwall_testing::standin_endpoint;
-use knapweedwall_testing::standin_store::{Options, Outage};
+use knapweedwall_lab::standin_endpoint;
+use knapweedwall_lab::standin_store::{Options, Outage};
 use rstest::rstest;
 
 use crate::child::{ENDPOINT, STORE};
--- a/crates/testing/tests/system/bad_input.rs
+++ b/crates/lab/tests/system/bad_input.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use hyper::Method;
-use knapweedwall_testing::cluster::{Cluster, Spec};
+use knapweedwall_lab::cluster::{Cluster, Spec};
 use serde_json::{Value, json};
 
 use crate::end_to_end::{LIMIT, job, send};
--- a/crates/testing/tests/system/cancel.rs
+++ b/crates/lab/tests/system/cancel.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hyper::Method;
-use knapweedwall_testing::cluster::{AgentSpec, Cluster, Spec, eventually};
+use knapweedwall_lab::cluster::{AgentSpec, Cluster, Spec, eventually};
 use serde_json::{Value, json};
 
 use crate::end_to_end::{LIMIT, job, send};
--- a/crates/testing/tests/system/end_to_end.rs
+++ b/crates/lab/tests/system/end_to_end.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use hyper::Method;
-use knapweedwall_testing::cluster::{Cluster, Role, Spec};
-use knapweedwall_testing::load::{Arrivals, Ending, Figures, Mix, Plan, run};
+use knapweedwall_lab::cluster::{Cluster, Role, Spec};
+use knapweedwall_lab::load::{Arrivals, Ending, Figures, Mix, Plan, run};
 use serde_json::{Value, json};
 
 use crate::place;
--- a/crates/testing/tests/system/graceful_stop.rs
+++ b/crates/lab/tests/system/graceful_stop.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use knapweedwall_testing::cluster::{Cluster, Spec};
-use knapweedwall_testing::load::{Arrivals, Ending, Figures, Mix, Plan, Record, run};
+use knapweedwall_lab::cluster::{Cluster, Spec};
+use knapweedwall_lab::load::{Arrivals, Ending, Figures, Mix, Plan, Record, run};
 use rstest::rstest;
 use tokio::sync::watch;
 
--- a/crates/testing/tests/system/resubmission.rs
+++ b/crates/lab/tests/system/resubmission.rs
@@ -1,7 +1,7 @@
 //! Guards promise 1: the same id at all entry processes at once starts each task once.
 
 use hyper::Method;
-use knapweedwall_testing::cluster::{Cluster, Spec};
+use knapweedwall_lab::cluster::{Cluster, Spec};
 use serde_json::json;
 
 use crate::end_to_end::{job, send};
--- a/crates/testing/tests/system/scenarios.rs
+++ b/crates/lab/tests/system/scenarios.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use knapweedwall_testing::scenario::Scenario;
+use knapweedwall_lab::scenario::Scenario;
 use rstest::rstest;
 
 use crate::place;
--- a/crates/testing/tests/system/shard_takeover.rs
+++ b/crates/lab/tests/system/shard_takeover.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use knapweedwall_testing::cluster::{Cluster, Spec, eventually};
+use knapweedwall_lab::cluster::{Cluster, Spec, eventually};
 
 use crate::place;
 
