--- a/crates/core/src/entry/submit.rs
+++ b/crates/core/src/entry/submit.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use knapweedwall_wire::{Admit, JournalRecord, Reply as ReplyFrame, journal_record::Body};
+use prost::Message;
 
 use super::answer::{self, Cause, Ran, Reply};
 use super::io::{Action, CallKey};
@@ -16,7 +17,6 @@
 use crate::clock::Now;
 use crate::ids::{Instance, JobId, JobKey, Shard};
 use crate::peer::LinkKey;
-use prost::Message;
 
 /// Least time for which a submission waits for the store before it is refused.
 const MIN_STORE_WAIT: Duration = Duration::from_secs(2);
