feat(core,fleet,site): jobs run on workers with room and leases on the platform

Cause: the product could not run on the users' platform: no room, no leases, no orders that arrive late. Ruled out: bending the slot-based dispatcher; its ledgers, rosters and doubts answer questions that the worker's lists answer.

--- /dev/null
+++ b/crates/core/src/executor/lists.rs
@@ -0,0 +1,172 @@
+//! The worker's lists of what runs and what ended.
+
+use std::time::Duration;
+
+use knapweedwall_wire as wire;
+
+use super::calls::{Call, Purpose};
+use super::io::{Action, CallKey, EndCause, EndedRow, HoldOutcome, Holding, RunningRow};
+use super::machine::{Machine, log};
+use super::runs::{Run, Stage, StopCause, report};
+use crate::clock::Now;
+use crate::maps::KeySet;
+use crate::work::RunId;
+
+impl Machine {
+    pub(super) fn take_held(
+        &mut self,
+        now: Now,
+        key: CallKey,
+        outcome: HoldOutcome,
+        clock_ms: Option<u64>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(call) = self.calls.take(key, self.worker.life) else {
+            return;
+        };
+        let probes = call.purpose == Purpose::Probe;
+        match outcome {
+            HoldOutcome::Held(holding) => {
+                self.worker.answered(now.mono, clock_ms);
+                self.take_lists(now, &call, holding, out);
+            }
+            HoldOutcome::Fence => {
+                self.worker.answered(now.mono, clock_ms);
+                self.worker.pass_fence(call.fence);
+                self.probe |= probes;
+            }
+            HoldOutcome::OtherLife => {
+                self.lose_worker(now, None, "the worker's lifetime has ended", out);
+                self.pause_holds(now);
+            }
+            HoldOutcome::NoAnswer(cause) => {
+                if self.worker.answers(now.mono) {
+                    let fields = vec![("cause", cause.to_string())];
+                    log(out, 420, "hold without an answer", true, fields);
+                }
+                self.pause_holds(now);
+                self.probe |= probes;
+            }
+        }
+    }
+
+    fn take_lists(&mut self, now: Now, call: &Call, holding: Holding, out: &mut Vec<Action>) {
+        if let Some(born) = holding.born
+            && self.worker.born != Some(born)
+        {
+            if self.worker.born.is_some_and(|known| born < known) {
+                return;
+            }
+            if self.worker.born.is_some() {
+                self.lose_worker(now, Some(born), "a new lifetime answered", out);
+                return;
+            }
+            self.worker.born = Some(born);
+        }
+        self.worker.acknowledged = self.worker.acknowledged.max(call.taken);
+        for row in holding.ended {
+            self.take_end(now, &row, out);
+        }
+        let mut listed: KeySet<RunId> = KeySet::default();
+        for row in holding.running {
+            self.take_running(now, call, &row, out);
+            listed.insert(row.run);
+        }
+        if !listed.is_empty() {
+            self.worker.listed_running(now.mono);
+        }
+        self.close_missing(now, call, &listed);
+        if !self.worker.listed {
+            self.worker.listed = true;
+            let fields = vec![("running", listed.len().to_string())];
+            log(out, 421, "worker's lists read", false, fields);
+        }
+    }
+
+    fn take_end(&mut self, now: Now, row: &EndedRow, out: &mut Vec<Action>) {
+        if row.number <= self.worker.taken {
+            return;
+        }
+        self.worker.taken = row.number;
+        let known = self.runs.get(&row.run);
+        let stop = known.and_then(|run| run.stop);
+        let outcome = match row.cause {
+            EndCause::Done => wire::RunOutcome::Done,
+            EndCause::Failed => wire::RunOutcome::Failed,
+            EndCause::Stopped if stop == Some(StopCause::Stalled) => wire::RunOutcome::Stalled,
+            EndCause::Stopped => wire::RunOutcome::Stopped,
+            EndCause::Lapsed => wire::RunOutcome::Lost,
+        };
+        let started = known.and_then(|run| run.started);
+        let run_time = started.map(|at| now.since(at)).unwrap_or_default();
+        let fields = vec![
+            ("run", row.run.to_string()),
+            ("how", format!("{:?}", row.cause)),
+            ("run_ms", run_time.as_millis().to_string()),
+        ];
+        log(out, 422, "run ended", false, fields);
+        if known.is_some() {
+            self.close(now, &row.run, outcome);
+        } else {
+            self.add_orphan(now, report(&row.run, outcome, Duration::ZERO));
+        }
+    }
+
+    fn take_running(&mut self, now: Now, call: &Call, row: &RunningRow, out: &mut Vec<Action>) {
+        let Some(run) = self.runs.get(&row.run) else {
+            self.adopt(now, row, out);
+            return;
+        };
+        match run.stage {
+            Stage::Starting(_) | Stage::Unclear(_) => {
+                let made = run.ordered.max(call.made.min(now.mono));
+                self.confirm(now, &row.run, made, out);
+            }
+            Stage::Running(_) => self.runs.observe(&row.run, row.percent, now.mono),
+            Stage::Waiting(_) | Stage::Stopping(_) => {}
+        }
+    }
+
+    /// Takes over a run that an earlier agent started.
+    fn adopt(&mut self, now: Now, row: &RunningRow, out: &mut Vec<Action>) {
+        let fields = vec![("run", row.run.to_string())];
+        log(out, 423, "run found on the worker", false, fields);
+        let run = Run {
+            owner: None,
+            room: None,
+            spec: "".into(),
+            stage: Stage::Running(now.mono),
+            ordered: now.mono,
+            started: Some(now.mono),
+            urgent_at: now.mono,
+            progress: (row.percent, now.mono),
+            stop: None,
+        };
+        self.insert(row.run.clone(), run);
+    }
+
+    /// Closes runs that the worker does not list although it would, had they been there when the
+    /// call was made.
+    fn close_missing(&mut self, now: Now, call: &Call, listed: &KeySet<RunId>) {
+        let mut missing: Vec<(RunId, wire::RunOutcome)> = Vec::new();
+        for (id, run) in self.runs.iter() {
+            if listed.contains(id) {
+                continue;
+            }
+            let outcome = match run.stage {
+                // Orders under a lower fence than that of the answered call are refused.
+                Stage::Unclear(fence) if fence < call.fence => wire::RunOutcome::Unusable,
+                Stage::Running(since) if since < call.made => wire::RunOutcome::Lost,
+                Stage::Stopping(Some(since)) if since < call.made => wire::RunOutcome::Stopped,
+                _ => continue,
+            };
+            missing.push((id.clone(), outcome));
+        }
+        for (id, outcome) in missing {
+            self.close(now, &id, outcome);
+        }
+        let unclear = |run: &Run| matches!(run.stage, Stage::Unclear(_));
+        let probes = call.purpose == Purpose::Probe;
+        self.probe |= probes && self.runs.iter().any(|(_, run)| unclear(run));
+    }
+}
--- /dev/null
+++ b/crates/core/src/executor/machine.rs
@@ -0,0 +1,520 @@
+//! The state machine of an agent. `starts` has the transitions of orders and starts, `lists` those
+//! of the worker's lists.
+
+use std::time::Duration;
+
+use knapweedwall_wire as wire;
+use knapweedwall_wire::frame::Body;
+
+use super::calls::{Call, Calls, Purpose};
+use super::io::{Action, Heartbeat, Input, Settings};
+use super::metrics::Metrics;
+use super::owners::Owners;
+use super::runs::{Run, Runs, Stage, StopCause, report};
+use super::worker::Worker;
+use crate::clock::Now;
+use crate::event::Event;
+use crate::ids::Instance;
+use crate::peer::LinkKey;
+use crate::work::{Room, RunId};
+
+/// Longest time of a hold: the lease is extended at least this often while something runs.
+const HOLD_WAIT_MS: u64 = 300;
+
+/// Time without progress after which a run is stopped, so that it can run elsewhere.
+const STALL_LIMIT: Duration = Duration::from_millis(500);
+
+/// Pause before a call that got no answer is repeated.
+const CALL_PAUSE: Duration = Duration::from_millis(30);
+
+/// Decisions of an agent.
+#[derive(Debug)]
+pub struct Machine {
+    pub(super) settings: Settings,
+    pub(super) worker: Worker,
+    pub(super) runs: Runs,
+    pub(super) owners: Owners,
+    pub(super) calls: Calls,
+    pub(super) metrics: Metrics,
+    /// Ends of runs whose owner is not known, with the time when they were taken.
+    pub(super) orphans: Vec<(wire::RunReport, Duration)>,
+    /// Stops that are to be sent (again).
+    pub(super) stops: Vec<RunId>,
+    /// Whether starts are unclear and a probe is needed.
+    pub(super) probe: bool,
+    /// No hold is made before this time.
+    pub(super) hold_after: Duration,
+    listed_at: Option<Duration>,
+    stopping: Option<Duration>,
+    exited: bool,
+    swept: Duration,
+}
+
+impl Machine {
+    /// Decisions of an agent that starts now.
+    #[must_use]
+    pub fn new(now: Now, settings: Settings, metrics: Metrics, out: &mut Vec<Action>) -> Self {
+        if let Some(address) = settings.worker.clone() {
+            out.push(Action::UseWorker {
+                address,
+                instance: "".into(),
+            });
+        }
+        Self {
+            settings,
+            worker: Worker::new(now.mono, now.wall_ms),
+            runs: Runs::default(),
+            owners: Owners::default(),
+            calls: Calls::default(),
+            metrics,
+            orphans: Vec::new(),
+            stops: Vec::new(),
+            probe: false,
+            hold_after: Duration::ZERO,
+            listed_at: None,
+            stopping: None,
+            exited: false,
+            swept: Duration::ZERO,
+        }
+    }
+
+    /// Takes one input and appends the actions that follow from it, in order.
+    pub fn step(&mut self, now: Now, input: Input, out: &mut Vec<Action>) {
+        match input {
+            Input::Heartbeat(beat) => self.take_heartbeat(now, beat, out),
+            Input::Left(instance) => self.take_left(now, &instance, out),
+            Input::LinkUp {
+                link,
+                peer,
+                entries,
+            } => {
+                for earlier in self.owners.link_up(now.mono, link, &peer) {
+                    self.stop_runs_of(now, earlier);
+                }
+                for (orphan, _) in self.orphans.clone() {
+                    self.owners.report(peer.instance, orphan);
+                }
+                for (_, address) in entries {
+                    out.push(Action::Connect(address));
+                }
+            }
+            Input::LinkDown(link) => self.owners.link_down(link),
+            Input::Frame(link, body) => self.take_frame(now, link, body, out),
+            Input::Started {
+                call,
+                outcome,
+                clock_ms,
+            } => self.take_started(now, call, outcome, clock_ms, out),
+            Input::Stopped {
+                call,
+                outcome,
+                clock_ms,
+            } => self.take_stopped(now, call, &outcome, clock_ms, out),
+            Input::Held {
+                call,
+                outcome,
+                clock_ms,
+            } => self.take_held(now, call, outcome, clock_ms, out),
+            Input::Found(addresses) => {
+                out.extend(addresses.into_iter().map(Action::Connect));
+            }
+            Input::Stop => self.take_stop(now, out),
+            Input::Tick => {}
+        }
+    }
+
+    /// Ends a turn: called once after the inputs that were ready together.
+    pub fn flush(&mut self, now: Now, out: &mut Vec<Action>) {
+        if now.mono.saturating_sub(self.swept) >= Duration::from_millis(15) {
+            self.swept = now.mono;
+            self.sweep(now, out);
+        }
+        self.start_waiting(now, out);
+        self.send_calls(now, out);
+        self.send_reports(now, out);
+        self.try_exit(now, out);
+    }
+
+    /// Whether a run is open, so that time matters more.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        !self.runs.is_empty() || self.probe || !self.worker.listed
+    }
+
+    fn take_heartbeat(&mut self, now: Now, beat: Heartbeat, out: &mut Vec<Action>) {
+        if self.worker.is_stale(&beat) {
+            return;
+        }
+        let same = self.worker.born == Some(beat.born);
+        let first = self
+            .worker
+            .beat
+            .as_ref()
+            .is_none_or(|last| last.born != beat.born);
+        if !same {
+            self.lose_worker(now, Some(beat.born), "a new lifetime of the worker", out);
+        }
+        if first {
+            out.push(Action::UseWorker {
+                address: beat.address.clone(),
+                instance: beat.instance.clone(),
+            });
+            let fields = vec![
+                ("worker", beat.instance.to_string()),
+                ("service", beat.service.to_string()),
+                ("cpu", beat.capacity.cpu.to_string()),
+                ("labels", beat.labels.join(",")),
+            ];
+            log(out, 401, "worker announced", false, fields);
+        }
+        if beat.draining && !self.worker.leaving {
+            self.worker.leaving = true;
+            let fields = vec![("worker", beat.instance.to_string())];
+            log(out, 402, "worker is leaving", false, fields);
+            self.decline_waiting(now);
+        }
+        self.worker.beat = Some(beat);
+    }
+
+    fn take_left(&mut self, now: Now, instance: &str, out: &mut Vec<Action>) {
+        if self.worker.instance() == instance {
+            self.lose_worker(now, None, "the worker has left", out);
+            self.worker.leaving = true;
+        }
+    }
+
+    /// Everything on the worker has ended, and another lifetime may begin.
+    pub(super) fn lose_worker(
+        &mut self,
+        now: Now,
+        born: Option<u64>,
+        cause: &'static str,
+        out: &mut Vec<Action>,
+    ) {
+        self.worker.begin_life(now.mono, born);
+        self.calls.begin_life();
+        self.probe = false;
+        self.stops.clear();
+        self.listed_at = None;
+        self.hold_after = now.mono;
+        self.lose_runs(now, cause, out);
+    }
+
+    /// Closes all runs that may have been on the worker.
+    pub(super) fn lose_runs(&mut self, now: Now, cause: &'static str, out: &mut Vec<Action>) {
+        let lost = self.runs.iter().filter(|(_, run)| run.takes_room());
+        let lost: Vec<RunId> = lost.map(|(id, _)| id.clone()).collect();
+        if lost.is_empty() {
+            return;
+        }
+        let fields = vec![
+            ("runs", lost.len().to_string()),
+            ("cause", cause.to_owned()),
+        ];
+        log(out, 403, "runs lost with their worker", true, fields);
+        for id in lost {
+            self.close(now, &id, wire::RunOutcome::Lost);
+        }
+        self.decline_waiting(now);
+    }
+
+    /// Ends a run for good and reports it.
+    pub(super) fn close(&mut self, now: Now, id: &RunId, outcome: wire::RunOutcome) {
+        let Some(run) = self.runs.remove(id) else {
+            return;
+        };
+        let run_time = run.started.map(|at| now.since(at)).unwrap_or_default();
+        let counter = match outcome {
+            wire::RunOutcome::Done => &self.metrics.done,
+            wire::RunOutcome::Failed => &self.metrics.failed,
+            wire::RunOutcome::Lost => &self.metrics.lost,
+            wire::RunOutcome::Stopped | wire::RunOutcome::Stalled => &self.metrics.stopped,
+            _ => &self.metrics.declined,
+        };
+        counter.inc();
+        let report = report(id, outcome, run_time);
+        match run.owner {
+            Some(owner) => self.owners.report(owner, report),
+            None => self.add_orphan(now, report),
+        }
+    }
+
+    /// Reports an end whose owner is not known to everybody, also to those that connect soon.
+    pub(super) fn add_orphan(&mut self, now: Now, report: wire::RunReport) {
+        self.owners.report_all(&report);
+        self.orphans.push((report, now.mono));
+    }
+
+    fn take_frame(&mut self, now: Now, link: LinkKey, body: Body, out: &mut Vec<Action>) {
+        let Some(owner) = self.owners.behind(link) else {
+            return;
+        };
+        match body {
+            Body::RunOrders(orders) => self.take_orders(now, owner, orders, out),
+            Body::OwnerBeat(beat) => {
+                self.owners.take_beat(owner, beat.reports_seen);
+                for entry in beat.entries {
+                    out.push(Action::Connect(entry.address.into()));
+                }
+            }
+            Body::CancelRuns(cancel) => {
+                let runs = self.runs.iter();
+                let runs = runs.filter(|(id, _)| id.task.job == cancel.job.as_str());
+                for id in runs.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+                    self.stop_run(now, &id, StopCause::Owner);
+                }
+            }
+            _ => out.push(Action::Close(link, "unexpected_frame")),
+        }
+    }
+
+    /// Stops a run, wherever it is.
+    pub(super) fn stop_run(&mut self, now: Now, id: &RunId, cause: StopCause) {
+        let Some(run) = self.runs.get(id) else {
+            return;
+        };
+        match run.stage {
+            Stage::Waiting(_) => self.close(now, id, wire::RunOutcome::Stopped),
+            Stage::Running(_) => {
+                self.runs.update(id, |run| {
+                    run.stop = Some(cause);
+                    run.stage = Stage::Stopping(None);
+                });
+                self.stops.push(id.clone());
+            }
+            Stage::Starting(_) | Stage::Unclear(_) => {
+                self.runs.update(id, |run| run.stop = Some(cause));
+            }
+            Stage::Stopping(_) => {}
+        }
+    }
+
+    fn stop_runs_of(&mut self, now: Now, owner: Instance) {
+        let runs = self.runs.iter().filter(|(_, run)| run.owner == Some(owner));
+        for id in runs.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+            self.stop_run(now, &id, StopCause::Owner);
+        }
+    }
+
+    fn sweep(&mut self, now: Now, out: &mut Vec<Action>) {
+        self.stop_silent_owners(now, out);
+        self.stop_stalled(now, out);
+        self.expire_waiting(now);
+        let lapsed = self.worker.has_lapsed(now.mono, self.settings.lease);
+        if lapsed && !self.runs.is_idle() {
+            self.worker.raise_fence();
+            self.lose_runs(now, "the lease has lapsed", out);
+        }
+        if lapsed && !self.worker.listed {
+            // Whatever an earlier agent started has ended.
+            self.worker.listed = true;
+        }
+        if self.worker.listed && self.listed_at.is_none() {
+            self.listed_at = Some(now.mono);
+        }
+        let keep = super::owners::OWNER_SILENCE;
+        self.orphans.retain(|(_, at)| now.since(*at) < keep);
+        for link in self.owners.silent_links(now.mono) {
+            out.push(Action::Close(link, "silent"));
+        }
+        self.owners.forget_silent(now.mono);
+        self.metrics.used_cpu.set(i64::from(self.runs.used().cpu));
+    }
+
+    fn stop_silent_owners(&mut self, now: Now, out: &mut Vec<Action>) {
+        let claimed_by = super::owners::OWNER_SILENCE;
+        let listed_at = self.listed_at.unwrap_or(now.mono);
+        let mut stopped: Vec<RunId> = Vec::new();
+        for (id, run) in self.runs.iter() {
+            let keeps = match run.owner {
+                Some(owner) => self.owners.in_contact(now.mono, owner),
+                None => now.since(listed_at) < claimed_by,
+            };
+            if !keeps && run.stop.is_none() {
+                stopped.push(id.clone());
+            }
+        }
+        if stopped.is_empty() {
+            return;
+        }
+        let fields = vec![
+            ("runs", stopped.len().to_string()),
+            ("first", stopped[0].to_string()),
+        ];
+        log(out, 404, "runs of a silent owner are stopped", true, fields);
+        for id in stopped {
+            self.stop_run(now, &id, StopCause::Owner);
+        }
+    }
+
+    fn stop_stalled(&mut self, now: Now, out: &mut Vec<Action>) {
+        if !self.worker.answers(now.mono) {
+            return;
+        }
+        let mut stalled: Vec<RunId> = Vec::new();
+        for (id, run) in self.runs.iter() {
+            let running = matches!(run.stage, Stage::Running(_));
+            if running && now.since(run.progress.1) >= STALL_LIMIT && run.progress.0 < 100 {
+                stalled.push(id.clone());
+            }
+        }
+        for id in stalled {
+            let percent = self.runs.get(&id).map(|run| run.progress.0);
+            let fields = vec![
+                ("run", id.to_string()),
+                ("percent", percent.unwrap_or_default().to_string()),
+            ];
+            log(
+                out,
+                405,
+                "run makes no progress and is stopped",
+                true,
+                fields,
+            );
+            self.stop_run(now, &id, StopCause::Stalled);
+        }
+    }
+
+    fn send_calls(&mut self, now: Now, out: &mut Vec<Action>) {
+        for run in std::mem::take(&mut self.stops) {
+            if self.runs.get(&run).is_none() {
+                continue;
+            }
+            let call = self.call(now, Purpose::Stop(run.clone()));
+            let fence = self.worker.fence;
+            out.push(Action::StopRun { call, run, fence });
+        }
+        if self.probe && !self.calls.is_probing() {
+            self.probe = false;
+            self.hold(now, Purpose::Probe, 0, out);
+        }
+        let has_worker = self.worker.beat.is_some() || self.settings.worker.is_some();
+        let unread = !self.worker.listed;
+        let unacknowledged = self.worker.taken > self.worker.acknowledged;
+        let silent = self.worker.is_asked();
+        let needed = unread || !self.runs.is_idle() || unacknowledged || silent;
+        if has_worker && needed && !self.calls.is_holding() && now.mono >= self.hold_after {
+            let waits = !unread && !self.runs.is_idle();
+            let wait_ms = if waits { HOLD_WAIT_MS } else { 0 };
+            self.hold(now, Purpose::Hold, wait_ms, out);
+        }
+    }
+
+    fn hold(&mut self, now: Now, purpose: Purpose, wait_ms: u64, out: &mut Vec<Action>) {
+        let lease = self.settings.lease;
+        let lease_ms = if self.runs.is_idle() {
+            None
+        } else {
+            self.worker.lease(now.mono, lease)
+        };
+        let call = self.call(now, purpose);
+        out.push(Action::Hold {
+            call,
+            lease_ms,
+            fence: self.worker.fence,
+            acknowledged: self.worker.taken,
+            wait_ms,
+        });
+    }
+
+    /// Notes a call to the worker.
+    pub(super) fn call(&mut self, now: Now, purpose: Purpose) -> super::io::CallKey {
+        self.worker.ask(now.mono);
+        self.calls.add(Call {
+            purpose,
+            life: self.worker.life,
+            fence: self.worker.fence,
+            made: now.mono,
+            taken: self.worker.taken,
+        })
+    }
+
+    /// Delays the next hold after one that was not answered.
+    pub(super) fn pause_holds(&mut self, now: Now) {
+        self.hold_after = now.mono + CALL_PAUSE;
+    }
+
+    fn send_reports(&mut self, now: Now, out: &mut Vec<Action>) {
+        let state = self.worker_state(now);
+        let runs = &self.runs;
+        let list = || runs.iter().map(|(id, _)| id.into()).collect();
+        let open: Option<&dyn Fn() -> Vec<wire::RunRef>> = if self.worker.listed {
+            Some(&list)
+        } else {
+            None
+        };
+        self.owners.flush(now.mono, &state, open, out);
+    }
+
+    /// Room that is free for further runs.
+    pub(super) fn free(&self) -> Room {
+        let beat = self.worker.beat.as_ref();
+        let capacity = beat.map(|beat| beat.capacity).unwrap_or_default();
+        if self.runs.has_unknown() {
+            return Room::default();
+        }
+        capacity.minus(self.runs.used())
+    }
+
+    /// Whether new runs are taken.
+    pub(super) fn is_usable(&self, now: Now) -> bool {
+        self.stopping.is_none() && self.worker.is_usable(now.mono)
+    }
+
+    fn worker_state(&self, now: Now) -> wire::WorkerState {
+        let Some(beat) = &self.worker.beat else {
+            return wire::WorkerState::default();
+        };
+        wire::WorkerState {
+            instance: beat.instance.to_string(),
+            service: beat.service.to_string(),
+            labels: beat.labels.iter().map(ToString::to_string).collect(),
+            capacity: Some(beat.capacity.into()),
+            free: Some(self.free().into()),
+            waiting_cpu: self.runs.waiting_cpu(),
+            usable: self.is_usable(now),
+        }
+    }
+
+    fn take_stop(&mut self, now: Now, out: &mut Vec<Action>) {
+        if self.stopping.is_none() {
+            self.stopping = Some(now.mono);
+            log(out, 408, "planned stop begins", false, Vec::new());
+            self.decline_waiting(now);
+        }
+    }
+
+    fn try_exit(&mut self, now: Now, out: &mut Vec<Action>) {
+        let Some(since) = self.stopping else {
+            return;
+        };
+        let done = self.runs.is_empty() || now.since(since) >= self.settings.stop_limit;
+        if done && !self.exited {
+            self.exited = true;
+            let fields = vec![("open_runs", self.runs.iter().count().to_string())];
+            log(out, 409, "planned stop complete", false, fields);
+            out.push(Action::Exit);
+        }
+    }
+
+    /// Adds a run.
+    pub(super) fn insert(&mut self, id: RunId, run: Run) {
+        self.runs.insert(id, run);
+    }
+}
+
+/// Adds an event for the log.
+pub(super) fn log(
+    out: &mut Vec<Action>,
+    number: u16,
+    text: &'static str,
+    warning: bool,
+    fields: Vec<(&'static str, String)>,
+) {
+    out.push(Action::Log(Event {
+        number,
+        text,
+        warning,
+        fields,
+    }));
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,7 +7,10 @@
 pub mod config;
 pub mod dispatch;
 pub mod entry;
+pub mod executor;
+pub mod scheduler;
 pub mod store;
+pub mod work;
 
 mod clock;
 mod event;
--- /dev/null
+++ b/crates/core/src/scheduler/intake.rs
@@ -0,0 +1,244 @@
+//! What callers ask for.
+
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use super::io::{Action, Answer, CallKey, JobState};
+use super::jobs::{Job, JobKey, Progress};
+use super::machine::{Machine, log, ms};
+use crate::clock::Now;
+use crate::work::{JobRequest, QueueRules};
+
+/// Multiple of the objective after which an answer is worth nothing to the caller.
+pub(super) const LATE_FACTOR: u32 = 3;
+
+/// Time before the caller's limit at which a job is given up, so that the answer still arrives.
+const ANSWER_MARGIN: Duration = Duration::from_millis(20);
+
+/// Jobs that may be open; further ones are refused.
+const OPEN_JOBS: usize = 5_000;
+
+/// When a refused submission may be tried again.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+impl Machine {
+    pub(super) fn submit(
+        &mut self,
+        now: Now,
+        call: CallKey,
+        request: JobRequest,
+        out: &mut Vec<Action>,
+    ) {
+        self.metrics.submitted.inc();
+        let rules = self.catalog.as_ref();
+        let Some(rules) = rules
+            .and_then(|catalog| catalog.queue(&request.queue))
+            .cloned()
+        else {
+            return out.push(Action::Reply(call, Answer::NoQueue));
+        };
+        if let Some(feature) = request.unsupported {
+            return self.refuse(call, &request.id, &feature.to_string(), out);
+        }
+        if self.is_closed(now) {
+            return self.refuse(call, &request.id, "stopping", out);
+        }
+        if let Some(key) = self.jobs.find(&request.id) {
+            return self.submit_again(key, call, request, out);
+        }
+        if self.jobs.len() >= OPEN_JOBS {
+            return self.refuse(call, &request.id, "too many open jobs", out);
+        }
+        self.admit(now, call, request, rules, out);
+    }
+
+    fn admit(
+        &mut self,
+        now: Now,
+        call: CallKey,
+        request: JobRequest,
+        rules: QueueRules,
+        out: &mut Vec<Action>,
+    ) {
+        let chain = self.learning.expected(&rules.name, request.longest_chain());
+        let objective = rules.target + chain.mul_f64(rules.stretch);
+        let fields = vec![
+            ("job", request.id.to_string()),
+            ("queue", request.queue.to_string()),
+            ("tasks", request.tasks().to_string()),
+            ("objective_ms", ms(objective)),
+            (
+                "config",
+                self.catalog.as_ref().map_or(0, |c| c.version).to_string(),
+            ),
+            ("open_jobs", self.jobs.len().to_string()),
+        ];
+        log(out, 301, "job received", false, fields);
+        self.jobs
+            .insert(Job::new(now.mono, call, request, rules, objective));
+        self.changed = true;
+    }
+
+    /// The same job is open: the caller waits for its end, or for the next run if this one was
+    /// given up.
+    fn submit_again(
+        &mut self,
+        key: JobKey,
+        call: CallKey,
+        request: JobRequest,
+        out: &mut Vec<Action>,
+    ) {
+        let fields = vec![("job", request.id.to_string())];
+        log(out, 302, "job submitted again", false, fields);
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        if job.progress != Progress::Closing {
+            return self.jobs.join(key, call);
+        }
+        let before = job.next.replace(Box::new((call, request)));
+        if let Some((earlier, _)) = before.map(|next| *next) {
+            self.reply(earlier, Answer::GaveUp, out);
+        }
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        call: CallKey,
+        id: &SmolStr,
+        reason: &str,
+        out: &mut Vec<Action>,
+    ) {
+        self.metrics.refused.inc();
+        let fields = vec![("job", id.to_string()), ("reason", reason.to_owned())];
+        log(out, 303, "job refused as not run", false, fields);
+        let answer = Answer::NotRun {
+            reason: reason.into(),
+            retry: RETRY_AFTER,
+        };
+        self.reply(call, answer, out);
+    }
+
+    pub(super) fn reply(&self, call: CallKey, answer: Answer, out: &mut Vec<Action>) {
+        out.push(Action::Reply(call, answer));
+    }
+
+    pub(super) fn query(&mut self, call: CallKey, id: &str, out: &mut Vec<Action>) {
+        let job = self.jobs.find(id).and_then(|key| self.jobs.get(key));
+        let answer = match job.map(|job| job.progress) {
+            Some(Progress::Queued) => Answer::State(JobState::Queued),
+            Some(Progress::Running) => Answer::State(JobState::Running),
+            Some(Progress::Closing) | None => Answer::NoJob,
+        };
+        self.reply(call, answer, out);
+    }
+
+    pub(super) fn count(&mut self, call: CallKey, queue: &str, out: &mut Vec<Action>) {
+        let known = self.catalog.as_ref();
+        if known.and_then(|catalog| catalog.queue(queue)).is_none() {
+            return self.reply(call, Answer::NoQueue, out);
+        }
+        let waiting = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.request.queue == queue && job.progress == Progress::Queued);
+        let pending = u32::try_from(waiting.count()).unwrap_or(u32::MAX);
+        self.reply(call, Answer::Pending(pending), out);
+    }
+
+    pub(super) fn cancel(&mut self, now: Now, call: CallKey, id: &str, out: &mut Vec<Action>) {
+        let open = self.jobs.find(id).filter(|key| {
+            let job = self.jobs.get(*key);
+            job.is_some_and(|job| job.progress != Progress::Closing)
+        });
+        let Some(key) = open else {
+            self.cancel_elsewhere(id, out);
+            return self.reply(call, Answer::NoJob, out);
+        };
+        self.close_job(now, key, Answer::Cancelled, "cancelled", out);
+        self.reply(call, Answer::Cancelled, out);
+    }
+
+    /// Nobody waits for the job any more, so its answer would be lost.
+    pub(super) fn call_gone(&mut self, now: Now, call: CallKey, out: &mut Vec<Action>) {
+        let Some((key, last)) = self.jobs.leave(call) else {
+            return;
+        };
+        if last {
+            self.close_job(now, key, Answer::GaveUp, "caller gone", out);
+        }
+    }
+
+    /// Gives up jobs whose answer would come too late.
+    pub(super) fn expire_jobs(&mut self, now: Now, out: &mut Vec<Action>) {
+        let mut expired: Vec<(JobKey, Answer, &'static str)> = Vec::new();
+        for (key, job) in self.jobs.iter() {
+            if job.progress == Progress::Closing {
+                continue;
+            }
+            let age = now.since(job.arrived);
+            let wait = job.request.wait.unwrap_or(Duration::MAX);
+            let out_of_time = age + ANSWER_MARGIN >= wait;
+            if job.starts == 0 && (out_of_time || age >= job.objective * LATE_FACTOR) {
+                let answer = Answer::NotRun {
+                    reason: "no room in time".into(),
+                    retry: RETRY_AFTER,
+                };
+                expired.push((key, answer, "no room in time"));
+            } else if out_of_time {
+                expired.push((key, Answer::GaveUp, "caller's time limit"));
+            }
+        }
+        for (key, answer, cause) in expired {
+            self.close_job(now, key, answer, cause, out);
+        }
+    }
+
+    /// Answers all callers of a job and stops what still runs of it.
+    pub(super) fn close_job(
+        &mut self,
+        now: Now,
+        key: JobKey,
+        answer: Answer,
+        cause: &'static str,
+        out: &mut Vec<Action>,
+    ) {
+        for call in self.jobs.take_calls(key) {
+            self.reply(call, answer.clone(), out);
+        }
+        self.stop_tasks(key);
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        job.progress = Progress::Closing;
+        let took = now.since(job.arrived);
+        let first = job.placed.map(|at| at.saturating_sub(job.arrived));
+        let fields = vec![
+            ("job", job.request.id.to_string()),
+            ("queue", job.request.queue.to_string()),
+            ("outcome", cause.to_owned()),
+            ("took_ms", ms(took)),
+            ("objective_ms", ms(job.objective)),
+            ("first_start_ms", first.map(ms).unwrap_or_default()),
+            ("starts", job.starts.to_string()),
+            ("stopped", job.out.to_string()),
+        ];
+        let served = matches!(answer, Answer::Completed | Answer::Failed);
+        log(out, 304, "job ended", !served, fields);
+        self.metrics.observe_end(&answer, took);
+        self.drop_closed(now, key, out);
+    }
+
+    /// Forgets a job that was given up, once nothing of it runs.
+    pub(super) fn drop_closed(&mut self, now: Now, key: JobKey, out: &mut Vec<Action>) {
+        let job = self.jobs.get(key);
+        if !job.is_some_and(|job| job.progress == Progress::Closing && job.out == 0) {
+            return;
+        }
+        let next = self.jobs.remove(key).and_then(|job| job.next);
+        if let Some((call, request)) = next.map(|next| *next) {
+            self.submit(now, call, request, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/scheduler/metrics.rs
@@ -0,0 +1,107 @@
+//! Counters of an entry process's decisions.
+
+use std::time::Duration;
+
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+use super::io::Answer;
+
+/// Upper bounds of the response time histogram, in seconds.
+const RESPONSE_BOUNDS_S: [f64; 12] = [
+    0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1.0, 1.5, 2.5, 4.0, 8.0,
+];
+
+/// Counters of an entry process's decisions.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    /// Jobs submitted.
+    pub submitted: Counter,
+    /// Jobs refused as not run.
+    pub refused: Counter,
+    /// Jobs answered as completed.
+    pub completed: Counter,
+    /// Jobs answered as failed.
+    pub failed: Counter,
+    /// Jobs given up or cancelled.
+    pub given_up: Counter,
+    /// Frames with orders.
+    pub orders: Counter,
+    /// Times that a worker was held back.
+    pub held_back: Counter,
+    /// Version of the configuration in force.
+    pub config_version: Gauge,
+    /// Time from submission to answer of completed jobs.
+    pub response: Histogram,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self {
+            submitted: Counter::default(),
+            refused: Counter::default(),
+            completed: Counter::default(),
+            failed: Counter::default(),
+            given_up: Counter::default(),
+            orders: Counter::default(),
+            held_back: Counter::default(),
+            config_version: Gauge::default(),
+            response: Histogram::new(RESPONSE_BOUNDS_S),
+        }
+    }
+}
+
+impl Metrics {
+    /// Adds all counters to `registry`.
+    pub fn register(&self, registry: &mut Registry) {
+        let counters = [
+            ("jobs_submitted", "Jobs submitted", &self.submitted),
+            ("jobs_refused", "Jobs refused as not run", &self.refused),
+            (
+                "jobs_completed",
+                "Jobs answered as completed",
+                &self.completed,
+            ),
+            ("jobs_failed", "Jobs answered as failed", &self.failed),
+            (
+                "jobs_given_up",
+                "Jobs given up or cancelled",
+                &self.given_up,
+            ),
+            ("orders_sent", "Frames with orders to agents", &self.orders),
+            (
+                "workers_held_back",
+                "Times a worker was held back",
+                &self.held_back,
+            ),
+        ];
+        for (name, help, counter) in counters {
+            registry.register(name, help, counter.clone());
+        }
+        let help = "Version of the configuration in force";
+        registry.register("config_version", help, self.config_version.clone());
+        let help = "Time from submission to answer of completed jobs";
+        registry.register("job_response_seconds", help, self.response.clone());
+    }
+
+    /// Counts a job that has ended.
+    pub(super) fn observe_end(&self, answer: &Answer, took: Duration) {
+        match answer {
+            Answer::Completed => {
+                self.completed.inc();
+                self.response.observe(took.as_secs_f64());
+            }
+            Answer::Failed => {
+                self.failed.inc();
+            }
+            Answer::NotRun { .. } => {
+                self.refused.inc();
+            }
+            _ => {
+                self.given_up.inc();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/scheduler/place.rs
@@ -0,0 +1,276 @@
+//! Which task goes to which worker, and when.
+//!
+//! Jobs that can still meet their objective come first, the one with the latest useful start
+//! nearest at the front; then those whose answer is late but still of use. Within a job all tasks
+//! are placed together, since a job is as late as its last task.
+
+use std::time::Duration;
+
+use knapweedwall_wire as wire;
+use smallvec::SmallVec;
+
+use super::intake::LATE_FACTOR;
+use super::io::Action;
+use super::jobs::{Job, JobKey, Place, Progress, to_u32};
+use super::machine::Machine;
+use super::workers::{Worker, WorkerKey};
+use crate::clock::Now;
+use crate::work::{PhaseSpec, RunId, TaskId};
+
+/// Slow-down of a task whose data is on another rack.
+const FAR_FACTOR: f64 = 1.5;
+
+/// Cost of a worker in another zone, in milliseconds of expected run time: a way there and back.
+const ZONE_COST_MS: f64 = 3.0;
+
+/// Cost of a fully used worker against an empty one, in milliseconds: other entry processes may
+/// take the last room at the same time.
+const USE_COST_MS: f64 = 8.0;
+
+/// Jobs without room that are looked at before placing ends for this turn.
+const BLOCKED_JOBS: u32 = 16;
+
+/// Position of a job in the order of placement; lower goes first.
+type Urgency = (u8, Duration);
+
+impl Machine {
+    /// Places as many waiting tasks as there is room for.
+    pub(super) fn place(&mut self, now: Now, out: &mut Vec<Action>) {
+        let mut ready: Vec<(Urgency, JobKey)> = Vec::new();
+        for (key, job) in self.jobs.iter() {
+            if job.waiting > 0 && job.progress != Progress::Closing {
+                ready.push((self.urgency(now, job), key));
+            }
+        }
+        ready.sort_unstable();
+        let mut blocked = 0;
+        for ((_, start_by), key) in ready {
+            if !self.place_job(now, key, start_by) {
+                blocked += 1;
+            }
+            if blocked >= BLOCKED_JOBS {
+                break;
+            }
+        }
+        let _ = out;
+    }
+
+    fn urgency(&self, now: Now, job: &Job) -> Urgency {
+        let run = self
+            .learning
+            .expected(&job.rules.name, job.request.longest_chain());
+        let due = job.arrived + job.objective;
+        if now.mono + run <= due {
+            return (0, due - run);
+        }
+        let last = job.arrived + job.objective * LATE_FACTOR;
+        let tier = if now.mono + run <= last { 1 } else { 2 };
+        (tier, job.arrived + run)
+    }
+
+    /// Places the waiting tasks of a job; false when one found no room.
+    fn place_job(&mut self, now: Now, key: JobKey, start_by: Duration) -> bool {
+        let Some(job) = self.jobs.get(key) else {
+            return true;
+        };
+        let mut waiting: Vec<(u32, u32)> = Vec::new();
+        for (phase, tasks) in job.phases.iter().enumerate() {
+            for (index, task) in tasks.tasks.iter().enumerate() {
+                if task.place == Place::Waiting {
+                    waiting.push((to_u32(phase), to_u32(index)));
+                }
+            }
+        }
+        for (phase, index) in waiting {
+            let Some((worker, waits)) = self.choose(now, key, phase, index) else {
+                return false;
+            };
+            self.order(now, key, (phase, index), worker, (start_by, waits));
+        }
+        true
+    }
+
+    /// The worker on which a task is expected to end first, and whether it has to wait there.
+    fn choose(&self, now: Now, key: JobKey, phase: u32, index: u32) -> Option<(WorkerKey, bool)> {
+        let job = self.jobs.get(key)?;
+        let spec = &job.request.phases[phase as usize];
+        let task = job.task(phase, index)?;
+        let expected = self.learning.expected(&job.rules.name, spec.estimate);
+        let mut best: Option<(bool, bool, f64, WorkerKey)> = None;
+        for (worker_key, worker) in self.workers.iter() {
+            if !worker.is_usable(now.mono) || worker.service != job.rules.service {
+                continue;
+            }
+            if !fits(job, spec, phase, worker_key, worker) {
+                continue;
+            }
+            let has_room = worker.free().holds(spec.room);
+            if !has_room && !worker.may_wait(spec.room) {
+                continue;
+            }
+            let avoided = task.avoid.contains(&worker_key);
+            let cost = self.cost(spec, worker, expected);
+            let candidate = (avoided, !has_room, cost, worker_key);
+            let better = best.is_none_or(|best| {
+                (candidate.0, candidate.1) < (best.0, best.1)
+                    || ((candidate.0, candidate.1) == (best.0, best.1) && cost < best.2)
+            });
+            if better {
+                best = Some(candidate);
+            }
+        }
+        best.map(|(_, waits, _, worker)| (worker, waits))
+    }
+
+    /// Expected time to the end of a run, in milliseconds.
+    fn cost(&self, spec: &PhaseSpec, worker: &Worker, expected: Duration) -> f64 {
+        let mut run_ms = expected.as_secs_f64() * 1_000.0 / worker.speed.factor();
+        if let Some(near) = &spec.near
+            && !worker.labels.contains(near)
+        {
+            run_ms *= FAR_FACTOR;
+        }
+        if worker.zone != self.settings.zone {
+            run_ms += ZONE_COST_MS;
+        }
+        run_ms + USE_COST_MS * (1.0 - worker.free_share())
+    }
+
+    fn order(
+        &mut self,
+        now: Now,
+        key: JobKey,
+        (phase, index): (u32, u32),
+        worker_key: WorkerKey,
+        (start_by, waits): (Duration, bool),
+    ) {
+        let (Some(job), Some(worker)) = (self.jobs.get_mut(key), self.workers.get_mut(worker_key))
+        else {
+            return;
+        };
+        job.set_place(phase, index, Place::Placed(worker_key));
+        job.placed = job.placed.or(Some(now.mono));
+        job.progress = Progress::Running;
+        job.starts += 1;
+        let spec = &job.request.phases[phase as usize];
+        let room = spec.room;
+        let expected = self.learning.expected(&job.rules.name, spec.estimate);
+        let expected = expected.div_f64(worker.speed.factor());
+        let Some(task) = job.task_mut(phase, index) else {
+            return;
+        };
+        task.attempt += 1;
+        let attempt = wire::TaskAttempt {
+            index,
+            attempt: task.attempt,
+        };
+        let run = RunId {
+            task: TaskId {
+                job: job.request.id.clone(),
+                phase,
+                index,
+            },
+            attempt: attempt.attempt,
+        };
+        worker.add_order(run, room, waits);
+        let same = worker.outbox.phases.last_mut().filter(|order| {
+            order.job == job.request.id.as_str() && order.phase == phase && order.waits == waits
+        });
+        if let Some(order) = same {
+            return order.tasks.push(attempt);
+        }
+        worker.outbox.phases.push(wire::PhaseOrder {
+            job: job.request.id.to_string(),
+            phase,
+            spec: job.request.spec.to_string(),
+            room: Some(room.into()),
+            expected_ms: u32::try_from(expected.as_millis()).unwrap_or(u32::MAX),
+            slack_ms: slack_ms(now, start_by),
+            waits,
+            tasks: vec![attempt],
+        });
+    }
+
+    /// Orders the stop of everything of a job that is placed; its other tasks are not started.
+    pub(super) fn stop_tasks(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let mut placed: SmallVec<[(RunId, WorkerKey); 8]> = SmallVec::new();
+        for (phase, tasks) in job.phases.iter().enumerate() {
+            for (index, task) in tasks.tasks.iter().enumerate() {
+                let Place::Placed(worker) = task.place else {
+                    continue;
+                };
+                let run = RunId {
+                    task: TaskId {
+                        job: job.request.id.clone(),
+                        phase: to_u32(phase),
+                        index: to_u32(index),
+                    },
+                    attempt: task.attempt,
+                };
+                placed.push((run, worker));
+            }
+        }
+        job.waiting = 0;
+        for (run, worker) in placed {
+            if let Some(worker) = self.workers.get_mut(worker) {
+                worker.outbox.stops.push((&run).into());
+            }
+        }
+    }
+
+    /// Sends the orders of this turn.
+    pub(super) fn send_orders(&mut self, now: Now, out: &mut Vec<Action>) {
+        for (_, worker) in self.workers.iter_mut() {
+            if let Some((link, orders)) = worker.take_orders() {
+                for order in &orders.phases {
+                    log_order(order, &worker.instance, out);
+                }
+                self.metrics.orders.inc();
+                out.push(Action::Send(link, wire::frame::Body::RunOrders(orders)));
+            }
+        }
+        self.send_beats(now, out);
+    }
+}
+
+fn fits(job: &Job, spec: &PhaseSpec, phase: u32, key: WorkerKey, worker: &Worker) -> bool {
+    if spec
+        .label
+        .as_ref()
+        .is_some_and(|label| !worker.labels.contains(label))
+    {
+        return false;
+    }
+    let Some(most) = spec.spread else {
+        return true;
+    };
+    let tasks = job.phases[phase as usize].tasks.iter();
+    let there = tasks.filter(|task| task.place == Place::Placed(key));
+    to_u32(there.count()) < most
+}
+
+fn slack_ms(now: Now, start_by: Duration) -> i32 {
+    let ahead = i32::try_from(start_by.saturating_sub(now.mono).as_millis());
+    let past = i32::try_from(now.since(start_by).as_millis());
+    ahead.unwrap_or(i32::MAX / 2) - past.unwrap_or(i32::MAX / 2)
+}
+
+fn log_order(order: &wire::PhaseOrder, worker: &str, out: &mut Vec<Action>) {
+    let tasks: Vec<String> = order
+        .tasks
+        .iter()
+        .map(|task| format!("{}#{}", task.index, task.attempt))
+        .collect();
+    let fields = vec![
+        ("job", order.job.clone()),
+        ("worker", worker.to_owned()),
+        ("tasks", tasks.join(",")),
+        ("expected_ms", order.expected_ms.to_string()),
+        ("slack_ms", order.slack_ms.to_string()),
+        ("waits", order.waits.to_string()),
+    ];
+    super::machine::log(out, 305, "tasks ordered", false, fields);
+}
--- a/crates/runtime/src/links/kind.rs
+++ b/crates/runtime/src/links/kind.rs
@@ -3,7 +3,7 @@
 use knapweedwall_wire::frame::Body;
 
 /// Number of kinds.
-pub(super) const KINDS: usize = 20;
+pub(super) const KINDS: usize = 24;
 
 /// Names of the kinds, by index.
 pub(super) const NAMES: [&str; KINDS] = [
@@ -27,6 +27,10 @@
     "query",
     "cancel_job",
     "reply",
+    "run_orders",
+    "run_reports",
+    "owner_beat",
+    "cancel_runs",
 ];
 
 /// Index of the kind of `body`.
@@ -52,5 +56,9 @@
         Body::Query(_) => 17,
         Body::CancelJob(_) => 18,
         Body::Reply(_) => 19,
+        Body::RunOrders(_) => 20,
+        Body::RunReports(_) => 21,
+        Body::OwnerBeat(_) => 22,
+        Body::CancelRuns(_) => 23,
     }
 }
--- a/crates/runtime/src/log.rs
+++ b/crates/runtime/src/log.rs
@@ -1,4 +1,4 @@
-//! Log of a process: structured records on standard error.
+//! Log of a process: structured records on standard error or standard output.
 
 use std::io;
 
@@ -38,6 +38,17 @@
     Error,
 }
 
+/// Where the records go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Output {
+    /// Standard error.
+    #[default]
+    Stderr,
+    /// Standard output.
+    Stdout,
+}
+
 /// Settings of the log.
 #[derive(Debug, Clone, Copy, Default, Deserialize, Validate)]
 #[serde(deny_unknown_fields, default)]
@@ -48,9 +59,12 @@
     /// Least important level.
     #[garde(skip)]
     pub level: Threshold,
+    /// Where the records go.
+    #[garde(skip)]
+    pub output: Output,
 }
 
-/// Opens the log on standard error. The records still waiting are written when the guard is
+/// Opens the log. The records still waiting are written when the guard is
 /// dropped.
 pub fn open(settings: Settings, process: &str) -> (Logger, AsyncGuard) {
     let level = match settings.level {
@@ -59,23 +73,31 @@
         Threshold::Warning => Level::Warning,
         Threshold::Error => Level::Error,
     };
-    let (drain, guard) = match settings.format {
+    let (drain, guard) = match settings.output {
+        Output::Stderr => open_on(io::stderr(), settings.format, level),
+        Output::Stdout => open_on(io::stdout(), settings.format, level),
+    };
+    let log = Logger::root(drain.fuse(), o!("process" => process.to_owned()));
+    (log, guard)
+}
+
+fn open_on<W>(output: W, format: Format, level: Level) -> (Async, AsyncGuard)
+where
+    W: io::Write + Send + 'static,
+{
+    match format {
         Format::Json => {
-            let json = slog_json::Json::new(io::stderr())
-                .add_default_keys()
-                .build();
+            let json = slog_json::Json::new(output).add_default_keys().build();
             start(LevelFilter::new(json, level).fuse())
         }
         Format::Terminal => {
-            let decorator = slog_term::PlainSyncDecorator::new(io::stderr());
+            let decorator = slog_term::PlainSyncDecorator::new(output);
             let text = slog_term::FullFormat::new(decorator)
                 .use_utc_timestamp()
                 .build();
             start(LevelFilter::new(text, level).fuse())
         }
-    };
-    let log = Logger::root(drain.fuse(), o!("process" => process.to_owned()));
-    (log, guard)
+    }
 }
 
 fn start<D>(drain: D) -> (Async, AsyncGuard)
