--- a/crates/runtime/src/signals.rs
+++ b/crates/runtime/src/signals.rs
@@ -1,11 +1,11 @@
-//! Signals that ask the process to stop.
+//! Signals that ask the process to stop or to read its settings again.
 
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::thread;
 
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::flag;
 use signal_hook::iterator::Signals;
 
@@ -36,3 +36,19 @@
         })?;
     Ok(())
 }
+
+/// Calls `reload` on each SIGHUP, which does not end the process any more.
+///
+/// # Errors
+/// The error of the operating system when the handler cannot be installed.
+pub fn spawn_reload(mut reload: impl FnMut() + Send + 'static) -> io::Result<()> {
+    let mut signals = Signals::new([SIGHUP])?;
+    thread::Builder::new()
+        .name("reload".into())
+        .spawn(move || {
+            for _ in signals.forever() {
+                reload();
+            }
+        })?;
+    Ok(())
+}
