perf(core): jobs go where they meet their objective; lost starts are found within 25 ms

Ruled out: want of processor at entry processes (0.05 cores) and agents (0.017). Change: tiers by objective, started jobs first, slowest sufficient worker while room is scarce, late jobs leave a fifth of a worker free and are refused when little time is left; unclear starts are probed after 25 ms and started anew under a higher fence; holds last 100 ms; holds to a worker that is away back off to 1 s.

--- a/crates/core/src/executor/lists.rs
+++ b/crates/core/src/executor/lists.rs
@@ -28,6 +28,7 @@
         match outcome {
             HoldOutcome::Held(holding) => {
                 self.worker.answered(now.mono, clock_ms);
+                self.resume_holds(now);
                 self.take_lists(now, &call, holding, out);
             }
             HoldOutcome::Fence => {
@@ -118,7 +119,7 @@
             return;
         };
         match run.stage {
-            Stage::Starting(_) | Stage::Unclear(_) => {
+            Stage::Starting(..) | Stage::Unclear(_) => {
                 let made = run.ordered.max(call.made.min(now.mono));
                 self.confirm(now, &row.run, made, out);
             }
@@ -149,13 +150,17 @@
     /// call was made.
     fn close_missing(&mut self, now: Now, call: &Call, listed: &KeySet<RunId>) {
         let mut missing: Vec<(RunId, wire::RunOutcome)> = Vec::new();
+        let mut unstarted: Vec<RunId> = Vec::new();
         for (id, run) in self.runs.iter() {
             if listed.contains(id) {
                 continue;
             }
             let outcome = match run.stage {
                 // Orders under a lower fence than that of the answered call are refused.
-                Stage::Unclear(fence) if fence < call.fence => wire::RunOutcome::Unusable,
+                Stage::Unclear(fence) if fence < call.fence => {
+                    unstarted.push(id.clone());
+                    continue;
+                }
                 Stage::Running(since) if since < call.made => wire::RunOutcome::Lost,
                 Stage::Stopping(Some(since)) if since < call.made => wire::RunOutcome::Stopped,
                 _ => continue,
@@ -165,6 +170,9 @@
         for (id, outcome) in missing {
             self.close(now, &id, outcome);
         }
+        for id in unstarted {
+            self.start_again(now, &id);
+        }
         let unclear = |run: &Run| matches!(run.stage, Stage::Unclear(_));
         let probes = call.purpose == Purpose::Probe;
         self.probe |= probes && self.runs.iter().any(|(_, run)| unclear(run));
--- a/crates/core/src/executor/machine.rs
+++ b/crates/core/src/executor/machine.rs
@@ -19,13 +19,17 @@
 use crate::work::{Room, RunId};
 
 /// Longest time of a hold: the lease is extended at least this often while something runs.
-const HOLD_WAIT_MS: u64 = 300;
+const HOLD_WAIT_MS: u64 = 100;
 
 /// Time without progress after which a run is stopped, so that it can run elsewhere.
 const STALL_LIMIT: Duration = Duration::from_millis(500);
 
-/// Pause before a call that got no answer is repeated.
-const CALL_PAUSE: Duration = Duration::from_millis(30);
+/// Time after which a start without an answer is taken for lost; the answer usually takes 1 to 3
+/// ms. If the run is there after all, the probe finds it.
+const START_LIMIT: Duration = Duration::from_millis(25);
+
+/// Shortest and longest pause before a hold that got no answer is repeated.
+const HOLD_PAUSE: (Duration, Duration) = (Duration::from_millis(10), Duration::from_secs(1));
 
 /// Decisions of an agent.
 #[derive(Debug)]
@@ -44,6 +48,10 @@
     pub(super) probe: bool,
     /// No hold is made before this time.
     pub(super) hold_after: Duration,
+    /// Pause after the next hold without an answer.
+    hold_pause: Duration,
+    /// Whether the worker has said that it left; the next one announces itself.
+    left: bool,
     listed_at: Option<Duration>,
     stopping: Option<Duration>,
     exited: bool,
@@ -71,6 +79,8 @@
             stops: Vec::new(),
             probe: false,
             hold_after: Duration::ZERO,
+            hold_pause: HOLD_PAUSE.0,
+            left: false,
             listed_at: None,
             stopping: None,
             exited: false,
@@ -151,6 +161,11 @@
             .beat
             .as_ref()
             .is_none_or(|last| last.born != beat.born);
+        self.left = false;
+        if self.worker.is_asked() {
+            // It is there again.
+            self.resume_holds(now);
+        }
         if !same {
             self.lose_worker(now, Some(beat.born), "a new lifetime of the worker", out);
         }
@@ -180,6 +195,7 @@
         if self.worker.instance() == instance {
             self.lose_worker(now, None, "the worker has left", out);
             self.worker.leaving = true;
+            self.left = true;
         }
     }
 
@@ -196,7 +212,7 @@
         self.probe = false;
         self.stops.clear();
         self.listed_at = None;
-        self.hold_after = now.mono;
+        self.resume_holds(now);
         self.lose_runs(now, cause, out);
     }
 
@@ -282,7 +298,7 @@
                 });
                 self.stops.push(id.clone());
             }
-            Stage::Starting(_) | Stage::Unclear(_) => {
+            Stage::Starting(..) | Stage::Unclear(_) => {
                 self.runs.update(id, |run| run.stop = Some(cause));
             }
             Stage::Stopping(_) => {}
@@ -299,6 +315,7 @@
     fn sweep(&mut self, now: Now, out: &mut Vec<Action>) {
         self.stop_silent_owners(now, out);
         self.stop_stalled(now, out);
+        self.doubt_starts(now, out);
         self.expire_waiting(now);
         let lapsed = self.worker.has_lapsed(now.mono, self.settings.lease);
         if lapsed && !self.runs.is_idle() {
@@ -321,6 +338,16 @@
         self.metrics.used_cpu.set(i64::from(self.runs.used().cpu));
     }
 
+    /// Takes starts for lost that have had no answer for [`START_LIMIT`].
+    fn doubt_starts(&mut self, now: Now, out: &mut Vec<Action>) {
+        let overdue = self.runs.iter().filter(|(_, run)| {
+            matches!(run.stage, Stage::Starting(_, sent) if now.since(sent) >= START_LIMIT)
+        });
+        for id in overdue.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+            self.doubt(&id, "no answer yet", out);
+        }
+    }
+
     fn stop_silent_owners(&mut self, now: Now, out: &mut Vec<Action>) {
         let claimed_by = super::owners::OWNER_SILENCE;
         let listed_at = self.listed_at.unwrap_or(now.mono);
@@ -388,7 +415,8 @@
             self.probe = false;
             self.hold(now, Purpose::Probe, 0, out);
         }
-        let has_worker = self.worker.beat.is_some() || self.settings.worker.is_some();
+        let known = self.worker.beat.is_some() || self.settings.worker.is_some();
+        let has_worker = known && !self.left;
         let unread = !self.worker.listed;
         let unacknowledged = self.worker.taken > self.worker.acknowledged;
         let silent = self.worker.is_asked();
@@ -431,7 +459,14 @@
 
     /// Delays the next hold after one that was not answered.
     pub(super) fn pause_holds(&mut self, now: Now) {
-        self.hold_after = now.mono + CALL_PAUSE;
+        self.hold_after = now.mono + self.hold_pause;
+        self.hold_pause = (self.hold_pause * 2).min(HOLD_PAUSE.1);
+    }
+
+    /// Lets the next hold be made at once.
+    pub(super) fn resume_holds(&mut self, now: Now) {
+        self.hold_after = now.mono;
+        self.hold_pause = HOLD_PAUSE.0;
     }
 
     fn send_reports(&mut self, now: Now, out: &mut Vec<Action>) {
--- a/crates/core/src/executor/runs.rs
+++ b/crates/core/src/executor/runs.rs
@@ -14,8 +14,8 @@
 pub(super) enum Stage {
     /// It waits for room at the agent until the given time.
     Waiting(Duration),
-    /// The start was sent under this fence.
-    Starting(u64),
+    /// The start was sent under this fence at the given time.
+    Starting(u64, Duration),
     /// The start under this fence has no answer: it may be carried out now or later.
     Unclear(u64),
     /// The worker confirmed it at the given time.
--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -131,7 +131,7 @@
         };
         let fence = self.worker.fence;
         self.runs
-            .update(id, |run| run.stage = Stage::Starting(fence));
+            .update(id, |run| run.stage = Stage::Starting(fence, now.mono));
         let call = self.call(now, Purpose::Start(id.clone()));
         out.push(Action::StartRun {
             call,
@@ -158,27 +158,46 @@
         if !matches!(outcome, StartOutcome::NoAnswer(_)) {
             self.worker.answered(now.mono, clock_ms);
         }
-        let stage = self.runs.get(&id).map(|run| run.stage);
-        if stage != Some(Stage::Starting(call.fence)) {
-            return;
+        match self.runs.get(&id).map(|run| run.stage) {
+            Some(Stage::Starting(fence, _) | Stage::Unclear(fence)) if fence == call.fence => {}
+            _ => return,
         }
         match outcome {
             StartOutcome::Started => self.confirm(now, &id, call.made, out),
-            StartOutcome::NoAnswer(cause) => {
-                self.metrics.unclear.inc();
-                let fields = vec![("run", id.to_string()), ("cause", cause.to_string())];
-                log(out, 410, "start without an answer", true, fields);
-                self.runs
-                    .update(&id, |run| run.stage = Stage::Unclear(call.fence));
-                self.worker.raise_fence();
-                self.probe = true;
-            }
+            StartOutcome::NoAnswer(cause) => self.doubt(&id, &cause, out),
             StartOutcome::Refused(refusal) => {
-                self.take_refusal(now, &id, &refusal, call.fence, out)
+                self.take_refusal(now, &id, &refusal, call.fence, out);
             }
         }
     }
 
+    /// Notes that a start may be carried out now, later or never. A higher fence bars it from
+    /// being carried out later, and the lists of a call under that fence tell what became of it.
+    pub(super) fn doubt(&mut self, id: &RunId, cause: &str, out: &mut Vec<Action>) {
+        let Some(Stage::Starting(fence, _)) = self.runs.get(id).map(|run| run.stage) else {
+            return;
+        };
+        self.metrics.unclear.inc();
+        let fields = vec![("run", id.to_string()), ("cause", cause.to_owned())];
+        log(out, 410, "start without an answer", true, fields);
+        self.runs
+            .update(id, |run| run.stage = Stage::Unclear(fence));
+        if fence == self.worker.fence {
+            self.worker.raise_fence();
+        }
+        self.probe = true;
+    }
+
+    /// A start is known not to have been carried out: the task is started anew, if it still may.
+    pub(super) fn start_again(&mut self, now: Now, id: &RunId) {
+        if self.runs.get(id).is_some_and(|run| run.stop.is_some()) {
+            return self.close(now, id, wire::RunOutcome::Stopped);
+        }
+        self.runs.update(id, |run| {
+            run.stage = Stage::Waiting(now.mono + WAIT_LIMIT);
+        });
+    }
+
     /// The run is on the worker. It started between `made` and now.
     pub(super) fn confirm(&mut self, now: Now, id: &RunId, made: Duration, out: &mut Vec<Action>) {
         let Some(run) = self.runs.get(id) else {
@@ -214,19 +233,13 @@
         fence: u64,
         out: &mut Vec<Action>,
     ) {
-        let stopped = self.runs.get(id).is_some_and(|run| run.stop.is_some());
-        let again = matches!(refusal, Refusal::Fence | Refusal::Late);
         if *refusal == Refusal::Fence {
             self.worker.pass_fence(fence);
         }
-        if again && !stopped {
-            self.runs.update(id, |run| {
-                run.stage = Stage::Waiting(run.ordered + WAIT_LIMIT * 4);
-            });
-            return;
+        if matches!(refusal, Refusal::Fence | Refusal::Late) {
+            return self.start_again(now, id);
         }
         let outcome = match refusal {
-            _ if stopped => wire::RunOutcome::Stopped,
             Refusal::OldAttempt => wire::RunOutcome::OldAttempt,
             Refusal::Invalid(_) => wire::RunOutcome::Invalid,
             Refusal::NoRoom => wire::RunOutcome::NoRoom,
--- a/crates/core/src/scheduler/intake.rs
+++ b/crates/core/src/scheduler/intake.rs
@@ -7,12 +7,16 @@
 use super::io::{Action, Answer, CallKey, JobState};
 use super::jobs::{Job, JobKey, Progress};
 use super::machine::{Machine, log, ms};
+use super::place::Tier;
 use crate::clock::Now;
 use crate::work::{JobRequest, QueueRules};
 
 /// Multiple of the objective after which an answer is worth nothing to the caller.
 pub(super) const LATE_FACTOR: u32 = 3;
 
+/// Time in which a late job that has not started may still be served; with less it is refused.
+const LATE_CHANCE: Duration = Duration::from_millis(700);
+
 /// Time before the caller's limit at which a job is given up, so that the answer still arrives.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 
@@ -173,6 +177,7 @@
     /// Gives up jobs whose answer would come too late.
     pub(super) fn expire_jobs(&mut self, now: Now, out: &mut Vec<Action>) {
         let mut expired: Vec<(JobKey, Answer, &'static str)> = Vec::new();
+        let fleet = self.fleet_view(now);
         for (key, job) in self.jobs.iter() {
             if job.progress == Progress::Closing {
                 continue;
@@ -180,7 +185,10 @@
             let age = now.since(job.arrived);
             let wait = job.request.wait.unwrap_or(Duration::MAX);
             let out_of_time = age + ANSWER_MARGIN >= wait;
-            if job.starts == 0 && (out_of_time || age >= job.objective * LATE_FACTOR) {
+            let late = self.urgency(now, job, fleet).0 != Tier::InTime;
+            let chance = (job.objective * LATE_FACTOR).saturating_sub(age);
+            let hopeless = late && chance < LATE_CHANCE;
+            if job.starts == 0 && (out_of_time || hopeless) {
                 let answer = Answer::NotRun {
                     reason: "no room in time".into(),
                     retry: RETRY_AFTER,
--- a/crates/core/src/scheduler/machine.rs
+++ b/crates/core/src/scheduler/machine.rs
@@ -107,7 +107,7 @@
         }
         if self.changed && now.mono >= self.place_after {
             self.changed = false;
-            self.place(now, out);
+            self.place(now);
         }
         self.send_orders(now, out);
         self.try_exit(now, out);
--- a/crates/core/src/scheduler/place.rs
+++ b/crates/core/src/scheduler/place.rs
@@ -1,8 +1,10 @@
 //! Which task goes to which worker, and when.
 //!
 //! Jobs that can still meet their objective come first, the one with the latest useful start
-//! nearest at the front; then those whose answer is late but still of use. Within a job all tasks
-//! are placed together, since a job is as late as its last task.
+//! nearest at the front; jobs that have started go before others, since what has run of them is
+//! lost otherwise. A job goes to a worker on which it meets its objective: while there is much
+//! room to the fastest, else to the slowest, which leaves the fast ones to jobs that have waited.
+//! Jobs that are late already get what is left.
 
 use std::time::Duration;
 
@@ -30,46 +32,101 @@
 /// Jobs without room that are looked at before placing ends for this turn.
 const BLOCKED_JOBS: u32 = 16;
 
+/// Margin on expected run times: estimates are off by 40% in the mean.
+const RUN_MARGIN: f64 = 1.2;
+
+/// Share of the fleet's processor below which room is scarce.
+const SCARCE_SHARE: f64 = 0.35;
+
+/// Share of a worker's processor that late jobs leave free for others.
+const LATE_JOBS_LEAVE: f64 = 0.2;
+
+/// Whether a job can meet its objective.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Tier {
+    /// It can meet the objective on the fastest worker.
+    InTime,
+    /// It is late, and its answer is still of use.
+    Late,
+    /// Its answer is of no use any more.
+    Useless,
+}
+
 /// Position of a job in the order of placement; lower goes first.
-type Urgency = (u8, Duration);
+type Urgency = (Tier, bool, Duration);
+
+/// The fleet as it is at one turn.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct FleetView {
+    /// Speed of the fastest usable worker.
+    fastest: f64,
+    /// Whether room is scarce.
+    scarce: bool,
+}
 
 impl Machine {
     /// Places as many waiting tasks as there is room for.
-    pub(super) fn place(&mut self, now: Now, out: &mut Vec<Action>) {
+    pub(super) fn place(&mut self, now: Now) {
+        let fleet = self.fleet_view(now);
         let mut ready: Vec<(Urgency, JobKey)> = Vec::new();
         for (key, job) in self.jobs.iter() {
             if job.waiting > 0 && job.progress != Progress::Closing {
-                ready.push((self.urgency(now, job), key));
+                ready.push((self.urgency(now, job, fleet), key));
             }
         }
         ready.sort_unstable();
         let mut blocked = 0;
-        for ((_, start_by), key) in ready {
-            if !self.place_job(now, key, start_by) {
+        for (urgency, key) in ready {
+            if !self.place_job(now, key, urgency, fleet) {
                 blocked += 1;
             }
             if blocked >= BLOCKED_JOBS {
                 break;
             }
         }
-        let _ = out;
     }
 
-    fn urgency(&self, now: Now, job: &Job) -> Urgency {
+    pub(super) fn fleet_view(&self, now: Now) -> FleetView {
+        let (mut fastest, mut free, mut all) = (0.0_f64, 0.0, 0.0);
+        for (_, worker) in self.workers.iter() {
+            if worker.is_usable(now.mono) {
+                fastest = fastest.max(worker.speed.factor());
+                free += f64::from(worker.free().cpu);
+                all += f64::from(worker.capacity.cpu);
+            }
+        }
+        FleetView {
+            fastest: if fastest > 0.0 { fastest } else { 1.0 },
+            scarce: free < all * SCARCE_SHARE,
+        }
+    }
+
+    /// Expected run time of a job's longest chain, with a margin.
+    fn cautious_run(&self, job: &Job) -> Duration {
         let run = self
             .learning
             .expected(&job.rules.name, job.request.longest_chain());
+        run.mul_f64(RUN_MARGIN)
+    }
+
+    pub(super) fn urgency(&self, now: Now, job: &Job, fleet: FleetView) -> Urgency {
+        let run = self.cautious_run(job).div_f64(fleet.fastest);
+        let unstarted = job.starts == 0;
         let due = job.arrived + job.objective;
         if now.mono + run <= due {
-            return (0, due - run);
+            return (Tier::InTime, unstarted, due - run);
         }
         let last = job.arrived + job.objective * LATE_FACTOR;
-        let tier = if now.mono + run <= last { 1 } else { 2 };
-        (tier, job.arrived + run)
+        let tier = if now.mono + run <= last {
+            Tier::Late
+        } else {
+            Tier::Useless
+        };
+        (tier, unstarted, job.arrived + run)
     }
 
     /// Places the waiting tasks of a job; false when one found no room.
-    fn place_job(&mut self, now: Now, key: JobKey, start_by: Duration) -> bool {
+    fn place_job(&mut self, now: Now, key: JobKey, urgency: Urgency, fleet: FleetView) -> bool {
         let Some(job) = self.jobs.get(key) else {
             return true;
         };
@@ -81,22 +138,31 @@
                 }
             }
         }
-        for (phase, index) in waiting {
-            let Some((worker, waits)) = self.choose(now, key, phase, index) else {
+        for at in waiting {
+            let Some((worker, waits)) = self.choose(now, key, at, urgency, fleet) else {
                 return false;
             };
-            self.order(now, key, (phase, index), worker, (start_by, waits));
+            self.order(now, key, at, worker, (urgency.2, waits));
         }
         true
     }
 
-    /// The worker on which a task is expected to end first, and whether it has to wait there.
-    fn choose(&self, now: Now, key: JobKey, phase: u32, index: u32) -> Option<(WorkerKey, bool)> {
+    /// The worker for a task, and whether it has to wait there.
+    fn choose(
+        &self,
+        now: Now,
+        key: JobKey,
+        (phase, index): (u32, u32),
+        (tier, unstarted, _): Urgency,
+        fleet: FleetView,
+    ) -> Option<(WorkerKey, bool)> {
         let job = self.jobs.get(key)?;
         let spec = &job.request.phases[phase as usize];
         let task = job.task(phase, index)?;
         let expected = self.learning.expected(&job.rules.name, spec.estimate);
-        let mut best: Option<(bool, bool, f64, WorkerKey)> = None;
+        let left = (job.arrived + job.objective).saturating_sub(now.mono);
+        let left_ms = left.as_secs_f64() * 1_000.0;
+        let mut best: Option<([bool; 3], f64, WorkerKey)> = None;
         for (worker_key, worker) in self.workers.iter() {
             if !worker.is_usable(now.mono) || worker.service != job.rules.service {
                 continue;
@@ -105,21 +171,29 @@
                 continue;
             }
             let has_room = worker.free().holds(spec.room);
-            if !has_room && !worker.may_wait(spec.room) {
+            if !has_room && (tier != Tier::InTime || !worker.may_wait(spec.room)) {
+                continue;
+            }
+            if tier != Tier::InTime && worker.free_share() < LATE_JOBS_LEAVE {
                 continue;
             }
-            let avoided = task.avoid.contains(&worker_key);
             let cost = self.cost(spec, worker, expected);
-            let candidate = (avoided, !has_room, cost, worker_key);
-            let better = best.is_none_or(|best| {
-                (candidate.0, candidate.1) < (best.0, best.1)
-                    || ((candidate.0, candidate.1) == (best.0, best.1) && cost < best.2)
-            });
-            if better {
-                best = Some(candidate);
+            let too_slow = tier == Tier::InTime && cost * RUN_MARGIN > left_ms;
+            if too_slow && unstarted && fleet.scarce {
+                continue;
+            }
+            let avoided = task.avoid.contains(&worker_key);
+            let rank = [avoided, !has_room, too_slow];
+            let cost = if fleet.scarce && !too_slow {
+                -cost
+            } else {
+                cost
+            };
+            if best.is_none_or(|best| (rank, cost) < (best.0, best.1)) {
+                best = Some((rank, cost, worker_key));
             }
         }
-        best.map(|(_, waits, _, worker)| (worker, waits))
+        best.map(|(rank, _, worker)| (worker, rank[1]))
     }
 
     /// Expected time to the end of a run, in milliseconds.
