perf(core): whole jobs, shortest first, while room is scarce; refusals say what ran

Cause: near saturation jobs started with a part of their tasks and were late as a whole; jobs whose orders were only declined were answered as given up though nothing ran. Change: while room is scarce a job starts when its tasks fit, half of them after its target has passed; shortest first; late untouched jobs are refused; a job has run when a worker may have started it; holds of 60 ms, a new one when an answer is overdue; tests of entry processes and agents against a model of workers, with random faults.

--- a/crates/core/src/executor/calls.rs
+++ b/crates/core/src/executor/calls.rs
@@ -38,7 +38,9 @@
 pub(super) struct Calls {
     open: KeyMap<CallKey, Call>,
     last: u64,
+    /// Waiting holds and when the last one was made.
     holds: u32,
+    held: Duration,
     probes: u32,
     others: u32,
 }
@@ -47,6 +49,9 @@
     pub(super) fn add(&mut self, call: Call) -> CallKey {
         self.last += 1;
         *self.counter(&call.purpose) += 1;
+        if call.purpose == Purpose::Hold {
+            self.held = call.made;
+        }
         let key = CallKey(self.last);
         self.open.insert(key, call);
         key
@@ -68,8 +73,9 @@
         self.probes = 0;
     }
 
-    pub(super) fn is_holding(&self) -> bool {
-        self.holds > 0
+    /// Whether a hold is on its way that was made after `since`. An older one has lost its answer.
+    pub(super) fn is_holding(&self, since: Duration) -> bool {
+        self.holds > 0 && self.held >= since
     }
 
     pub(super) fn is_probing(&self) -> bool {
--- a/crates/core/src/executor/machine.rs
+++ b/crates/core/src/executor/machine.rs
@@ -18,8 +18,11 @@
 use crate::peer::LinkKey;
 use crate::work::{Room, RunId};
 
-/// Longest time of a hold: the lease is extended at least this often while something runs.
-const HOLD_WAIT_MS: u64 = 100;
+/// Longest time of a hold. An end whose report is lost with an answer is noticed by the next one.
+const HOLD_WAIT: Duration = Duration::from_millis(60);
+
+/// Time after which the answer to a hold is taken for lost.
+const HOLD_LIMIT: Duration = Duration::from_millis(85);
 
 /// Time without progress after which a run is stopped, so that it can run elsewhere.
 const STALL_LIMIT: Duration = Duration::from_millis(500);
@@ -290,7 +293,7 @@
             return;
         };
         match run.stage {
-            Stage::Waiting(_) => self.close(now, id, wire::RunOutcome::Stopped),
+            Stage::Waiting(_) => self.close(now, id, wire::RunOutcome::Unusable),
             Stage::Running(_) => {
                 self.runs.update(id, |run| {
                     run.stop = Some(cause);
@@ -413,7 +416,7 @@
         }
         if self.probe && !self.calls.is_probing() {
             self.probe = false;
-            self.hold(now, Purpose::Probe, 0, out);
+            self.hold(now, Purpose::Probe, Duration::ZERO, out);
         }
         let known = self.worker.beat.is_some() || self.settings.worker.is_some();
         let has_worker = known && !self.left;
@@ -421,14 +424,16 @@
         let unacknowledged = self.worker.taken > self.worker.acknowledged;
         let silent = self.worker.is_asked();
         let needed = unread || !self.runs.is_idle() || unacknowledged || silent;
-        if has_worker && needed && !self.calls.is_holding() && now.mono >= self.hold_after {
+        let overdue = now.mono.saturating_sub(HOLD_LIMIT);
+        let holding = self.calls.is_holding(overdue);
+        if has_worker && needed && !holding && now.mono >= self.hold_after {
             let waits = !unread && !self.runs.is_idle();
-            let wait_ms = if waits { HOLD_WAIT_MS } else { 0 };
-            self.hold(now, Purpose::Hold, wait_ms, out);
+            let wait = if waits { HOLD_WAIT } else { Duration::ZERO };
+            self.hold(now, Purpose::Hold, wait, out);
         }
     }
 
-    fn hold(&mut self, now: Now, purpose: Purpose, wait_ms: u64, out: &mut Vec<Action>) {
+    fn hold(&mut self, now: Now, purpose: Purpose, wait: Duration, out: &mut Vec<Action>) {
         let lease = self.settings.lease;
         let lease_ms = if self.runs.is_idle() {
             None
@@ -441,7 +446,7 @@
             lease_ms,
             fence: self.worker.fence,
             acknowledged: self.worker.taken,
-            wait_ms,
+            wait_ms: u64::try_from(wait.as_millis()).unwrap_or_default(),
         });
     }
 
--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -191,7 +191,7 @@
     /// A start is known not to have been carried out: the task is started anew, if it still may.
     pub(super) fn start_again(&mut self, now: Now, id: &RunId) {
         if self.runs.get(id).is_some_and(|run| run.stop.is_some()) {
-            return self.close(now, id, wire::RunOutcome::Stopped);
+            return self.close(now, id, wire::RunOutcome::Unusable);
         }
         self.runs.update(id, |run| {
             run.stage = Stage::Waiting(now.mono + WAIT_LIMIT);
--- a/crates/core/src/scheduler/intake.rs
+++ b/crates/core/src/scheduler/intake.rs
@@ -176,7 +176,7 @@
 
     /// Gives up jobs whose answer would come too late.
     pub(super) fn expire_jobs(&mut self, now: Now, out: &mut Vec<Action>) {
-        let mut expired: Vec<(JobKey, Answer, &'static str)> = Vec::new();
+        let mut expired: Vec<(JobKey, &'static str)> = Vec::new();
         let fleet = self.fleet_view(now);
         for (key, job) in self.jobs.iter() {
             if job.progress == Progress::Closing {
@@ -184,25 +184,35 @@
             }
             let age = now.since(job.arrived);
             let wait = job.request.wait.unwrap_or(Duration::MAX);
-            let out_of_time = age + ANSWER_MARGIN >= wait;
-            let late = self.urgency(now, job, fleet).0 != Tier::InTime;
+            if age + ANSWER_MARGIN >= wait {
+                expired.push((key, "caller's time limit"));
+                continue;
+            }
             let chance = (job.objective * LATE_FACTOR).saturating_sub(age);
-            let hopeless = late && chance < LATE_CHANCE;
-            if job.starts == 0 && (out_of_time || hopeless) {
-                let answer = Answer::NotRun {
-                    reason: "no room in time".into(),
-                    retry: RETRY_AFTER,
-                };
-                expired.push((key, answer, "no room in time"));
-            } else if out_of_time {
-                expired.push((key, Answer::GaveUp, "caller's time limit"));
+            let late = self.urgency(now, job, fleet).0 != Tier::InTime;
+            if job.is_untouched() && late && (chance < LATE_CHANCE || fleet.scarce) {
+                expired.push((key, "no room in time"));
             }
         }
-        for (key, answer, cause) in expired {
-            self.close_job(now, key, answer, cause, out);
+        for (key, cause) in expired {
+            self.give_up(now, key, cause, out);
         }
     }
 
+    /// Gives a job up; the answer says whether it may have run.
+    fn give_up(&mut self, now: Now, key: JobKey, cause: &'static str, out: &mut Vec<Action>) {
+        let untouched = self.jobs.get(key).is_some_and(Job::is_untouched);
+        let answer = if untouched {
+            Answer::NotRun {
+                reason: cause.into(),
+                retry: RETRY_AFTER,
+            }
+        } else {
+            Answer::GaveUp
+        };
+        self.close_job(now, key, answer, cause, out);
+    }
+
     /// Answers all callers of a job and stops what still runs of it.
     pub(super) fn close_job(
         &mut self,
--- a/crates/core/src/scheduler/jobs.rs
+++ b/crates/core/src/scheduler/jobs.rs
@@ -79,6 +79,8 @@
     pub(super) out: u32,
     /// Starts that were ordered.
     pub(super) starts: u32,
+    /// Whether a task has run, or may have.
+    pub(super) ran: bool,
     /// A later submission of the same id, taken up when this one is closed.
     pub(super) next: Option<Box<(CallKey, JobRequest)>>,
 }
@@ -123,6 +125,7 @@
             waiting,
             out: 0,
             starts: 0,
+            ran: false,
             next: None,
         }
     }
@@ -136,6 +139,11 @@
         phase.tasks.get_mut(index as usize)
     }
 
+    /// Whether nothing of the job has run or is placed.
+    pub(super) fn is_untouched(&self) -> bool {
+        !self.ran && self.out == 0
+    }
+
     /// Moves a task and keeps the counts.
     pub(super) fn set_place(&mut self, phase: u32, index: u32, place: Place) {
         let Some(task) = self.task_mut(phase, index) else {
--- a/crates/core/src/scheduler/place.rs
+++ b/crates/core/src/scheduler/place.rs
@@ -1,10 +1,11 @@
 //! Which task goes to which worker, and when.
 //!
-//! Jobs that can still meet their objective come first, the one with the latest useful start
-//! nearest at the front; jobs that have started go before others, since what has run of them is
-//! lost otherwise. A job goes to a worker on which it meets its objective: while there is much
-//! room to the fastest, else to the slowest, which leaves the fast ones to jobs that have waited.
-//! Jobs that are late already get what is left.
+//! Jobs that can still meet their objective come first. Among them, those that have started go
+//! before others, since what has run of them is lost otherwise, and then the shortest, since it
+//! needs the least room for its answer. A job goes to workers on which it meets its objective:
+//! while there is much room to the fastest, else to the slowest, which leaves the fast ones to jobs
+//! that have waited. While room is scarce a job starts only when all its tasks fit, as it is as
+//! late as its last task. Jobs that are late already get what is left.
 
 use std::time::Duration;
 
@@ -30,10 +31,10 @@
 const USE_COST_MS: f64 = 8.0;
 
 /// Jobs without room that are looked at before placing ends for this turn.
-const BLOCKED_JOBS: u32 = 16;
+const BLOCKED_JOBS: u32 = 2;
 
 /// Margin on expected run times: estimates are off by 40% in the mean.
-const RUN_MARGIN: f64 = 1.2;
+const RUN_MARGIN: f64 = 1.4;
 
 /// Share of the fleet's processor below which room is scarce.
 const SCARCE_SHARE: f64 = 0.35;
@@ -41,6 +42,9 @@
 /// Share of a worker's processor that late jobs leave free for others.
 const LATE_JOBS_LEAVE: f64 = 0.2;
 
+/// Smallest part of a job's tasks that has to fit when it starts.
+const SMALLEST_START: f64 = 0.5;
+
 /// Whether a job can meet its objective.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Tier {
@@ -61,7 +65,7 @@
     /// Speed of the fastest usable worker.
     fastest: f64,
     /// Whether room is scarce.
-    scarce: bool,
+    pub(super) scarce: bool,
 }
 
 impl Machine {
@@ -111,10 +115,10 @@
 
     pub(super) fn urgency(&self, now: Now, job: &Job, fleet: FleetView) -> Urgency {
         let run = self.cautious_run(job).div_f64(fleet.fastest);
-        let unstarted = job.starts == 0;
+        let unstarted = job.is_untouched();
         let due = job.arrived + job.objective;
         if now.mono + run <= due {
-            return (Tier::InTime, unstarted, due - run);
+            return (Tier::InTime, unstarted, run);
         }
         let last = job.arrived + job.objective * LATE_FACTOR;
         let tier = if now.mono + run <= last {
@@ -138,6 +142,9 @@
                 }
             }
         }
+        if urgency.1 && fleet.scarce && !self.has_room(now, key, &waiting, urgency) {
+            return false;
+        }
         for at in waiting {
             let Some((worker, waits)) = self.choose(now, key, at, urgency, fleet) else {
                 return false;
@@ -147,6 +154,36 @@
         true
     }
 
+    /// Whether all waiting tasks of a job fit on workers that are fast enough.
+    fn has_room(&self, now: Now, key: JobKey, waiting: &[(u32, u32)], urgency: Urgency) -> bool {
+        let Some(job) = self.jobs.get(key) else {
+            return false;
+        };
+        let mut needed = wanted_room(now, job, waiting.len());
+        let Some(&(phase, _)) = waiting.first() else {
+            return true;
+        };
+        let spec = &job.request.phases[phase as usize];
+        let expected = self.learning.expected(&job.rules.name, spec.estimate);
+        let left = (job.arrived + job.objective).saturating_sub(now.mono);
+        for (worker_key, worker) in self.workers.iter() {
+            let usable = worker.is_usable(now.mono) && worker.service == job.rules.service;
+            if !usable || !fits(job, spec, phase, worker_key, worker) {
+                continue;
+            }
+            let run_ms = self.cost(spec, worker, expected) * RUN_MARGIN;
+            if urgency.0 == Tier::InTime && run_ms > left.as_secs_f64() * 1_000.0 {
+                continue;
+            }
+            let fit = worker.free().times(spec.room) as usize;
+            if fit >= needed {
+                return true;
+            }
+            needed -= fit;
+        }
+        false
+    }
+
     /// The worker for a task, and whether it has to wait there.
     fn choose(
         &self,
@@ -174,7 +211,7 @@
             if !has_room && (tier != Tier::InTime || !worker.may_wait(spec.room)) {
                 continue;
             }
-            if tier != Tier::InTime && worker.free_share() < LATE_JOBS_LEAVE {
+            if tier != Tier::InTime && unstarted && worker.free_share() < LATE_JOBS_LEAVE {
                 continue;
             }
             let cost = self.cost(spec, worker, expected);
@@ -310,6 +347,15 @@
     }
 }
 
+/// Tasks of a job that have to fit before it starts, of those that wait: all at first, and fewer
+/// the longer the job waits, so that wide jobs are not passed by narrow ones for ever.
+fn wanted_room(now: Now, job: &Job, waiting: usize) -> usize {
+    let waited = now.since(job.arrived).as_secs_f64();
+    let patience = job.rules.target.as_secs_f64().max(f64::MIN_POSITIVE);
+    let share = (1.0 - waited / patience).max(SMALLEST_START);
+    (waiting as f64 * share).ceil() as usize
+}
+
 fn fits(job: &Job, spec: &PhaseSpec, phase: u32, key: WorkerKey, worker: &Worker) -> bool {
     if spec
         .label
--- a/crates/core/src/scheduler/reports.rs
+++ b/crates/core/src/scheduler/reports.rs
@@ -57,6 +57,7 @@
         if !current {
             return;
         }
+        job.ran |= started(outcome);
         self.judge(now, from, key, run, (outcome, run_time), out);
         let Some(job) = self.jobs.get_mut(key) else {
             return;
@@ -156,3 +157,14 @@
         }
     }
 }
+
+/// Whether a run with this outcome may have started.
+fn started(outcome: wire::RunOutcome) -> bool {
+    !matches!(
+        outcome,
+        wire::RunOutcome::NoRoom
+            | wire::RunOutcome::Unusable
+            | wire::RunOutcome::OldAttempt
+            | wire::RunOutcome::Invalid
+    )
+}
--- a/crates/core/src/work/room.rs
+++ b/crates/core/src/work/room.rs
@@ -20,6 +20,15 @@
         part.cpu <= self.cpu && part.memory <= self.memory && part.gpus <= self.gpus
     }
 
+    /// How often `part` fits into this room.
+    #[must_use]
+    pub fn times(self, part: Self) -> u32 {
+        let fit = |whole: u32, part: u32| whole.checked_div(part).unwrap_or(u32::MAX);
+        let cpu = fit(self.cpu, part.cpu);
+        cpu.min(fit(self.memory, part.memory))
+            .min(fit(self.gpus, part.gpus))
+    }
+
     /// This room and `other` together.
     #[must_use]
     pub fn plus(self, other: Self) -> Self {
--- /dev/null
+++ b/crates/core/tests/jobs/bad_workers.rs
@@ -0,0 +1,57 @@
+//! Workers that fail, stand still or are slow, and jobs that can never be done.
+
+use knapweedwall_core::scheduler::Answer;
+use rstest::rstest;
+
+use crate::fleet::{Fleet, Job};
+
+/// Guards against a broken worker that attracts tasks because it is always free: each job may fail
+/// twice on a task before it has failed.
+#[rstest]
+fn a_failing_worker_is_held_back() {
+    let mut fleet = Fleet::new(1, &[(16_000, 1.0), (16_000, 1.0), (16_000, 1.0)], 1);
+    fleet.worker(0).broken = true;
+    for _ in 0..60 {
+        fleet.submit(0, "checks", Job::new(2, 1_600, 100));
+        fleet.run(40);
+    }
+    fleet.finish(5_000);
+    let failed = fleet
+        .callers
+        .iter()
+        .filter(|c| c.answer == Some(Answer::Failed));
+    assert_eq!(failed.count(), 0);
+    assert!(fleet.worker(0).starts < 20, "{}", fleet.worker(0).starts);
+    assert!(fleet.events.contains(&310));
+    fleet.assert_rules();
+}
+
+/// Guards against a hopeless job that is run for ever, or shown as given up.
+#[rstest]
+fn a_hopeless_job_fails_after_its_attempts() {
+    let mut fleet = Fleet::new(1, &[(16_000, 1.0), (16_000, 1.0)], 1);
+    let job = Job {
+        fails: true,
+        ..Job::new(1, 1_600, 50)
+    };
+    let job = fleet.submit(0, "checks", job);
+    fleet.finish(2_000);
+    assert_eq!(fleet.answer_to(job), Some(&Answer::Failed));
+    assert_eq!(fleet.worker(0).starts + fleet.worker(1).starts, 2);
+}
+
+/// Guards against tasks that stand still on a worker for as long as their caller waits.
+#[rstest]
+fn a_stalled_task_runs_elsewhere() {
+    let mut fleet = Fleet::new(1, &[(16_000, 2.0), (16_000, 1.0)], 1);
+    fleet.worker(0).hangs = true;
+    let job = fleet.submit(0, "patient", Job::new(2, 1_600, 200));
+    fleet.finish(3_000);
+    assert_eq!(fleet.answer_to(job), Some(&Answer::Completed));
+    assert!(
+        fleet.callers[job].took_ms <= 1_200,
+        "{}",
+        fleet.callers[job].took_ms
+    );
+    fleet.assert_rules();
+}
--- /dev/null
+++ b/crates/core/tests/jobs/main.rs
@@ -0,0 +1,18 @@
+//! Decisions of entry processes and agents together, against a model of workers and connections.
+#![allow(clippy::unwrap_used, reason = "a failed expectation ends the test")]
+#![allow(clippy::print_stdout, reason = "the log of a run that is looked into")]
+
+mod fleet;
+mod worker;
+
+mod bad_workers;
+mod bounded_room;
+mod callers_gone;
+mod calm_jobs;
+mod lost_agents;
+mod lost_starts;
+mod overload;
+mod planned_stops;
+mod random_faults;
+mod silent_owners;
+mod worker_lives;
--- /dev/null
+++ b/crates/core/tests/jobs/random_faults.rs
@@ -0,0 +1,109 @@
+//! Faults at random, several at a time.
+
+use knapweedwall_core::scheduler::Answer;
+use rstest::rstest;
+
+use crate::fleet::{Fleet, Job};
+
+/// Length of a run under faults.
+const FAULTY_ROUNDS: u64 = 160;
+
+/// Time between two faults or jobs.
+const ROUND_MS: u64 = 60;
+
+fn fault(fleet: &mut Fleet) {
+    let entry = usize::try_from(fleet.random(3)).unwrap();
+    let host = usize::try_from(fleet.random(4)).unwrap();
+    match fleet.random(14) {
+        0 => fleet.kill_entry(entry),
+        1 => fleet.kill_agent(host),
+        2 => fleet.freeze_entry(entry, true),
+        3 => fleet.freeze_agent(host, true),
+        4 => fleet.cut(entry, host, true),
+        5 => fleet.reset_link(entry, host),
+        6 => {
+            let now_ms = fleet.now_ms;
+            fleet.worker(host).restart(now_ms);
+        }
+        7 => fleet.worker(host).up = false,
+        8 => fleet.worker(host).broken = true,
+        9 => fleet.worker(host).hangs = true,
+        10 => fleet.late_percent = 30,
+        _ => {}
+    }
+}
+
+fn heal(fleet: &mut Fleet, share: u64) {
+    for entry in 0..3 {
+        if !fleet.has_entry(entry) && fleet.random(share) == 0 {
+            fleet.start_entry(entry);
+        }
+        if fleet.random(share) == 0 {
+            fleet.freeze_entry(entry, false);
+        }
+        for host in 0..4 {
+            if fleet.random(share) == 0 {
+                fleet.cut(entry, host, false);
+            }
+        }
+    }
+    for host in 0..4 {
+        if !fleet.has_agent(host) && fleet.random(share) == 0 {
+            fleet.start_agent(host);
+        }
+        if fleet.random(share) == 0 {
+            fleet.freeze_agent(host, false);
+            let worker = fleet.worker(host);
+            worker.broken = false;
+            worker.hangs = false;
+            worker.up = true;
+        }
+    }
+    if fleet.random(share) == 0 {
+        fleet.late_percent = 0;
+    }
+}
+
+fn play(seed: u64) {
+    let workers = [(8_000, 0.7), (8_000, 0.7), (12_000, 1.7), (8_000, 1.0)];
+    let mut fleet = Fleet::new(3, &workers, seed);
+    for _ in 0..FAULTY_ROUNDS {
+        if fleet.random(4) == 0 {
+            fault(&mut fleet);
+        }
+        heal(&mut fleet, 12);
+        let entry = usize::try_from(fleet.random(3)).unwrap();
+        if fleet.has_entry(entry) {
+            let tasks = 1 + u32::try_from(fleet.random(6)).unwrap();
+            let run_ms = 20 + fleet.random(900);
+            fleet.submit(entry, "patient", Job::new(tasks, 1_000, run_ms));
+        }
+        fleet.run(ROUND_MS);
+    }
+    heal(&mut fleet, 1);
+    fleet.run(15_000);
+    let last = fleet.submit(0, "checks", Job::new(4, 1_000, 50));
+    fleet.finish(15_000);
+    fleet.assert_rules();
+    assert_eq!(
+        fleet.answer_to(last),
+        Some(&Answer::Completed),
+        "seed {seed}"
+    );
+    let open = fleet
+        .callers
+        .iter()
+        .filter(|caller| caller.answer.is_none());
+    assert_eq!(open.count(), 0, "seed {seed}");
+}
+
+/// Guards against a task that runs twice at the same time, a worker beyond its room, and a fleet
+/// that does not recover, whatever faults come together.
+#[rstest]
+fn rules_hold_under_random_faults() {
+    let seeds = std::env::var("KNAPWEEDWALL_SEEDS").unwrap_or_else(|_| "0..24".to_owned());
+    let (first, end) = seeds.split_once("..").unwrap();
+    for seed in first.parse().unwrap()..end.parse().unwrap() {
+        play(seed);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/jobs/worker.rs
@@ -0,0 +1,236 @@
+//! A model of a worker that keeps to the published rules: fences, leases, numbered ends.
+
+use std::collections::BTreeMap;
+
+use knapweedwall_core::executor::{
+    EndCause, EndedRow, HoldOutcome, Holding, Order, Refusal, RunningRow, StartOutcome, StopOutcome,
+};
+use knapweedwall_core::work::{RunId, TaskId};
+
+/// Longest lease.
+pub const LEASE_MS: u64 = 1_000;
+
+/// Time that a stop takes.
+const STOP_MS: u64 = 50;
+
+/// Offset of the worker's clock, to tell it apart from others.
+const CLOCK_OFFSET_MS: u64 = 77_000;
+
+/// What a specification of the tests asks for: processor, run time at speed 1, failure.
+pub fn spec(cpu: u32, run_ms: u64, fails: bool) -> String {
+    format!("{cpu}:{run_ms}:{}", u8::from(fails))
+}
+
+/// A run on the worker.
+#[derive(Debug, Clone)]
+pub struct WorkerRun {
+    pub cpu: u32,
+    pub started_ms: u64,
+    pub ends_ms: u64,
+    fails: bool,
+    stopped_ms: Option<u64>,
+}
+
+/// A worker.
+#[derive(Debug)]
+pub struct Worker {
+    pub cpu: u32,
+    pub speed: f64,
+    pub born: u64,
+    pub up: bool,
+    /// Starts fail at once.
+    pub broken: bool,
+    /// Runs make no progress.
+    pub hangs: bool,
+    pub runs: BTreeMap<RunId, WorkerRun>,
+    barred: BTreeMap<TaskId, u32>,
+    fence: u64,
+    lease_ms: u64,
+    ended: Vec<EndedRow>,
+    last_end: u64,
+    pub starts: u64,
+    /// Broken rules, in words.
+    pub faults: Vec<String>,
+}
+
+impl Worker {
+    pub fn new(cpu: u32, speed: f64, born: u64) -> Self {
+        Self {
+            cpu,
+            speed,
+            born,
+            up: true,
+            broken: false,
+            hangs: false,
+            runs: BTreeMap::new(),
+            barred: BTreeMap::new(),
+            fence: 0,
+            lease_ms: 0,
+            ended: Vec::new(),
+            last_end: 0,
+            starts: 0,
+            faults: Vec::new(),
+        }
+    }
+
+    pub fn instance(&self) -> String {
+        format!("w-{}", self.born)
+    }
+
+    pub fn clock(now_ms: u64) -> u64 {
+        now_ms + CLOCK_OFFSET_MS
+    }
+
+    /// Ends the lifetime and begins another.
+    pub fn restart(&mut self, now_ms: u64) {
+        let faults = std::mem::take(&mut self.faults);
+        let starts = self.starts;
+        *self = Self::new(self.cpu, self.speed, now_ms);
+        self.faults = faults;
+        self.starts = starts;
+    }
+
+    fn extend(&mut self, now_ms: u64, lease_ms: Option<u64>) {
+        let longest = Self::clock(now_ms) + LEASE_MS;
+        if let Some(lease_ms) = lease_ms {
+            self.lease_ms = self.lease_ms.max(lease_ms.min(longest));
+        }
+    }
+
+    fn end(&mut self, run: &RunId, cause: EndCause) {
+        self.runs.remove(run);
+        self.last_end += 1;
+        let barred = self.barred.entry(run.task.clone()).or_default();
+        *barred = (*barred).max(run.attempt);
+        self.ended.push(EndedRow {
+            number: self.last_end,
+            run: run.clone(),
+            cause,
+        });
+    }
+
+    /// Lets time pass. Returns whether a run ended.
+    pub fn pass(&mut self, now_ms: u64) -> bool {
+        let lapsed = Self::clock(now_ms) > self.lease_ms;
+        let runs = self.runs.clone();
+        let mut any = false;
+        for (id, run) in runs {
+            let stopped = run.stopped_ms.is_some_and(|at| now_ms >= at + STOP_MS);
+            let cause = if lapsed {
+                EndCause::Lapsed
+            } else if stopped {
+                EndCause::Stopped
+            } else if !self.hangs && now_ms >= run.ends_ms {
+                if run.fails {
+                    EndCause::Failed
+                } else {
+                    EndCause::Done
+                }
+            } else {
+                continue;
+            };
+            self.end(&id, cause);
+            any = true;
+        }
+        any
+    }
+
+    pub fn start(&mut self, now_ms: u64, order: &Order, lease_ms: u64, fence: u64) -> StartOutcome {
+        if fence < self.fence {
+            return StartOutcome::Refused(Refusal::Fence);
+        }
+        self.fence = fence;
+        let run = &order.run;
+        if self.runs.contains_key(run) {
+            self.extend(now_ms, Some(lease_ms));
+            return StartOutcome::Started;
+        }
+        if self
+            .barred
+            .get(&run.task)
+            .is_some_and(|barred| run.attempt <= *barred)
+        {
+            self.extend(now_ms, Some(lease_ms));
+            return StartOutcome::Refused(Refusal::OldAttempt);
+        }
+        if lease_ms < Self::clock(now_ms) {
+            return StartOutcome::Refused(Refusal::Late);
+        }
+        self.extend(now_ms, Some(lease_ms));
+        let mut parts = order
+            .spec
+            .split(':')
+            .map(|part| part.parse::<u64>().unwrap());
+        let (cpu, run_ms) = (parts.next().unwrap(), parts.next().unwrap());
+        let fails = parts.next().unwrap() == 1 || self.broken;
+        let run_ms = if self.broken { 3 } else { run_ms };
+        self.starts += 1;
+        self.runs.insert(
+            run.clone(),
+            WorkerRun {
+                cpu: u32::try_from(cpu).unwrap(),
+                started_ms: now_ms,
+                ends_ms: now_ms + (run_ms as f64 / self.speed) as u64,
+                fails,
+                stopped_ms: None,
+            },
+        );
+        let used: u32 = self.runs.values().map(|run| run.cpu).sum();
+        if used > self.cpu {
+            self.faults
+                .push(format!("{now_ms} ms: {used} of {} in use", self.cpu));
+        }
+        StartOutcome::Started
+    }
+
+    pub fn stop(&mut self, now_ms: u64, run: &RunId, fence: u64) -> StopOutcome {
+        if fence < self.fence {
+            return StopOutcome::Fence;
+        }
+        self.fence = fence;
+        let barred = self.barred.entry(run.task.clone()).or_default();
+        *barred = (*barred).max(run.attempt);
+        if let Some(run) = self.runs.get_mut(run) {
+            run.stopped_ms = run.stopped_ms.or(Some(now_ms));
+        }
+        StopOutcome::Accepted
+    }
+
+    /// Whether a hold would be answered without waiting.
+    pub fn has_news(&self, acknowledged: u64) -> bool {
+        self.last_end > acknowledged
+    }
+
+    pub fn hold(
+        &mut self,
+        now_ms: u64,
+        lease_ms: Option<u64>,
+        fence: u64,
+        acknowledged: u64,
+    ) -> HoldOutcome {
+        if fence < self.fence {
+            return HoldOutcome::Fence;
+        }
+        self.fence = fence;
+        self.extend(now_ms, lease_ms);
+        self.ended.retain(|row| row.number > acknowledged);
+        let percent = |run: &WorkerRun| {
+            let span = (run.ends_ms - run.started_ms).max(1);
+            let done = if self.hangs {
+                0
+            } else {
+                now_ms - run.started_ms
+            };
+            u32::try_from(done * 100 / span).unwrap().min(100)
+        };
+        let running = self.runs.iter().map(|(id, run)| RunningRow {
+            run: id.clone(),
+            percent: percent(run),
+        });
+        HoldOutcome::Held(Holding {
+            born: Some(self.born),
+            running: running.collect(),
+            ended: self.ended.clone(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/tests/jobs/worker_lives.rs
@@ -0,0 +1,54 @@
+//! Workers that crash, come back, or leave.
+
+use knapweedwall_core::scheduler::Answer;
+use rstest::rstest;
+
+use crate::fleet::{Fleet, Job};
+
+/// Guards against tasks that stay lost when a worker crashes and a new lifetime answers at the
+/// same address.
+#[rstest]
+fn a_new_lifetime_runs_the_tasks_again() {
+    let mut fleet = Fleet::new(1, &[(16_000, 1.0)], 1);
+    let job = fleet.submit(0, "patient", Job::new(4, 1_000, 1_000));
+    fleet.run(300);
+    let now_ms = fleet.now_ms;
+    fleet.worker(0).restart(now_ms);
+    fleet.finish(5_000);
+    assert_eq!(fleet.answer_to(job), Some(&Answer::Completed));
+    assert_eq!(fleet.worker(0).starts, 8);
+    fleet.assert_rules();
+}
+
+/// Guards against tasks that wait for a worker that went silent.
+#[rstest]
+fn tasks_of_a_silent_worker_run_elsewhere() {
+    let mut fleet = Fleet::new(1, &[(8_000, 1.0), (8_000, 1.0)], 1);
+    let job = fleet.submit(0, "patient", Job::new(8, 2_000, 1_500));
+    fleet.run(200);
+    fleet.worker(0).up = false;
+    fleet.finish(8_000);
+    assert_eq!(fleet.answer_to(job), Some(&Answer::Completed));
+    fleet.assert_rules();
+}
+
+/// Guards against new work for a worker that is leaving.
+#[rstest]
+fn a_leaving_worker_gets_nothing_new() {
+    let mut fleet = Fleet::new(2, &[(16_000, 1.0), (16_000, 1.0)], 1);
+    fleet.drain_worker(0);
+    fleet.run(300);
+    let before = fleet.worker(0).starts;
+    for round in 0..20 {
+        fleet.submit(round % 2, "checks", Job::new(4, 1_000, 60));
+        fleet.run(30);
+    }
+    fleet.finish(3_000);
+    assert_eq!(fleet.worker(0).starts, before);
+    assert!(
+        fleet
+            .callers
+            .iter()
+            .all(|c| c.answer == Some(Answer::Completed))
+    );
+}
