fix(runtime,core): hosts that are back are reached sooner; ready once an agent is there

Ruled out: start of the processes (9 ms to the configuration), readings of the worker's lists (4 ms).

--- a/crates/core/src/scheduler/machine.rs
+++ b/crates/core/src/scheduler/machine.rs
@@ -158,9 +158,11 @@
         self.update_ready(out);
     }
 
-    /// Reports readiness when it changes.
+    /// Reports readiness when it changes. A process that was ready stays so without workers: others
+    /// may not reach any either.
     fn update_ready(&mut self, out: &mut Vec<Action>) {
-        let ready = self.stopping.is_none() && self.catalog.is_some();
+        let reached = self.ready || self.workers.iter().any(|(_, worker)| worker.listed);
+        let ready = self.stopping.is_none() && self.catalog.is_some() && reached;
         if ready != self.ready {
             self.ready = ready;
             out.push(Action::Ready(ready));
--- a/crates/runtime/src/links/dial.rs
+++ b/crates/runtime/src/links/dial.rs
@@ -13,7 +13,7 @@
 use crate::Backoff;
 
 /// Smallest and largest limit of the delay between attempts.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(2));
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
 
 /// A link that lasted this long starts the delays over. After a shorter one they keep growing, so
 /// that a peer which closes every link at once is not dialled many times a second.
--- a/crates/runtime/src/links/handshake.rs
+++ b/crates/runtime/src/links/handshake.rs
@@ -20,6 +20,10 @@
 /// Time for the whole hand-shake, connecting included.
 const HANDSHAKE_LIMIT: Duration = Duration::from_secs(2);
 
+/// Time for connecting. An opening packet to a host without power is lost, and the kernel repeats it
+/// only after a second; a new attempt reaches a host that is back sooner.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+
 /// Time in which a `Reject` must be written.
 const REJECT_LIMIT: Duration = Duration::from_millis(500);
 
@@ -145,7 +149,7 @@
 /// Connects and runs the dialling side.
 pub(super) async fn dial(hub: &Hub, address: &SmolStr, target: SocketAddr) -> Result<Joined> {
     let deadline = Instant::now() + HANDSHAKE_LIMIT;
-    let connecting = timeout_at(deadline, TcpStream::connect(target)).await;
+    let connecting = timeout(CONNECT_LIMIT, TcpStream::connect(target)).await;
     let mut socket = connecting
         .unwrap_or_else(|_late| Err(std::io::ErrorKind::TimedOut.into()))
         .context(ConnectionSnafu)?;
