fix(core): an agent declines orders of an owner that it has not heard lately

Ruled out: the lease (the worker had ended the earlier runs), the late order of a call (its lease had passed).

--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -70,7 +70,8 @@
                 attempt: task.attempt,
             };
             let waits = order.waits || (room.cpu > 0 && self.free().holds(room));
-            let usable = self.is_usable(now);
+            // An order that was long on its way may have been given up by its owner.
+            let usable = self.is_usable(now) && self.owners.in_contact(now.mono, owner);
             if !usable || !waits {
                 self.metrics.declined.inc();
                 let outcome = if usable {
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -71,6 +71,8 @@
     frozen: bool,
     /// Lifetime of the worker that calls are meant for.
     life: SmolStr,
+    /// What arrived while the agent stood still; it reads this first.
+    backlog: Vec<executor::Input>,
 }
 
 /// An entry process.
@@ -78,6 +80,8 @@
     machine: Option<scheduler::Machine>,
     instance: u64,
     frozen: bool,
+    /// What arrived while the process stood still; it reads this first.
+    backlog: Vec<scheduler::Input>,
 }
 
 /// A connection between an entry process and an agent.
@@ -132,6 +136,7 @@
             draining: false,
             frozen: false,
             life: SmolStr::default(),
+            backlog: Vec::new(),
         });
         let mut fleet = Self {
             now_ms: START_MS,
@@ -151,6 +156,7 @@
                 machine: None,
                 instance: 0,
                 frozen: false,
+                backlog: Vec::new(),
             });
             fleet.start_entry(at);
         }
@@ -210,12 +216,15 @@
             machine: Some(machine),
             instance,
             frozen: false,
+            backlog: Vec::new(),
         };
     }
 
     /// Ends an entry process at once; callers lose their connections.
     pub fn kill_entry(&mut self, at: usize) {
         self.entries[at].machine = None;
+        self.entries[at].frozen = false;
+        self.entries[at].backlog.clear();
         self.reset_links(|entry, _| entry == at);
         let resend_ms = self.now_ms + RESEND_MS;
         for caller in &mut self.callers {
@@ -244,6 +253,8 @@
     /// Ends an agent at once. Orders on their way to the worker are carried out.
     pub fn kill_agent(&mut self, at: usize) {
         self.hosts[at].agent = None;
+        self.hosts[at].frozen = false;
+        self.hosts[at].backlog.clear();
         for call in &mut self.hosts[at].calls {
             call.lost = true;
         }
@@ -252,10 +263,16 @@
 
     pub fn freeze_entry(&mut self, at: usize, frozen: bool) {
         self.entries[at].frozen = frozen;
+        for input in std::mem::take(&mut self.entries[at].backlog) {
+            self.entry_input(at, input);
+        }
     }
 
     pub fn freeze_agent(&mut self, at: usize, frozen: bool) {
         self.hosts[at].frozen = frozen;
+        for input in std::mem::take(&mut self.hosts[at].backlog) {
+            self.agent_input(at, input);
+        }
     }
 
     /// Cuts or heals the way between an entry process and an agent; nothing is reset.
@@ -353,6 +370,9 @@
     }
 
     fn entry_input(&mut self, at: usize, input: scheduler::Input) {
+        if self.entries[at].frozen {
+            return self.entries[at].backlog.push(input);
+        }
         let now = self.now();
         let mut out = Vec::new();
         if let Some(machine) = &mut self.entries[at].machine {
@@ -362,6 +382,9 @@
     }
 
     fn agent_input(&mut self, at: usize, input: executor::Input) {
+        if self.hosts[at].frozen {
+            return self.hosts[at].backlog.push(input);
+        }
         let now = self.now();
         let mut out = Vec::new();
         if let Some(machine) = &mut self.hosts[at].agent {
@@ -696,10 +719,9 @@
         for (entry, host) in keys {
             loop {
                 let now_ms = self.now_ms;
-                let frozen = self.hosts[host].frozen;
                 let link = self.links.get_mut(&(entry, host)).unwrap();
                 let ready = !link.cut && link.down.front().is_some_and(|(due, _)| *due <= now_ms);
-                let Some(key) = link.key.filter(|_| ready && !frozen) else {
+                let Some(key) = link.key.filter(|_| ready) else {
                     break;
                 };
                 let (_, body) = link.down.pop_front().unwrap();
@@ -707,10 +729,9 @@
             }
             loop {
                 let now_ms = self.now_ms;
-                let frozen = self.entries[entry].frozen;
                 let link = self.links.get_mut(&(entry, host)).unwrap();
                 let ready = !link.cut && link.up.front().is_some_and(|(due, _)| *due <= now_ms);
-                let Some(key) = link.key.filter(|_| ready && !frozen) else {
+                let Some(key) = link.key.filter(|_| ready) else {
                     break;
                 };
                 let (_, body) = link.up.pop_front().unwrap();
--- a/crates/core/tests/jobs/lost_agents.rs
+++ b/crates/core/tests/jobs/lost_agents.rs
@@ -53,3 +53,21 @@
     );
     fleet.assert_rules();
 }
+
+/// Guards against orders that an agent finds in its connection after a standstill and carries out
+/// although their tasks have been started elsewhere meanwhile.
+#[rstest]
+fn a_frozen_agent_declines_stale_orders() {
+    for thaw_ms in [1_700, 1_900, 2_000, 2_020, 2_050, 2_200] {
+        let mut fleet = Fleet::new(1, &[(8_000, 1.0), (8_000, 1.0)], 1);
+        fleet.freeze_agent(0, true);
+        for _ in 0..6 {
+            fleet.submit(0, "patient", Job::new(2, 500, 3_000));
+            fleet.run(50);
+        }
+        fleet.run(thaw_ms - 300);
+        fleet.freeze_agent(0, false);
+        fleet.finish(20_000);
+        fleet.assert_rules();
+    }
+}
