--- a/crates/core/src/executor/machine.rs
+++ b/crates/core/src/executor/machine.rs
@@ -414,7 +414,7 @@
             let fence = self.worker.fence;
             out.push(Action::StopRun { call, run, fence });
         }
-        if self.probe && !self.calls.is_probing() {
+        if self.probe && !self.calls.is_probing() && now.mono >= self.hold_after {
             self.probe = false;
             self.hold(now, Purpose::Probe, Duration::ZERO, out);
         }
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -121,6 +121,8 @@
     pub late_percent: u32,
     pub faults: Vec<String>,
     pub events: Vec<u16>,
+    /// Calls that were made to workers.
+    pub calls: u64,
 }
 
 impl Fleet {
@@ -150,6 +152,7 @@
             late_percent: 0,
             faults: Vec::new(),
             events: Vec::new(),
+            calls: 0,
         };
         for at in 0..entries {
             fleet.entries.push(Entry {
@@ -478,6 +481,7 @@
                 }
                 _ => continue,
             };
+            self.calls += 1;
             let late = self.random(100) < u64::from(self.late_percent);
             let due_ms = if late {
                 due + 2_000 + self.random(10_000)
--- a/crates/core/tests/jobs/worker_lives.rs
+++ b/crates/core/tests/jobs/worker_lives.rs
@@ -52,3 +52,16 @@
             .all(|c| c.answer == Some(Answer::Completed))
     );
 }
+
+/// Guards against an agent that calls a worker again and again that is down, while a start has no
+/// answer: each attempt is a new connection.
+#[rstest]
+fn a_worker_that_is_down_is_called_seldom() {
+    let mut fleet = Fleet::new(1, &[(16_000, 1.0)], 1);
+    fleet.worker(0).up = false;
+    fleet.submit(0, "patient", Job::new(8, 1_000, 500));
+    let before = fleet.calls;
+    fleet.run(5_000);
+    let calls = fleet.calls - before;
+    assert!(calls < 100, "{calls}");
+}
