--- a/crates/core/src/executor/mod.rs
+++ b/crates/core/src/executor/mod.rs
@@ -15,6 +15,7 @@
 mod owners;
 mod runs;
 mod starts;
+mod sweep;
 mod worker;
 
 pub use io::{
--- a/crates/core/src/scheduler/io.rs
+++ b/crates/core/src/scheduler/io.rs
@@ -20,8 +20,6 @@
 pub struct Settings {
     /// Name of the process.
     pub name: SmolStr,
-    /// Address of its frame listener.
-    pub address: SmolStr,
     /// Zone of the host.
     pub zone: SmolStr,
     /// Time after a stop in which callers still find this process and are served as before.
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -195,7 +195,6 @@
         let name = format!("entry-{at}");
         let settings = scheduler::Settings {
             name: name.into(),
-            address: format!("127.0.0.1:{at}").into(),
             zone: "a".into(),
             stop_accept: Duration::from_secs(2),
             stop_limit: Duration::from_secs(5),
