feat(lab): randomized soak of the platform's processes with faults from outside

Change: stand-ins of the platform's store and workers that speak the published protocol (crates/lab/src/site), and a soak (crates/lab/src/soak) that starts entry processes and agents as separate processes, leads their links and store connections through proxies, draws a plan of overlapping faults from a seed (signals, cuts in one direction, silence, delay, resets, store outages, lost and late writes, lost history, crashing, failing, hanging, slow and leaving workers, late orders, slow clocks, bursts) and checks what callers and workers see.

--- a/crates/lab/src/cluster/dir.rs
+++ b/crates/lab/src/cluster/dir.rs
@@ -1,6 +1,6 @@
 //! Temporary folder of a cluster.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use snafu::ResultExt;
 use tempfile::TempDir;
@@ -33,6 +33,12 @@
     pub fn path(&self) -> &Path {
         self.temp.path()
     }
+
+    /// Leaves the folder in place when this value is dropped. Returns its path.
+    pub fn keep(&mut self) -> PathBuf {
+        self.temp.disable_cleanup(true);
+        self.temp.path().to_owned()
+    }
 }
 
 impl Drop for Dir {
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -22,6 +22,7 @@
 pub use binaries::find;
 pub use cluster::{Cluster, READY_LIMIT};
 pub use dir::Dir;
+pub(crate) use error::SystemSnafu;
 pub use error::{Error, Result};
 pub use metrics::{Sample, parse};
 pub use node::{Node, Role};
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod process;
 pub mod proxy;
 pub mod scenario;
+pub mod site;
+pub mod soak;
 pub mod standin_endpoint;
 pub mod standin_store;
 pub mod table;
--- a/crates/lab/src/proxy/pump.rs
+++ b/crates/lab/src/proxy/pump.rs
@@ -14,16 +14,20 @@
 /// Bytes of a chunk.
 const CHUNK_BYTES: usize = 64 * 1024;
 
-/// Moves bytes until the reading side ends, then ends the writing side.
+/// Moves bytes until the reading side ends, then ends the writing side. The connection was made
+/// after `silences` silences.
 pub(super) async fn pump(
     from: ReadHalf<'_>,
     to: WriteHalf<'_>,
-    direction: Direction,
+    (direction, silences): (Direction, u64),
     rules: watch::Receiver<Rules>,
 ) {
     let (sender, receiver) = mpsc::channel(LINE_CHUNKS);
     // Both end together: the reader drops the channel, or the writer does after a failure.
-    tokio::join!(read(from, sender), write(to, receiver, direction, rules));
+    tokio::join!(
+        read(from, sender),
+        write(to, receiver, (direction, silences), rules)
+    );
 }
 
 async fn read(mut from: ReadHalf<'_>, line: mpsc::Sender<(Instant, Bytes)>) {
@@ -41,27 +45,30 @@
 async fn write(
     mut to: WriteHalf<'_>,
     mut line: mpsc::Receiver<(Instant, Bytes)>,
-    direction: Direction,
+    way: (Direction, u64),
     mut rules: watch::Receiver<Rules>,
 ) {
     while let Some((arrival, chunk)) = line.recv().await {
         let delay = rules.borrow().delay;
         sleep_until(arrival + delay).await;
-        if open(&mut rules, direction).await.is_none() || to.write_all(&chunk).await.is_err() {
+        if open(&mut rules, way).await.is_none() || to.write_all(&chunk).await.is_err() {
             return;
         }
     }
     // The end of the stream is held like any byte.
-    if open(&mut rules, direction).await.is_some() {
+    if open(&mut rules, way).await.is_some() {
         // The other side may have closed first.
         let _ = to.shutdown().await;
     }
 }
 
 /// Waits while the direction is cut; none when the proxy is gone.
-pub(super) async fn open(rules: &mut watch::Receiver<Rules>, direction: Direction) -> Option<()> {
+pub(super) async fn open(
+    rules: &mut watch::Receiver<Rules>,
+    (direction, silences): (Direction, u64),
+) -> Option<()> {
     rules
-        .wait_for(|rules| !rules.cut(direction))
+        .wait_for(|rules| !rules.holds(direction, silences))
         .await
         .ok()
         .map(|_| ())
--- a/crates/lab/src/proxy/rules.rs
+++ b/crates/lab/src/proxy/rules.rs
@@ -22,10 +22,17 @@
     pub delay: Duration,
     /// Grows with each reset of all connections.
     pub(super) resets: u64,
+    /// Grows when the present connections fall silent; later ones are not concerned.
+    pub(super) silences: u64,
 }
 
 impl Rules {
-    /// Whether bytes of this direction are held.
+    /// Whether bytes of this direction are held on a connection made after `silences` silences.
+    pub(super) fn holds(&self, direction: Direction, silences: u64) -> bool {
+        self.silences != silences || self.cut(direction)
+    }
+
+    /// Whether bytes of this direction are held on new connections.
     #[must_use]
     pub fn cut(&self, direction: Direction) -> bool {
         match direction {
--- a/crates/lab/src/proxy/server.rs
+++ b/crates/lab/src/proxy/server.rs
@@ -26,7 +26,15 @@
     /// # Errors
     /// When the system refuses a listener or a thread.
     pub fn open(target: SocketAddr) -> io::Result<Self> {
-        let listener = StdListener::bind("127.0.0.1:0")?;
+        Self::listen(SocketAddr::from(([127, 0, 0, 1], 0)), target)
+    }
+
+    /// Listens on `address` and leads connections to `target`.
+    ///
+    /// # Errors
+    /// When the system refuses the listener or a thread.
+    pub fn listen(address: SocketAddr, target: SocketAddr) -> io::Result<Self> {
+        let listener = StdListener::bind(address)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let (rules, receiver) = watch::channel(Rules::default());
@@ -73,11 +81,17 @@
         self.rules.send_modify(|rules| {
             *rules = Rules {
                 resets: rules.resets,
+                silences: rules.silences,
                 ..Rules::default()
             }
         });
     }
 
+    /// Holds all bytes of the present connections for good; new connections are not concerned.
+    pub fn silence(&self) {
+        self.rules.send_modify(|rules| rules.silences += 1);
+    }
+
     /// Resets all present connections (RST on both sides).
     pub fn reset(&self) {
         self.rules.send_modify(|rules| rules.resets += 1);
@@ -109,8 +123,13 @@
 }
 
 async fn connection(mut client: TcpStream, target: SocketAddr, mut rules: watch::Receiver<Rules>) {
-    let resets = rules.borrow_and_update().resets;
-    if open(&mut rules, Direction::Forward).await.is_none() {
+    let Rules {
+        resets, silences, ..
+    } = *rules.borrow_and_update();
+    if open(&mut rules, (Direction::Forward, silences))
+        .await
+        .is_none()
+    {
         return;
     }
     let Ok(mut server) = TcpStream::connect(target).await else {
@@ -122,7 +141,7 @@
     }
     let mut reset = rules.clone();
     tokio::select! {
-        () = relay(&mut client, &mut server, &rules) => return,
+        () = relay(&mut client, &mut server, silences, &rules) => return,
         _ = reset.wait_for(|rules| rules.resets != resets) => {}
     }
     for stream in [&client, &server] {
@@ -131,15 +150,25 @@
     }
 }
 
-async fn relay(client: &mut TcpStream, server: &mut TcpStream, rules: &watch::Receiver<Rules>) {
+async fn relay(
+    client: &mut TcpStream,
+    server: &mut TcpStream,
+    silences: u64,
+    rules: &watch::Receiver<Rules>,
+) {
     let (client_read, client_write) = client.split();
     let (server_read, server_write) = server.split();
     tokio::join!(
-        pump(client_read, server_write, Direction::Forward, rules.clone()),
+        pump(
+            client_read,
+            server_write,
+            (Direction::Forward, silences),
+            rules.clone()
+        ),
         pump(
             server_read,
             client_write,
-            Direction::Backward,
+            (Direction::Backward, silences),
             rules.clone()
         ),
     );
--- /dev/null
+++ b/crates/lab/src/site/watcher.rs
@@ -0,0 +1,18 @@
+//! What a stand-in reports to the test.
+
+use super::runs::RunKey;
+
+/// Told of each start and end as it takes effect on a worker.
+pub trait Watcher: std::fmt::Debug + Send + Sync + 'static {
+    /// A run has started.
+    fn started(&self, worker: usize, run: &RunKey, spec: &str);
+
+    /// A run has ended, `lost` when its worker is gone.
+    fn ended(&self, worker: usize, run: &RunKey, cause: &'static str);
+
+    /// An agent has acknowledged that the worker is leaving.
+    fn leaving(&self, worker: usize);
+
+    /// A new lifetime of the worker has begun.
+    fn renewed(&self, worker: usize);
+}
--- /dev/null
+++ b/crates/lab/src/site/worker.rs
@@ -0,0 +1,484 @@
+//! A worker as an HTTP server that reports to the agent beside it, with faults.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+use super::clock::WorkerClock;
+use super::runs::{Refusal, RunKey, Runs, Start};
+use super::watcher::Watcher;
+use crate::client::Http;
+use crate::http::{Answer, Gate, Handler, Server, json as answer_json, read_body};
+
+/// Pause between two heartbeats.
+const BEAT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Pause after a heartbeat without an acknowledgement.
+const BEAT_RETRY: Duration = Duration::from_millis(150);
+
+/// Time in which a heartbeat is acknowledged.
+const BEAT_LIMIT: Duration = Duration::from_secs(1);
+
+/// Time that a stop takes.
+const STOP_TIME: Duration = Duration::from_millis(20);
+
+/// Longest lease.
+const LEASE_MS: u64 = 1_000;
+
+/// Longest wait of a hold.
+const HOLD_WAIT: Duration = Duration::from_secs(2);
+
+/// Pause between two looks at the lease.
+const LEASE_POLL: Duration = Duration::from_millis(10);
+
+/// Bounds of the time after which an order without an answer is carried out, in milliseconds.
+const LATE_ORDER_MS: (u64, u64) = (500, 5_000);
+
+/// Time that calls to a dark worker wait before their connection is closed.
+const DARK_WAIT: Duration = Duration::from_secs(5);
+
+/// Largest body of a call, in bytes.
+const BODY_BYTES: usize = 1 << 16;
+
+/// What a worker is.
+#[derive(Debug, Clone)]
+pub struct WorkerSpec {
+    /// Position among the workers.
+    pub index: usize,
+    /// Service that it belongs to.
+    pub service: &'static str,
+    /// Zone.
+    pub zone: String,
+    /// Processor in thousandths of a core.
+    pub cpu: u64,
+    /// Memory in MB.
+    pub memory: u64,
+    /// Speed; run times are divided by it.
+    pub speed: f64,
+    /// Rate of its clock.
+    pub rate: f64,
+    /// Address of the agent beside it.
+    pub agent: SocketAddr,
+}
+
+/// Present faults of a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct WorkerFaults {
+    /// It answers nothing, and sends nothing.
+    pub dark: bool,
+    /// It declines starts.
+    pub sheds: bool,
+    /// Everything that it starts fails.
+    pub fails: bool,
+    /// Nothing that it starts ends.
+    pub hangs: bool,
+    /// Run times are multiplied by 1 more than this.
+    pub slower: f64,
+    /// Share of the orders that are not answered and carried out seconds later.
+    pub late: f64,
+}
+
+/// A running worker.
+#[derive(Debug)]
+pub struct SiteWorker {
+    shared: Arc<Shared>,
+    server: Server,
+}
+
+#[derive(Debug)]
+struct Shared {
+    spec: WorkerSpec,
+    address: Mutex<Option<SocketAddr>>,
+    state: Mutex<State>,
+    /// Counts ends, to wake holds that wait.
+    ends: watch::Sender<u64>,
+    watcher: Arc<dyn Watcher>,
+    http: Http,
+}
+
+#[derive(Debug)]
+struct State {
+    runs: Runs,
+    clock: WorkerClock,
+    /// Counts the lifetimes; also part of the id where that changes.
+    life: u64,
+    id: String,
+    born: u64,
+    seq: u64,
+    draining: bool,
+    faults: WorkerFaults,
+    rng: ChaCha8Rng,
+}
+
+/// Body of a call.
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+struct Call {
+    task: String,
+    attempt: u64,
+    spec: String,
+    deadline_ms: Option<u64>,
+    fence: u64,
+    ack_cursor: u64,
+    wait_ms: u64,
+}
+
+/// What a task does.
+#[derive(Debug, Deserialize)]
+struct Work {
+    ms: u64,
+    #[serde(default)]
+    fails: bool,
+}
+
+impl SiteWorker {
+    /// Starts a worker at `address`, which reports to its agent from now on.
+    ///
+    /// # Errors
+    /// When the system refuses a listener.
+    pub fn open(
+        spec: WorkerSpec,
+        address: SocketAddr,
+        seed: u64,
+        watcher: Arc<dyn Watcher>,
+    ) -> io::Result<Self> {
+        let index = spec.index;
+        let clock = WorkerClock::start(1_000 * (index as u64 + 1), spec.rate);
+        let shared = Arc::new(Shared {
+            spec,
+            address: Mutex::new(None),
+            state: Mutex::new(State {
+                runs: Runs::default(),
+                clock,
+                life: 1,
+                id: format!("i-{index}-1"),
+                born: unix_ms(),
+                seq: 0,
+                draining: false,
+                faults: WorkerFaults::default(),
+                rng: ChaCha8Rng::seed_from_u64(seed),
+            }),
+            ends: watch::Sender::new(0),
+            watcher,
+            http: Http::default(),
+        });
+        let server = Server::open(address, Arc::clone(&shared), Arc::new(Gate::default()))?;
+        *lock(&shared.address) = Some(server.address());
+        tokio::spawn(Arc::clone(&shared).send_beats());
+        tokio::spawn(Arc::clone(&shared).watch_lease());
+        Ok(Self { shared, server })
+    }
+
+    /// Address of the worker.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Changes the faults.
+    pub fn change(&self, change: impl FnOnce(&mut WorkerFaults)) {
+        change(&mut self.shared.state().faults);
+    }
+
+    /// Everything on the worker ends at once, and a new lifetime begins that answers nothing until
+    /// it is no longer dark. It keeps its id or takes a new one.
+    pub fn crash(&self, keep_id: bool) {
+        self.shared.renew(keep_id, true);
+    }
+
+    /// The worker says that it leaves, and takes no notice of anything else that it is told.
+    pub fn drain(&self) {
+        self.shared.state().draining = true;
+    }
+
+    /// The worker has left; a new one takes its place.
+    pub async fn leave(&self) {
+        let id = self.shared.state().id.clone();
+        let url = format!(
+            "http://{}/-/instances/{id}/deregister",
+            self.shared.spec.agent
+        );
+        // An agent that is away learns of it from the next heartbeat.
+        let _left = self
+            .shared
+            .http
+            .send(Method::POST, &url, Bytes::new(), BEAT_LIMIT)
+            .await;
+        self.shared.renew(false, false);
+    }
+
+    /// Runs that have not ended.
+    #[must_use]
+    pub fn running(&self) -> Vec<RunKey> {
+        self.shared.state().runs.keys()
+    }
+}
+
+impl Shared {
+    fn state(&self) -> MutexGuard<'_, State> {
+        lock(&self.state)
+    }
+
+    fn renew(&self, keep_id: bool, dark: bool) {
+        let mut state = self.state();
+        let lost = state.runs.keys();
+        state.life += 1;
+        if !keep_id {
+            state.id = format!("i-{}-{}", self.spec.index, state.life);
+        }
+        state.born = unix_ms().max(state.born + 1);
+        state.runs = Runs::default();
+        state.clock = WorkerClock::start(1_000, self.spec.rate);
+        state.seq = 0;
+        state.draining = false;
+        state.faults.dark |= dark;
+        // Reported before the next start can take effect.
+        for run in &lost {
+            self.watcher.ended(self.spec.index, run, "lost");
+        }
+        self.watcher.renewed(self.spec.index);
+        drop(state);
+        self.ends.send_modify(|ends| *ends += 1);
+    }
+
+    async fn send_beats(self: Arc<Self>) {
+        loop {
+            let Some((url, body, draining)) = self.next_beat() else {
+                sleep(BEAT_RETRY).await;
+                continue;
+            };
+            let sent = self.http.send(Method::POST, &url, body, BEAT_LIMIT).await;
+            let taken = sent.is_ok_and(|reply| reply.status < 300);
+            if taken && draining && self.state().draining {
+                self.watcher.leaving(self.spec.index);
+            }
+            sleep(if taken { BEAT_INTERVAL } else { BEAT_RETRY }).await;
+        }
+    }
+
+    fn next_beat(&self) -> Option<(String, String, bool)> {
+        let address = (*lock(&self.address))?;
+        let mut state = self.state();
+        if state.faults.dark {
+            return None;
+        }
+        state.seq += 1;
+        let name = if state.draining { "draining" } else { "ready" };
+        let body = json!({
+            "Service": self.spec.service,
+            "Address": address.to_string(),
+            "Zone": self.spec.zone,
+            "Version": "v1",
+            "Slots": 8,
+            "State": name,
+            "ColdLeftMs": 0,
+            "Capacity": {"Cpu": self.spec.cpu, "MemMb": self.spec.memory, "Gpu": 0},
+            "Labels": ["a", format!("r1-{}", self.spec.index / 3)],
+            "ClockMs": state.clock.now_ms(),
+            "Seq": state.seq,
+            "born": state.born,
+        });
+        let url = format!(
+            "http://{}/-/instances/{}/heartbeat",
+            self.spec.agent, state.id
+        );
+        Some((url, body.to_string(), state.draining))
+    }
+
+    /// Ends runs whose lease has passed.
+    async fn watch_lease(self: Arc<Self>) {
+        loop {
+            sleep(LEASE_POLL).await;
+            let mut state = self.state();
+            let now_ms = state.clock.now_ms();
+            for run in state.runs.lapsed(now_ms) {
+                self.end(&mut state, &run, "lapsed");
+            }
+        }
+    }
+
+    fn end(&self, state: &mut State, run: &RunKey, cause: &'static str) {
+        if state.runs.end(run, cause).is_some() {
+            self.watcher.ended(self.spec.index, run, cause);
+            self.ends.send_modify(|ends| *ends += 1);
+        }
+    }
+
+    /// Carries out a start.
+    fn start(self: &Arc<Self>, call: &Call) -> Result<(), Refusal> {
+        let mut state = self.state();
+        let now_ms = state.clock.now_ms();
+        let work = serde_json::from_str(&call.spec).unwrap_or(Work { ms: 1, fails: true });
+        let faults = state.faults;
+        let spread: f64 = state.rng.random_range(0.7..1.3);
+        let factor = spread * (1.0 + faults.slower) / self.spec.speed;
+        let length_ms = (work.ms as f64 * factor) as u64 + 1;
+        let length_ms = Some(length_ms).filter(|_| !faults.hangs);
+        let run = (call.task.clone(), call.attempt);
+        let lease_ms = call.deadline_ms.unwrap_or_default();
+        let start = Start {
+            run: run.clone(),
+            spec: call.spec.clone(),
+            lease_ms: lease_ms.min(now_ms + LEASE_MS),
+            fence: call.fence,
+        };
+        if !state.runs.start(now_ms, start, length_ms)? {
+            return Ok(());
+        }
+        self.watcher.started(self.spec.index, &run, &call.spec);
+        let fails = work.fails || faults.fails;
+        if let Some(length_ms) = length_ms {
+            let cause = if fails { "failed" } else { "done" };
+            let wait = state.clock.until(now_ms + length_ms);
+            self.end_later(&state, run, cause, wait);
+        }
+        Ok(())
+    }
+
+    fn end_later(
+        self: &Arc<Self>,
+        state: &State,
+        run: RunKey,
+        cause: &'static str,
+        wait: Duration,
+    ) {
+        let (shared, life) = (Arc::clone(self), state.life);
+        tokio::spawn(async move {
+            sleep(wait).await;
+            let mut state = shared.state();
+            if state.life == life {
+                shared.end(&mut state, &run, cause);
+            }
+        });
+    }
+
+    fn stop(self: &Arc<Self>, call: &Call) -> Result<(), Refusal> {
+        let mut state = self.state();
+        let run = (call.task.clone(), call.attempt);
+        if state.runs.stop(call.fence, &run)? {
+            self.end_later(&state, run, "stopped", STOP_TIME);
+        }
+        Ok(())
+    }
+
+    async fn hold(&self, call: &Call) -> Result<(), Refusal> {
+        let mut ends = self.ends.subscribe();
+        let waits = {
+            let mut state = self.state();
+            let longest = state.clock.now_ms() + LEASE_MS;
+            let lease = call.deadline_ms.map(|lease| lease.min(longest));
+            state.runs.hold(call.fence, lease, call.ack_cursor)?;
+            !state.runs.has_ends()
+        };
+        if waits {
+            let wait = Duration::from_millis(call.wait_ms).min(HOLD_WAIT);
+            // Without an end the answer lists what runs.
+            let _ended = timeout(wait, ends.changed()).await;
+        }
+        Ok(())
+    }
+
+    fn reply(&self, refused: Option<Refusal>, lists: bool) -> Answer {
+        let state = self.state();
+        let now_ms = state.clock.now_ms();
+        let mut body = json!({"ClockMs": now_ms, "born": state.born});
+        if let Some(refusal) = refused {
+            body["Reason"] = refusal.name().into();
+            return answer_json(StatusCode::CONFLICT, &body);
+        }
+        if lists {
+            let holding = state.runs.lists(now_ms);
+            let running = holding.running.iter();
+            let running = running.map(|(task, run, percent)| json!([task, run, "", percent]));
+            body["Running"] = running.collect::<Vec<Value>>().into();
+            let ended = holding.ended.iter();
+            let ended = ended.map(|end| json!([end.number, end.run.0, end.run.1, end.cause, ""]));
+            body["Finished"] = ended.collect::<Vec<Value>>().into();
+        }
+        answer_json(StatusCode::OK, &body)
+    }
+
+    /// Whether an order is left without an answer and carried out later, and when.
+    fn draw_late(&self) -> Option<Duration> {
+        let mut state = self.state();
+        let share = state.faults.late;
+        let late = share > 0.0 && state.rng.random::<f64>() < share;
+        let (least, most) = LATE_ORDER_MS;
+        late.then(|| Duration::from_millis(state.rng.random_range(least..most)))
+    }
+}
+
+impl Handler for Shared {
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Answer {
+        let (head, body) = request.into_parts();
+        let body = match read_body(body, BODY_BYTES).await {
+            Ok(body) => body,
+            Err(error) => return answer_json(StatusCode::PAYLOAD_TOO_LARGE, &error),
+        };
+        let (faults, id) = {
+            let state = self.state();
+            (state.faults, state.id.clone())
+        };
+        if faults.dark {
+            sleep(DARK_WAIT).await;
+            return Answer::Reset;
+        }
+        let expected = head.headers.get("knapweedwall-expect-instance");
+        if expected.is_some_and(|expected| expected.as_bytes() != id.as_bytes()) {
+            return answer_json(StatusCode::MISDIRECTED_REQUEST, &json!({}));
+        }
+        let Ok(call) = serde_json::from_slice::<Call>(&body) else {
+            return answer_json(StatusCode::BAD_REQUEST, &json!({}));
+        };
+        let path = head.uri.path().to_owned();
+        let order = matches!(path.as_str(), "/-/run-start" | "/-/run-stop");
+        if faults.sheds && path == "/-/run-start" {
+            return answer_json(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
+        }
+        if order && let Some(delay) = self.draw_late() {
+            let life = self.state().life;
+            tokio::spawn(async move {
+                sleep(delay).await;
+                if self.state().life == life {
+                    let _refused = if path == "/-/run-start" {
+                        self.start(&call)
+                    } else {
+                        self.stop(&call)
+                    };
+                }
+            });
+            sleep(DARK_WAIT).await;
+            return Answer::Reset;
+        }
+        let outcome = match path.as_str() {
+            "/-/run-start" => self.start(&call),
+            "/-/run-stop" => self.stop(&call),
+            "/-/hold" => self.hold(&call).await,
+            _ => return answer_json(StatusCode::NOT_FOUND, &json!({})),
+        };
+        if self.state().faults.dark {
+            return Answer::Reset;
+        }
+        self.reply(outcome.err(), path == "/-/hold")
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn unix_ms() -> u64 {
+    let passed = SystemTime::now().duration_since(UNIX_EPOCH);
+    u64::try_from(passed.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/lab/src/soak/caller.rs
@@ -0,0 +1,192 @@
+//! One caller: submits jobs one after another and judges the answers.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hyper::Method;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::Value;
+use tokio::time::{sleep, timeout};
+
+use super::connection::{Connection, Reply};
+use super::job::Job;
+use super::load::Shared;
+use super::witness::{Answer, Rule};
+
+/// How long a caller waits for the answer.
+const WAIT: Duration = Duration::from_millis(3_000);
+
+/// Pause before a job is submitted again after no answer, as on the platform's pages.
+const RESEND: Duration = Duration::from_millis(1_300);
+
+/// Submissions of one job.
+const SUBMISSIONS: u32 = 3;
+
+/// Time after a request's last byte in which a process that stops may not have read it.
+const UNREAD: Duration = Duration::from_millis(200);
+
+/// How a caller behaves with one job.
+#[derive(Debug, Clone, Copy)]
+enum Manner {
+    /// It waits for the answer.
+    Waits,
+    /// It leaves after a while.
+    Leaves(Duration),
+    /// It cancels the job after a while.
+    Cancels(Duration),
+}
+
+/// One caller.
+#[derive(Debug)]
+pub(super) struct Caller {
+    shared: Arc<Shared>,
+    rng: ChaCha8Rng,
+    connection: Connection,
+}
+
+impl Caller {
+    pub(super) fn new(shared: Arc<Shared>, seed: u64) -> Self {
+        Self {
+            shared,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            connection: Connection::default(),
+        }
+    }
+
+    /// Submits jobs until the load ends.
+    pub(super) async fn run(mut self) {
+        while !self.shared.has_ended() {
+            let pause = self.shared.pause();
+            let pause = pause.mul_f64(self.rng.random_range(0.2..1.8));
+            sleep(pause).await;
+            let job = Job::draw(&mut self.rng);
+            let while_ms = Duration::from_millis(self.rng.random_range(1..400));
+            let manner = match self.rng.random_range(0..20) {
+                0 => Manner::Leaves(while_ms),
+                1 => Manner::Cancels(while_ms),
+                _ => Manner::Waits,
+            };
+            self.serve(&job, manner).await;
+        }
+    }
+
+    /// Sees one job through.
+    async fn serve(&mut self, job: &Job, manner: Manner) {
+        for _ in 0..SUBMISSIONS {
+            if !self.connect().await {
+                sleep(RESEND).await;
+                continue;
+            }
+            let began = Instant::now();
+            self.shared.witness.submits(job);
+            let reply = self.submit(job, manner).await;
+            let answer = answer_of(&reply);
+            self.shared.witness.answered(&job.id, answer);
+            self.check(job, manner, &reply, answer, began);
+            let left = matches!(manner, Manner::Leaves(_) | Manner::Cancels(_));
+            if left || !matches!(answer, Answer::None | Answer::GaveUp) {
+                return;
+            }
+            sleep(RESEND).await;
+        }
+    }
+
+    async fn submit(&mut self, job: &Job, manner: Manner) -> Reply {
+        let path = job.path();
+        let submission = self.connection.send(Method::POST, &path, job.body(), WAIT);
+        match manner {
+            Manner::Waits => submission.await,
+            Manner::Leaves(after) => {
+                let answered = timeout(after, submission).await;
+                answered.unwrap_or_else(|_left| {
+                    self.connection.close();
+                    Reply::Late
+                })
+            }
+            Manner::Cancels(after) => {
+                let shared = Arc::clone(&self.shared);
+                let (id, path) = (job.id.clone(), path.clone());
+                let cancel = async move {
+                    sleep(after).await;
+                    cancel(&shared, &id, &path).await;
+                };
+                tokio::join!(submission, cancel).0
+            }
+        }
+    }
+
+    /// Uses the open connection, or makes one to a process that takes new ones.
+    async fn connect(&mut self) -> bool {
+        if self.connection.peer().is_some() {
+            return true;
+        }
+        let position = self.rng.random_range(0..64);
+        let peer = self.shared.choose(position);
+        self.connection.connect(peer).await
+    }
+
+    /// Checks what must hold while nothing is disturbed, and during planned work.
+    fn check(&self, job: &Job, manner: Manner, reply: &Reply, answer: Answer, began: Instant) {
+        let witness = &self.shared.witness;
+        if matches!(manner, Manner::Leaves(_)) || !witness.calm().is_undisturbed(began) {
+            return;
+        }
+        let id = &job.id;
+        if let Reply::Broken(after) = reply {
+            let passed_on = witness.has_started(id);
+            if passed_on || *after > UNREAD {
+                let text = format!("job {id} was cut off after {after:?}");
+                witness.violate(Rule::Cut, text);
+            }
+            return;
+        }
+        if matches!(reply, Reply::Late) {
+            let text = format!("job {id} had no answer within its limit");
+            return witness.violate(Rule::Served, text);
+        }
+        let cancels = matches!(manner, Manner::Cancels(_));
+        if cancels || !witness.calm().is_calm(began) {
+            return;
+        }
+        let expected = if job.fails {
+            Answer::Failed
+        } else {
+            Answer::Completed
+        };
+        if answer != expected {
+            let took = began.elapsed();
+            let text = format!("job {id} was answered {reply:?} after {took:?}");
+            witness.violate(Rule::Served, text);
+        }
+    }
+}
+
+/// Cancels a job at any process.
+async fn cancel(shared: &Shared, id: &str, path: &str) {
+    let mut connection = Connection::default();
+    let position = id.len() + usize::from(id.as_bytes().first().copied().unwrap_or_default());
+    if !connection.connect(shared.choose(position)).await {
+        return;
+    }
+    let reply = connection
+        .send(Method::DELETE, path, String::new(), WAIT)
+        .await;
+    if matches!(reply, Reply::Status(200 | 410, _)) {
+        shared.witness.cancelled(id);
+    }
+}
+
+fn answer_of(reply: &Reply) -> Answer {
+    let Reply::Status(status, body) = reply else {
+        return Answer::None;
+    };
+    let body: Value = serde_json::from_slice(body).unwrap_or_default();
+    match (status, body["State"].as_str()) {
+        (200, Some("completed")) => Answer::Completed,
+        (200, Some("failed")) => Answer::Failed,
+        (200, Some("cancelled")) => Answer::Cancelled,
+        (404 | 429 | 503, _) => Answer::Refused,
+        _ => Answer::GaveUp,
+    }
+}
--- /dev/null
+++ b/crates/lab/src/soak/job.rs
@@ -0,0 +1,97 @@
+//! Jobs that the callers submit.
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+
+/// Queues of the soak; each job goes to one of them.
+pub const QUEUES: [&str; 3] = ["slot", "confirm", "cancel"];
+
+/// Runs of a task that may fail.
+pub const ATTEMPTS: u32 = 2;
+
+/// Equal tasks.
+#[derive(Debug, Clone)]
+pub struct Phase {
+    /// Number of tasks.
+    pub count: u64,
+    /// Processor of a task in thousandths of a core.
+    pub cpu: u64,
+    /// Memory of a task in MB.
+    pub memory: u64,
+    /// Most tasks on one worker; 0 for any number.
+    pub spread: u64,
+}
+
+/// A job; each phase comes after the one before it.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// Id.
+    pub id: String,
+    /// Queue.
+    pub queue: &'static str,
+    /// What the tasks run.
+    pub spec: String,
+    /// Estimated run time of a task in milliseconds.
+    pub estimate_ms: u64,
+    /// Phases.
+    pub phases: Vec<Phase>,
+    /// Whether its tasks fail.
+    pub fails: bool,
+}
+
+impl Job {
+    /// Draws a job. One of 50 fails, one of 8 has two phases.
+    pub fn draw(rng: &mut ChaCha8Rng) -> Self {
+        let kind = rng.random_range(0..QUEUES.len());
+        let (count, ms) = [(8, 50), (4, 300), (2, 120)][kind];
+        let phases = if rng.random_ratio(1, 8) { 2 } else { 1 };
+        let phases = (0..phases).map(|_| Phase {
+            count: rng.random_range(1..=count),
+            cpu: rng.random_range(1_000..2_400),
+            memory: rng.random_range(16..128),
+            spread: if rng.random_ratio(1, 10) { 2 } else { 0 },
+        });
+        let phases = phases.collect();
+        let fails = rng.random_ratio(1, 50);
+        let ms = rng.random_range(ms / 2..ms * 2);
+        Self {
+            id: format!("{:016x}", rng.random::<u64>()),
+            queue: QUEUES[kind],
+            spec: json!({"ms": ms, "fails": fails}).to_string(),
+            estimate_ms: ms,
+            phases,
+            fails,
+        }
+    }
+
+    /// Path of the job.
+    #[must_use]
+    pub fn path(&self) -> String {
+        format!("/{}/{}", self.queue, self.id)
+    }
+
+    /// Body of its submission.
+    #[must_use]
+    pub fn body(&self) -> String {
+        let phases = self.phases.iter().enumerate().map(|(at, phase)| {
+            let after: Vec<usize> = at.checked_sub(1).into_iter().collect();
+            json!({
+                "Count": phase.count,
+                "Cpu": phase.cpu,
+                "MemMb": phase.memory,
+                "EstimateMs": self.estimate_ms,
+                "MaxPerServer": phase.spread,
+                "After": after,
+            })
+        });
+        let phases: Vec<Value> = phases.collect();
+        json!({"Spec": self.spec, "BestEffort": true, "Phases": phases}).to_string()
+    }
+
+    /// Names of the tasks of a phase.
+    pub fn tasks(&self, phase: usize) -> impl Iterator<Item = String> {
+        let count = self.phases.get(phase).map_or(0, |phase| phase.count);
+        (0..count).map(move |index| format!("{}.0.{phase}.{index}", self.id))
+    }
+}
--- /dev/null
+++ b/crates/lab/src/soak/witness.rs
@@ -0,0 +1,349 @@
+//! What callers and workers have seen, and which promises it breaks.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use super::calm::Calm;
+use super::job::{ATTEMPTS, Job};
+use crate::site::{RunKey, Watcher};
+
+/// Time after the acknowledgement of a cancellation in which tasks may still start.
+const CANCEL_LIMIT: Duration = Duration::from_secs(3);
+
+/// Time after the acknowledgement that a worker leaves in which tasks may still start there.
+const LEAVE_LIMIT: Duration = Duration::from_secs(2);
+
+/// A promise.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub enum Rule {
+    /// No task runs twice at the same time.
+    Twice,
+    /// No worker takes more than its room.
+    Room,
+    /// Phases run in their order.
+    Order,
+    /// At most so many tasks of a phase run on one worker.
+    Spread,
+    /// Only what was submitted runs.
+    Unasked,
+    /// A refusal as not run is true.
+    Refused,
+    /// An answer is whole and has a cause.
+    Answer,
+    /// Nothing starts after a cancellation.
+    Cancelled,
+    /// A worker that leaves gets no new work.
+    Leaving,
+    /// Planned work cuts no request.
+    Cut,
+    /// Every request is answered in time, and jobs are done, while nothing is disturbed.
+    Served,
+    /// A configuration is in force in time and never goes back.
+    Configuration,
+    /// Processes end only when they are told to, and then in time.
+    Exit,
+}
+
+/// A broken promise.
+#[derive(Debug, Clone)]
+pub struct Violation {
+    /// The promise.
+    pub rule: Rule,
+    /// Time since the start of the soak.
+    pub at: Duration,
+    /// What was seen.
+    pub text: String,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { rule, at, text } = self;
+        write!(f, "{:.3} s {rule}: {text}", at.as_secs_f64())
+    }
+}
+
+/// Final answer to a submission.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Answer {
+    /// All tasks are done.
+    Completed,
+    /// A task failed too often.
+    Failed,
+    /// It was cancelled.
+    Cancelled,
+    /// Not run.
+    Refused,
+    /// Given up after tasks had run.
+    GaveUp,
+    /// No answer: the connection broke, or the caller left.
+    None,
+}
+
+#[derive(Debug)]
+struct JobRecord {
+    job: Job,
+    /// Submissions without an answer.
+    open: u32,
+    /// Whether a submission had another answer than a refusal.
+    accepted: bool,
+    cancelled: Option<Instant>,
+    started: bool,
+}
+
+#[derive(Debug, Default)]
+struct TaskRecord {
+    /// Workers and attempts that run it.
+    running: Vec<(usize, u64)>,
+    done: bool,
+    failed: u32,
+}
+
+#[derive(Debug, Default)]
+struct WorkerRecord {
+    running: HashMap<RunKey, (u64, u64)>,
+    leaving: Option<Instant>,
+}
+
+/// Room of a worker: processor in thousandths of a core, memory in MB.
+pub type Capacity = (u64, u64);
+
+/// Collects what is seen.
+#[derive(Debug)]
+pub struct Witness {
+    began: Instant,
+    calm: Calm,
+    capacity: Capacity,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    jobs: HashMap<String, JobRecord>,
+    tasks: HashMap<String, TaskRecord>,
+    workers: HashMap<usize, WorkerRecord>,
+    answers: HashMap<Answer, u64>,
+    violations: Vec<Violation>,
+}
+
+impl Witness {
+    /// A witness that has seen nothing. All workers have the room `capacity`.
+    #[must_use]
+    pub fn new(calm: Calm, capacity: Capacity) -> Self {
+        Self {
+            began: Instant::now(),
+            calm,
+            capacity,
+            state: Mutex::default(),
+        }
+    }
+
+    /// Disturbances.
+    #[must_use]
+    pub fn calm(&self) -> &Calm {
+        &self.calm
+    }
+
+    /// Notes a broken promise.
+    pub fn violate(&self, rule: Rule, text: String) {
+        let at = self.began.elapsed();
+        let violation = Violation { rule, at, text };
+        self.state().violations.push(violation);
+    }
+
+    /// A caller is about to submit a job, perhaps again.
+    pub fn submits(&self, job: &Job) {
+        let mut state = self.state();
+        let record = state.jobs.entry(job.id.clone()).or_insert(JobRecord {
+            job: job.clone(),
+            open: 0,
+            accepted: false,
+            cancelled: None,
+            started: false,
+        });
+        record.open += 1;
+    }
+
+    /// A submission has ended for its caller.
+    pub fn answered(&self, id: &str, answer: Answer) {
+        let mut state = self.state();
+        *state.answers.entry(answer).or_default() += 1;
+        let fault = state.judge(id, answer);
+        if let Some(record) = state.jobs.get_mut(id) {
+            record.open -= 1;
+            record.accepted |= answer != Answer::Refused;
+        }
+        drop(state);
+        if let Some((rule, text)) = fault {
+            self.violate(rule, text);
+        }
+    }
+
+    /// The cancellation of a job was acknowledged.
+    pub fn cancelled(&self, id: &str) {
+        if let Some(record) = self.state().jobs.get_mut(id) {
+            record.cancelled.get_or_insert(Instant::now());
+        }
+    }
+
+    /// Whether a task of the job has started.
+    pub fn has_started(&self, id: &str) -> bool {
+        self.state().jobs.get(id).is_some_and(|job| job.started)
+    }
+
+    /// Checks what can only be told at the end, and returns all broken promises.
+    pub fn finish(&self) -> Vec<Violation> {
+        let mut faults = Vec::new();
+        let state = self.state();
+        for (id, record) in &state.jobs {
+            if record.started && !record.accepted && record.open == 0 {
+                faults.push((Rule::Refused, format!("job {id} was refused and has run")));
+            }
+        }
+        for (index, worker) in &state.workers {
+            for (task, attempt) in worker.running.keys() {
+                let text = format!("{task}#{attempt} still runs on worker {index}");
+                faults.push((Rule::Unasked, text));
+            }
+        }
+        drop(state);
+        for (rule, text) in faults {
+            self.violate(rule, text);
+        }
+        self.state().violations.clone()
+    }
+
+    /// Number of each answer.
+    #[must_use]
+    pub fn answers(&self) -> HashMap<Answer, u64> {
+        self.state().answers.clone()
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Whether an answer has a cause.
+    fn judge(&self, id: &str, answer: Answer) -> Option<(Rule, String)> {
+        let record = self.jobs.get(id)?;
+        let phases = 0..record.job.phases.len();
+        let mut tasks = phases.flat_map(|phase| record.job.tasks(phase));
+        let whole = match answer {
+            Answer::Completed => {
+                tasks.all(|task| self.tasks.get(&task).is_some_and(|task| task.done))
+            }
+            Answer::Failed => tasks.any(|task| {
+                let task = self.tasks.get(&task);
+                task.is_some_and(|task| task.failed >= ATTEMPTS)
+            }),
+            _ => true,
+        };
+        let text = || format!("job {id} was answered {answer:?} without cause");
+        (!whole).then(|| (Rule::Answer, text()))
+    }
+
+    /// What is wrong with a start, and the room that it takes.
+    fn check_start(
+        &self,
+        calm: &Calm,
+        worker: usize,
+        (task, _): &RunKey,
+        spec: &str,
+    ) -> (Vec<(Rule, String)>, Capacity) {
+        let mut faults = Vec::new();
+        let mut parts = task.split('.');
+        let id = parts.next().unwrap_or_default();
+        let phase: usize = parts.nth(1).and_then(|p| p.parse().ok()).unwrap_or(0);
+        let Some(record) = self.jobs.get(id) else {
+            return (vec![(Rule::Unasked, "unknown job".to_owned())], (0, 0));
+        };
+        let room = record.job.phases.get(phase);
+        let room = room.map_or((0, 0), |phase| (phase.cpu, phase.memory));
+        if spec != record.job.spec || !record.job.tasks(phase).any(|known| known == *task) {
+            faults.push((Rule::Unasked, "other work than submitted".to_owned()));
+        }
+        if record.open == 0 && !record.accepted {
+            faults.push((Rule::Refused, "after a refusal".to_owned()));
+        }
+        let since = |at: &Instant| calm.is_calm(*at);
+        let cancelled = record.cancelled.filter(since);
+        if cancelled.is_some_and(|at| at.elapsed() > CANCEL_LIMIT) {
+            faults.push((Rule::Cancelled, "after its cancellation".to_owned()));
+        }
+        let earlier = phase.checked_sub(1);
+        let mut before = earlier
+            .into_iter()
+            .flat_map(|phase| record.job.tasks(phase));
+        if !before.all(|task| self.tasks.get(&task).is_some_and(|task| task.done)) {
+            faults.push((Rule::Order, "before the phase ahead of it".to_owned()));
+        }
+        if let Some(known) = self.tasks.get(task)
+            && !known.running.is_empty()
+        {
+            faults.push((Rule::Twice, format!("beside {:?}", known.running)));
+        }
+        let spread = record.job.phases.get(phase).map_or(0, |phase| phase.spread);
+        if let Some(known) = self.workers.get(&worker) {
+            let prefix = format!("{id}.0.{phase}.");
+            let beside = known.running.keys();
+            let beside = beside.filter(|(task, _)| task.starts_with(&prefix)).count();
+            if spread > 0 && beside as u64 >= spread {
+                faults.push((Rule::Spread, format!("beside {beside} of its phase")));
+            }
+            let leaving = known.leaving.filter(since);
+            if leaving.is_some_and(|at| at.elapsed() > LEAVE_LIMIT) {
+                faults.push((Rule::Leaving, "on a worker that leaves".to_owned()));
+            }
+        }
+        (faults, room)
+    }
+}
+
+impl Watcher for Witness {
+    fn started(&self, worker: usize, run: &RunKey, spec: &str) {
+        let mut state = self.state();
+        let (mut faults, room) = state.check_start(&self.calm, worker, run, spec);
+        let id = run.0.split('.').next().unwrap_or_default();
+        if let Some(record) = state.jobs.get_mut(id) {
+            record.started = true;
+        }
+        let task = state.tasks.entry(run.0.clone()).or_default();
+        task.running.push((worker, run.1));
+        let record = state.workers.entry(worker).or_default();
+        record.running.insert(run.clone(), room);
+        let used = record.running.values();
+        let used = used.fold((0, 0), |sum, room| (sum.0 + room.0, sum.1 + room.1));
+        if used.0 > self.capacity.0 || used.1 > self.capacity.1 {
+            faults.push((Rule::Room, format!("{used:?} of {:?} used", self.capacity)));
+        }
+        drop(state);
+        for (rule, text) in faults {
+            let text = format!("{}#{} on worker {worker}: {text}", run.0, run.1);
+            self.violate(rule, text);
+        }
+    }
+
+    fn ended(&self, worker: usize, run: &RunKey, cause: &'static str) {
+        let mut state = self.state();
+        let record = state.workers.entry(worker).or_default();
+        record.running.remove(run);
+        let task = state.tasks.entry(run.0.clone()).or_default();
+        task.running.retain(|known| *known != (worker, run.1));
+        task.done |= cause == "done";
+        task.failed += u32::from(cause == "failed");
+    }
+
+    fn leaving(&self, worker: usize) {
+        let mut state = self.state();
+        let record = state.workers.entry(worker).or_default();
+        record.leaving.get_or_insert(Instant::now());
+    }
+
+    fn renewed(&self, worker: usize) {
+        let mut state = self.state();
+        state.workers.entry(worker).or_default().leaving = None;
+    }
+}
--- a/crates/lab/tests/lab/proxy_faults.rs
+++ b/crates/lab/tests/lab/proxy_faults.rs
@@ -58,6 +58,16 @@
     }
 }
 
+#[test]
+fn silence_concerns_present_connections_only() {
+    let (proxy, mut client, mut server) = connect();
+    proxy.silence();
+    client.write_all(b"lost").unwrap();
+    assert!(quiet(&mut server), "bytes passed a silent connection");
+    proxy.repair();
+    assert!(quiet(&mut server), "a silent connection came back");
+}
+
 #[test]
 fn delay_is_added_once_for_chunks_in_a_row() {
     let (proxy, mut client, mut server) = connect();
--- /dev/null
+++ b/crates/lab/tests/site/main.rs
@@ -0,0 +1,6 @@
+//! Stand-ins of the users' platform.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod row_rules;
+mod run_rules;
--- /dev/null
+++ b/crates/lab/tests/soak/broken_promises.rs
@@ -0,0 +1,111 @@
+//! Whether the witness notices what breaks a promise.
+
+use knapweedwall_lab::site::{RunKey, Watcher};
+use knapweedwall_lab::soak::{Answer, Calm, Job, Phase, Rule, Witness};
+use rstest::rstest;
+
+const ID: &str = "5c0e7a21d94b36f8";
+
+fn phase(count: u64) -> Phase {
+    Phase {
+        count,
+        cpu: 1_000,
+        memory: 64,
+        spread: 0,
+    }
+}
+
+fn job(phases: Vec<Phase>) -> Job {
+    Job {
+        id: ID.to_owned(),
+        queue: "slot",
+        spec: "work".to_owned(),
+        estimate_ms: 50,
+        phases,
+        fails: false,
+    }
+}
+
+fn run(phase: u32, index: u32, attempt: u64) -> RunKey {
+    (format!("{ID}.0.{phase}.{index}"), attempt)
+}
+
+/// A witness to whom a job with phases of one and two tasks was submitted.
+fn witness() -> Witness {
+    let witness = Witness::new(Calm::default(), (2_000, 1_000));
+    witness.submits(&job(vec![phase(1), phase(2)]));
+    witness
+}
+
+fn rules(witness: &Witness) -> Vec<Rule> {
+    witness.finish().iter().map(|found| found.rule).collect()
+}
+
+/// Guards against a check that reports what is in order.
+#[rstest]
+fn a_whole_job_breaks_nothing() {
+    let witness = witness();
+    for run in [run(0, 0, 1), run(1, 0, 1), run(1, 1, 1)] {
+        witness.started(0, &run, "work");
+        witness.ended(0, &run, "done");
+    }
+    witness.answered(ID, Answer::Completed);
+    assert!(rules(&witness).is_empty());
+}
+
+/// Guards against two runs of a task at the same time that nobody notices.
+#[rstest]
+fn a_second_run_is_noticed() {
+    let witness = witness();
+    witness.started(0, &run(0, 0, 1), "work");
+    witness.started(1, &run(0, 0, 2), "work");
+    witness.ended(0, &run(0, 0, 1), "lost");
+    witness.ended(1, &run(0, 0, 2), "done");
+    assert_eq!(rules(&witness), [Rule::Twice]);
+}
+
+/// Guards against work beyond a worker's room, ahead of its phase, or that nobody submitted.
+#[rstest]
+fn wrong_starts_are_noticed() {
+    let witness = witness();
+    for (at, spec) in [(0, "work"), (1, "other")] {
+        witness.started(0, &run(1, at, 1), spec);
+    }
+    witness.started(0, &run(0, 0, 1), "work");
+    for run in [run(1, 0, 1), run(1, 1, 1), run(0, 0, 1)] {
+        witness.ended(0, &run, "done");
+    }
+    let unknown = ("0000000000000000.0.0.0".to_owned(), 1);
+    witness.started(0, &unknown, "work");
+    witness.ended(0, &unknown, "done");
+    let expected = [
+        Rule::Order,
+        Rule::Unasked,
+        Rule::Order,
+        Rule::Room,
+        Rule::Unasked,
+    ];
+    assert_eq!(rules(&witness), expected);
+}
+
+/// Guards against answers without cause, and refusals of jobs that run.
+#[rstest]
+#[case(Answer::Completed, Rule::Answer)]
+#[case(Answer::Failed, Rule::Answer)]
+#[case(Answer::Refused, Rule::Refused)]
+fn untrue_answers_are_noticed(#[case] answer: Answer, #[case] rule: Rule) {
+    let witness = witness();
+    witness.started(0, &run(0, 0, 1), "work");
+    witness.ended(0, &run(0, 0, 1), "failed");
+    witness.answered(ID, answer);
+    assert_eq!(rules(&witness), [rule]);
+}
+
+/// Guards against runs that nobody ends.
+#[rstest]
+fn what_still_runs_is_noticed() {
+    let witness = witness();
+    witness.started(0, &run(0, 0, 1), "work");
+    witness.answered(ID, Answer::GaveUp);
+    assert_eq!(rules(&witness), [Rule::Unasked]);
+}
--- /dev/null
+++ b/crates/lab/tests/soak/plan_seeds.rs
@@ -0,0 +1,29 @@
+//! Plans of faults.
+
+use std::time::Duration;
+
+use knapweedwall_lab::soak::Plan;
+use rstest::rstest;
+
+const LENGTH: Duration = Duration::from_secs(30);
+
+/// Guards against a seed that does not bring back the faults it failed with.
+#[rstest]
+fn a_seed_gives_one_plan() {
+    let plan = Plan::draw(7, 3, 8, LENGTH);
+    assert_eq!(plan, Plan::draw(7, 3, 8, LENGTH));
+    assert_ne!(plan, Plan::draw(8, 3, 8, LENGTH));
+}
+
+/// Guards against plans in which faults never overlap or never come in series.
+#[rstest]
+fn faults_overlap_and_repeat() {
+    let steps = Plan::draw(7, 3, 8, LENGTH).steps;
+    let pairs = || steps.iter().zip(steps.iter().skip(1));
+    assert!(pairs().any(|(first, next)| first.at + first.span > next.at));
+    let repeated = steps.iter().any(|step| {
+        let same = steps.iter().filter(|other| other.fault == step.fault);
+        same.count() >= 3
+    });
+    assert!(repeated);
+}
