--- a/crates/core/src/executor/lists.rs
+++ b/crates/core/src/executor/lists.rs
@@ -123,7 +123,9 @@
                 let made = run.ordered.max(call.made.min(now.mono));
                 self.confirm(now, &row.run, made, out);
             }
-            Stage::Running(_) => self.runs.observe(&row.run, row.percent, now.mono),
+            Stage::Running(_) => self
+                .runs
+                .observe(&row.run, row.percent, call.made, now.mono),
             Stage::Waiting(_) | Stage::Stopping(_) => {}
         }
     }
@@ -140,7 +142,8 @@
             ordered: now.mono,
             started: Some(now.mono),
             urgent_at: now.mono,
-            progress: (row.percent, now.mono),
+            progress: row.percent,
+            seen: (now.mono, now.mono),
             stop: None,
         };
         self.insert(row.run.clone(), run);
--- a/crates/core/src/executor/machine.rs
+++ b/crates/core/src/executor/machine.rs
@@ -21,7 +21,7 @@
 /// Longest time of a hold. An end whose report is lost with an answer is noticed by the next one.
 const HOLD_WAIT: Duration = Duration::from_millis(60);
 
-/// Time after which the answer to a hold is taken for lost.
+/// Shortest time after which the answer to a hold is taken for lost.
 const HOLD_LIMIT: Duration = Duration::from_millis(85);
 
 /// Shortest and longest pause before a hold that got no answer is repeated.
@@ -327,7 +327,8 @@
         let unacknowledged = self.worker.taken > self.worker.acknowledged;
         let silent = self.worker.is_asked();
         let needed = unread || !self.runs.is_idle() || unacknowledged || silent;
-        let overdue = now.mono.saturating_sub(HOLD_LIMIT);
+        let limit = HOLD_LIMIT.max(HOLD_WAIT + self.worker.late_after());
+        let overdue = now.mono.saturating_sub(limit);
         let holding = self.calls.is_holding(overdue);
         if has_worker && needed && !holding && now.mono >= self.hold_after {
             let waits = !unread && !self.runs.is_idle();
--- a/crates/core/src/executor/runs.rs
+++ b/crates/core/src/executor/runs.rs
@@ -49,8 +49,10 @@
     pub(super) started: Option<Duration>,
     /// Latest useful start.
     pub(super) urgent_at: Duration,
-    /// Last progress seen, in percent, and when it changed.
-    pub(super) progress: (u32, Duration),
+    /// Last progress seen, in percent.
+    pub(super) progress: u32,
+    /// When the progress changed, and when it was last seen.
+    pub(super) seen: (Duration, Duration),
     /// Set when the run is to be stopped.
     pub(super) stop: Option<StopCause>,
 }
@@ -60,6 +62,11 @@
     pub(super) fn takes_room(&self) -> bool {
         !matches!(self.stage, Stage::Waiting(_))
     }
+
+    /// Time for which the worker's lists have shown the same progress.
+    pub(super) fn unchanged(&self) -> Duration {
+        self.seen.1.saturating_sub(self.seen.0)
+    }
 }
 
 /// All runs that are not closed.
@@ -97,12 +104,16 @@
         self.insert(id.clone(), run);
     }
 
-    /// Notes progress of a run.
-    pub(super) fn observe(&mut self, id: &RunId, percent: u32, now: Duration) {
-        if let Some(run) = self.map.get_mut(id)
-            && run.progress.0 != percent
-        {
-            run.progress = (percent, now);
+    /// Notes the progress of a run that the worker listed after `asked`.
+    pub(super) fn observe(&mut self, id: &RunId, percent: u32, asked: Duration, now: Duration) {
+        let Some(run) = self.map.get_mut(id) else {
+            return;
+        };
+        if run.progress == percent {
+            run.seen.1 = run.seen.1.max(asked);
+        } else {
+            run.progress = percent;
+            run.seen = (now, now);
         }
     }
 
--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -91,7 +91,8 @@
                 ordered: now.mono,
                 started: None,
                 urgent_at,
-                progress: (0, now.mono),
+                progress: 0,
+                seen: (now.mono, now.mono),
                 stop: None,
             };
             self.insert(id.clone(), run);
@@ -158,6 +159,7 @@
         };
         if !matches!(outcome, StartOutcome::NoAnswer(_)) {
             self.worker.answered(now.mono, clock_ms);
+            self.worker.observe_answer(now.since(call.made));
         }
         match self.runs.get(&id).map(|run| run.stage) {
             Some(Stage::Starting(fence, _) | Stage::Unclear(fence)) if fence == call.fence => {}
@@ -218,7 +220,8 @@
         self.runs.update(id, |run| {
             run.stage = Stage::Running(now.mono);
             run.started = Some(made);
-            run.progress = (0, now.mono);
+            run.progress = 0;
+            run.seen = (now.mono, now.mono);
         });
         if let Some(cause) = stop {
             self.runs.update(id, |run| run.stop = None);
--- a/crates/core/src/executor/sweep.rs
+++ b/crates/core/src/executor/sweep.rs
@@ -10,11 +10,11 @@
 use crate::clock::Now;
 use crate::work::RunId;
 
-/// Time after which a start without an answer is taken for lost; the answer usually takes 1 to 3
-/// ms. If the run is there after all, the probe finds it.
+/// Shortest time after which a start without an answer is taken for lost; on an idle host the
+/// answer takes 1 to 3 ms. If the run is there after all, the probe finds it.
 const START_LIMIT: Duration = Duration::from_millis(25);
 
-/// Time without progress after which a run is stopped, so that it can run elsewhere.
+/// Time without progress, by the worker's lists, after which a run is stopped, so that it can run elsewhere.
 const STALL_LIMIT: Duration = Duration::from_millis(500);
 
 impl Machine {
@@ -44,11 +44,13 @@
         self.metrics.used_cpu.set(i64::from(self.runs.used().cpu));
     }
 
-    /// Takes starts for lost that have had no answer for [`START_LIMIT`].
+    /// Takes starts for lost that have had no answer for [`START_LIMIT`], or longer where answers
+    /// take long.
     fn doubt_starts(&mut self, now: Now, out: &mut Vec<Action>) {
-        let overdue = self.runs.iter().filter(|(_, run)| {
-            matches!(run.stage, Stage::Starting(_, sent) if now.since(sent) >= START_LIMIT)
-        });
+        let limit = START_LIMIT.max(self.worker.late_after());
+        let overdue = self.runs.iter().filter(
+            |(_, run)| matches!(run.stage, Stage::Starting(_, sent) if now.since(sent) >= limit),
+        );
         for id in overdue.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
             self.doubt(&id, "no answer yet", out);
         }
@@ -87,12 +89,12 @@
         let mut stalled: Vec<RunId> = Vec::new();
         for (id, run) in self.runs.iter() {
             let running = matches!(run.stage, Stage::Running(_));
-            if running && now.since(run.progress.1) >= STALL_LIMIT && run.progress.0 < 100 {
+            if running && run.unchanged() >= STALL_LIMIT && run.progress < 100 {
                 stalled.push(id.clone());
             }
         }
         for id in stalled {
-            let percent = self.runs.get(&id).map(|run| run.progress.0);
+            let percent = self.runs.get(&id).map(|run| run.progress);
             let fields = vec![
                 ("run", id.to_string()),
                 ("percent", percent.unwrap_or_default().to_string()),
--- a/crates/core/src/executor/worker.rs
+++ b/crates/core/src/executor/worker.rs
@@ -15,6 +15,15 @@
 /// Time without an answer after which the lease is not extended any more, so that it can lapse.
 const SILENT_AFTER: Duration = Duration::from_millis(600);
 
+/// Share of an answer's time in the mean of answer times.
+const ANSWER_GAIN: f64 = 0.2;
+
+/// Multiple of the mean answer time after which an answer is late.
+const LATE_FACTOR: u32 = 4;
+
+/// Longest answer time that is taken in: what takes longer says nothing of the others.
+const LONGEST_ANSWER: Duration = Duration::from_millis(500);
+
 /// How far a fence is raised above one that the worker holds from somebody else, in steps.
 const FENCE_JUMP: u64 = 60_000;
 
@@ -45,6 +54,8 @@
     asked: Option<Duration>,
     /// Last call that may have extended the lease.
     extended: Duration,
+    /// Mean time until a start is answered.
+    answer_time: Duration,
 }
 
 impl Worker {
@@ -64,6 +75,7 @@
             clock: None,
             asked: None,
             extended: now,
+            answer_time: Duration::ZERO,
         }
     }
 
@@ -89,6 +101,18 @@
         }
     }
 
+    /// Takes in how long a start took to be answered.
+    pub(super) fn observe_answer(&mut self, took: Duration) {
+        let took = took.min(LONGEST_ANSWER).mul_f64(ANSWER_GAIN);
+        self.answer_time = self.answer_time.mul_f64(1.0 - ANSWER_GAIN) + took;
+    }
+
+    /// Time after which an answer is late, by those before; more on a host that is short of
+    /// processor time.
+    pub(super) fn late_after(&self) -> Duration {
+        self.answer_time * LATE_FACTOR
+    }
+
     /// End of a lease of length `lease` from now on the worker's clock. None when the clock is not
     /// known, or the worker has been silent and the lease should lapse.
     pub(super) fn lease(&mut self, now: Duration, lease: Duration) -> Option<u64> {
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -28,6 +28,9 @@
 /// Time in which the platform's client waits for an answer of the worker.
 const CALL_MS: u64 = 200;
 
+/// Time that such a client waits for the lists beyond what the worker was asked to wait.
+const HOLD_SLACK_MS: u64 = 100;
+
 /// Pause before a caller that lost its answer submits again.
 const RESEND_MS: u64 = 1_300;
 
@@ -119,6 +122,8 @@
     late_answers: Vec<LateAnswer>,
     /// Share of the calls to workers without an answer, in percent; they are carried out late.
     pub late_percent: u32,
+    /// Time that each call to a worker takes longer than usual.
+    pub slow_ms: u64,
     pub faults: Vec<String>,
     pub events: Vec<u16>,
     /// Calls that were made to workers.
@@ -150,6 +155,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             late_answers: Vec::new(),
             late_percent: 0,
+            slow_ms: 0,
             faults: Vec::new(),
             events: Vec::new(),
             calls: 0,
@@ -429,6 +435,7 @@
 
     fn agent_actions(&mut self, at: usize, actions: Vec<executor::Action>) {
         let due = self.now_ms + WAY_MS;
+        let called = due + self.slow_ms;
         for action in actions {
             let (key, call) = match action {
                 executor::Action::Send(key, body) => {
@@ -461,7 +468,7 @@
                         lease_ms,
                         fence,
                         acknowledged,
-                        until_ms: due + wait_ms,
+                        until_ms: called + wait_ms,
                     };
                     (call, call_made)
                 }
@@ -482,16 +489,21 @@
             };
             self.calls += 1;
             let late = self.random(100) < u64::from(self.late_percent);
+            let limit = match &call {
+                Call::Hold { .. } => HOLD_SLACK_MS,
+                _ => CALL_MS,
+            };
+            let unheard = self.slow_ms > limit;
             let due_ms = if late {
                 due + 2_000 + self.random(10_000)
             } else {
-                due
+                called
             };
-            if late {
+            if late || unheard {
                 let input = no_answer(key, &call);
                 let wait = match &call {
-                    Call::Hold { until_ms, .. } => until_ms - due + 100,
-                    _ => CALL_MS,
+                    Call::Hold { until_ms, .. } => until_ms - called + limit,
+                    _ => limit,
                 };
                 self.late_answers
                     .push((self.now_ms + wait, at, self.hosts[at].instance, input));
@@ -500,7 +512,7 @@
                 key,
                 call,
                 due_ms,
-                lost: late,
+                lost: late || unheard,
                 life: self.hosts[at].life.clone(),
             };
             self.hosts[at].calls.push(pending);
@@ -818,6 +830,12 @@
         }
     }
 
+    /// How often an event was logged.
+    pub fn count(&self, event: u16) -> usize {
+        let events = self.events.iter();
+        events.filter(|&&number| number == event).count()
+    }
+
     /// Lets time pass until all callers have an answer, for at most `ms`.
     pub fn finish(&mut self, ms: u64) {
         for _ in 0..ms {
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -15,4 +15,5 @@
 mod planned_stops;
 mod random_faults;
 mod silent_owners;
+mod slow_answers;
 mod worker_lives;
