--- a/crates/core/src/executor/calls.rs
+++ b/crates/core/src/executor/calls.rs
@@ -78,6 +78,11 @@
         self.holds > 0 && self.held >= since
     }
 
+    /// Time of the last hold.
+    pub(super) fn last_hold(&self) -> Duration {
+        self.held
+    }
+
     pub(super) fn is_probing(&self) -> bool {
         self.probes > 0
     }
--- a/crates/core/src/executor/lists.rs
+++ b/crates/core/src/executor/lists.rs
@@ -1,7 +1,5 @@
 //! The worker's lists of what runs and what ended.
 
-use std::time::Duration;
-
 use knapweedwall_wire as wire;
 
 use super::calls::{Call, Purpose};
@@ -106,10 +104,16 @@
             ("run_ms", run_time.as_millis().to_string()),
         ];
         log(out, 422, "run ended", false, fields);
+        let kept = known.is_none_or(|run| run.durable);
+        let mut ended = report(&row.run, outcome, run_time);
+        ended.kept = kept;
+        if kept {
+            self.kept.insert(row.number, ended.clone());
+        }
         if known.is_some() {
-            self.close(now, &row.run, outcome);
+            self.close_as(now, &row.run, ended);
         } else {
-            self.add_orphan(now, report(&row.run, outcome, Duration::ZERO));
+            self.owners.report_all(&ended);
         }
     }
 
@@ -136,6 +140,7 @@
         log(out, 423, "run found on the worker", false, fields);
         let run = Run {
             owner: None,
+            durable: true,
             room: None,
             spec: "".into(),
             stage: Stage::Running(now.mono),
--- a/crates/core/src/executor/machine.rs
+++ b/crates/core/src/executor/machine.rs
@@ -8,6 +8,7 @@
 
 use super::calls::{Call, Calls, Purpose};
 use super::io::{Action, Heartbeat, Input, Settings};
+use super::kept::{Claims, Kept};
 use super::metrics::Metrics;
 use super::owners::Owners;
 use super::runs::{Run, Runs, Stage, StopCause, report};
@@ -24,6 +25,9 @@
 /// Shortest time after which the answer to a hold is taken for lost.
 const HOLD_LIMIT: Duration = Duration::from_millis(85);
 
+/// Pause between two holds while the worker keeps ends, which it lists at once each time.
+const KEPT_PAUSE: Duration = Duration::from_millis(5);
+
 /// Shortest and longest pause before a hold that got no answer is repeated.
 const HOLD_PAUSE: (Duration, Duration) = (Duration::from_millis(10), Duration::from_secs(1));
 
@@ -38,6 +42,8 @@
     pub(super) metrics: Metrics,
     /// Ends of runs whose owner is not known, with the time when they were taken.
     pub(super) orphans: Vec<(wire::RunReport, Duration)>,
+    pub(super) kept: Kept,
+    pub(super) claims: Claims,
     /// Stops that are to be sent (again).
     pub(super) stops: Vec<RunId>,
     /// Whether starts are unclear and a probe is needed.
@@ -72,6 +78,8 @@
             calls: Calls::default(),
             metrics,
             orphans: Vec::new(),
+            kept: Kept::default(),
+            claims: Claims::default(),
             stops: Vec::new(),
             probe: false,
             hold_after: Duration::ZERO,
@@ -97,8 +105,9 @@
                 for earlier in self.owners.link_up(now.mono, link, &peer) {
                     self.stop_runs_of(now, earlier);
                 }
-                for (orphan, _) in self.orphans.clone() {
-                    self.owners.report(peer.instance, orphan);
+                let orphans = self.orphans.iter().map(|(orphan, _)| orphan);
+                for report in orphans.chain(self.kept.iter()) {
+                    self.owners.report(peer.instance, report.clone());
                 }
                 for (_, address) in entries {
                     out.push(Action::Connect(address));
@@ -207,6 +216,7 @@
         self.calls.begin_life();
         self.probe = false;
         self.stops.clear();
+        self.kept.clear();
         self.listed_at = None;
         self.resume_holds(now);
         self.lose_runs(now, cause, out);
@@ -232,10 +242,17 @@
 
     /// Ends a run for good and reports it.
     pub(super) fn close(&mut self, now: Now, id: &RunId, outcome: wire::RunOutcome) {
+        let started = self.runs.get(id).and_then(|run| run.started);
+        let run_time = started.map(|at| now.since(at)).unwrap_or_default();
+        self.close_as(now, id, report(id, outcome, run_time));
+    }
+
+    /// Ends a run for good with this report.
+    pub(super) fn close_as(&mut self, now: Now, id: &RunId, report: wire::RunReport) {
         let Some(run) = self.runs.remove(id) else {
             return;
         };
-        let run_time = run.started.map(|at| now.since(at)).unwrap_or_default();
+        let outcome = report.outcome();
         let counter = match outcome {
             wire::RunOutcome::Done => &self.metrics.done,
             wire::RunOutcome::Failed => &self.metrics.failed,
@@ -244,9 +261,9 @@
             _ => &self.metrics.declined,
         };
         counter.inc();
-        let report = report(id, outcome, run_time);
         match run.owner {
             Some(owner) => self.owners.report(owner, report),
+            None if report.kept => self.owners.report_all(&report),
             None => self.add_orphan(now, report),
         }
     }
@@ -269,6 +286,7 @@
                     out.push(Action::Connect(entry.address.into()));
                 }
             }
+            Body::ShardClaim(claim) => self.take_shard_claim(owner, &claim),
             Body::CancelRuns(cancel) => {
                 let runs = self.runs.iter();
                 let runs = runs.filter(|(id, _)| id.task.job == cancel.job.as_str());
@@ -324,13 +342,16 @@
         let known = self.worker.beat.is_some() || self.settings.worker.is_some();
         let has_worker = known && !self.left;
         let unread = !self.worker.listed;
-        let unacknowledged = self.worker.taken > self.worker.acknowledged;
+        let taken = self.kept.acknowledged(self.worker.taken);
+        let unacknowledged = taken > self.worker.acknowledged;
         let silent = self.worker.is_asked();
         let needed = unread || !self.runs.is_idle() || unacknowledged || silent;
         let limit = HOLD_LIMIT.max(HOLD_WAIT + self.worker.late_after());
         let overdue = now.mono.saturating_sub(limit);
         let holding = self.calls.is_holding(overdue);
-        if has_worker && needed && !holding && now.mono >= self.hold_after {
+        // While ends are kept, the worker answers at once.
+        let paced = !self.kept.is_empty() && now.since(self.calls.last_hold()) < KEPT_PAUSE;
+        if has_worker && needed && !holding && !paced && now.mono >= self.hold_after {
             let waits = !unread && !self.runs.is_idle();
             let wait = if waits { HOLD_WAIT } else { Duration::ZERO };
             self.hold(now, Purpose::Hold, wait, out);
@@ -349,7 +370,7 @@
             call,
             lease_ms,
             fence: self.worker.fence,
-            acknowledged: self.worker.taken,
+            acknowledged: self.kept.acknowledged(self.worker.taken),
             wait_ms: u64::try_from(wait.as_millis()).unwrap_or_default(),
         });
     }
@@ -362,7 +383,7 @@
             life: self.worker.life,
             fence: self.worker.fence,
             made: now.mono,
-            taken: self.worker.taken,
+            taken: self.kept.acknowledged(self.worker.taken),
         })
     }
 
@@ -380,6 +401,7 @@
 
     fn send_reports(&mut self, now: Now, out: &mut Vec<Action>) {
         let state = self.worker_state(now);
+        self.answer_claims(out);
         let runs = &self.runs;
         let list = || runs.iter().map(|(id, _)| id.into()).collect();
         let open: Option<&dyn Fn() -> Vec<wire::RunRef>> = if self.worker.listed {
--- a/crates/core/src/executor/mod.rs
+++ b/crates/core/src/executor/mod.rs
@@ -9,6 +9,7 @@
 
 mod calls;
 mod io;
+mod kept;
 mod lists;
 mod machine;
 mod metrics;
--- a/crates/core/src/executor/owners.rs
+++ b/crates/core/src/executor/owners.rs
@@ -105,6 +105,11 @@
             .map(|(key, _)| *key)
     }
 
+    /// The connection to an entry process.
+    pub(super) fn link_of(&self, owner: Instance) -> Option<LinkKey> {
+        self.map.get(&owner).and_then(|owner| owner.link)
+    }
+
     /// Notes orders; false when they do not follow on those before.
     pub(super) fn take_orders(&mut self, owner: Instance, number: u64) {
         if let Some(owner) = self.map.get_mut(&owner) {
--- a/crates/core/src/executor/runs.rs
+++ b/crates/core/src/executor/runs.rs
@@ -38,6 +38,8 @@
 pub(super) struct Run {
     /// The entry process that ordered it; none for a run found in the worker's list.
     pub(super) owner: Option<Instance>,
+    /// Whether its end is kept until it is stored; found runs are taken for such.
+    pub(super) durable: bool,
     /// Room that it takes; unknown for a run found in the worker's list.
     pub(super) room: Option<Room>,
     /// What it runs; empty for a run found in the worker's list.
@@ -177,5 +179,6 @@
         run: Some(id.into()),
         outcome: outcome.into(),
         run_ms: u32::try_from(run_time.as_millis()).unwrap_or(u32::MAX),
+        kept: false,
     }
 }
--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -36,11 +36,19 @@
             self.runs.update(&run.into(), |run| {
                 run.owner = Some(owner);
                 run.room = run.room.or(room);
+                run.durable = claim.durable;
             });
         }
         for stop in orders.stops {
-            self.stop_run(now, &stop.into(), StopCause::Owner);
+            let id = RunId::from(stop);
+            let known = self.runs.get(&id);
+            // A durable run may have another owner since the stop was sent.
+            let foreign = known.is_some_and(|run| run.durable && run.owner != Some(owner));
+            if !foreign {
+                self.stop_run(now, &id, StopCause::Owner);
+            }
         }
+        self.take_settled(&orders.settled, &orders.voided, out);
         for phase in orders.phases {
             self.take_phase(now, owner, phase, out);
         }
@@ -59,6 +67,8 @@
         let urgent_us = i64::try_from(now.mono.as_micros()).unwrap_or(i64::MAX / 2) + slack;
         let urgent_at = Duration::from_micros(u64::try_from(urgent_us).unwrap_or_default());
         let job = SmolStr::from(order.job);
+        let durable = order.epoch > 0;
+        let current = !durable || self.claims.admits(&job, order.epoch);
         for task in order.tasks {
             self.metrics.ordered.inc();
             let id = RunId {
@@ -71,7 +81,8 @@
             };
             let waits = order.waits || (room.cpu > 0 && self.free().holds(room));
             // An order that was long on its way may have been given up by its owner.
-            let usable = self.is_usable(now) && self.owners.in_contact(now.mono, owner);
+            let heard = self.owners.in_contact(now.mono, owner);
+            let usable = self.is_usable(now) && heard && current;
             if !usable || !waits {
                 self.metrics.declined.inc();
                 let outcome = if usable {
@@ -85,6 +96,7 @@
             }
             let run = Run {
                 owner: Some(owner),
+                durable,
                 room: Some(room),
                 spec: spec.clone(),
                 stage: Stage::Waiting(now.mono + WAIT_LIMIT),
--- a/crates/core/src/executor/sweep.rs
+++ b/crates/core/src/executor/sweep.rs
@@ -28,6 +28,9 @@
             self.worker.raise_fence();
             self.lose_runs(now, "the lease has lapsed", out);
         }
+        if lapsed && self.worker.lapsing {
+            self.finish_lapse(now, out);
+        }
         if lapsed && !self.worker.listed {
             // Whatever an earlier agent started has ended.
             self.worker.listed = true;
--- a/crates/core/src/executor/worker.rs
+++ b/crates/core/src/executor/worker.rs
@@ -46,6 +46,8 @@
     pub(super) listed: bool,
     /// Whether it is known to be leaving.
     pub(super) leaving: bool,
+    /// Whether the lease is let lapse.
+    pub(super) lapsing: bool,
     /// It takes no starts until then, since it refused some.
     pub(super) refusing_until: Duration,
     /// Worker's clock and the time when it was told.
@@ -71,6 +73,7 @@
             acknowledged: 0,
             listed: false,
             leaving: false,
+            lapsing: false,
             refusing_until: Duration::ZERO,
             clock: None,
             asked: None,
@@ -87,6 +90,7 @@
         self.acknowledged = 0;
         self.listed = false;
         self.leaving = false;
+        self.lapsing = false;
         self.refusing_until = Duration::ZERO;
         self.clock = None;
         self.asked = None;
@@ -117,7 +121,7 @@
     /// known, or the worker has been silent and the lease should lapse.
     pub(super) fn lease(&mut self, now: Duration, lease: Duration) -> Option<u64> {
         let (clock_ms, at) = self.clock?;
-        if !self.answers(now) {
+        if self.lapsing || !self.answers(now) {
             return None;
         }
         self.extended = now;
@@ -156,7 +160,8 @@
     pub(super) fn is_usable(&self, now: Duration) -> bool {
         let ready = self.beat.as_ref().is_some_and(|beat| !beat.draining);
         let known = self.listed && self.clock.is_some();
-        ready && known && !self.leaving && now >= self.refusing_until && self.answers(now)
+        let stays = !self.leaving && !self.lapsing;
+        ready && known && stays && now >= self.refusing_until && self.answers(now)
     }
 
     /// Raises the fence, so that orders without an answer are refused when they arrive late.
--- a/crates/core/src/scheduler/intake.rs
+++ b/crates/core/src/scheduler/intake.rs
@@ -4,10 +4,13 @@
 
 use smol_str::SmolStr;
 
+use super::durable::end_fields;
 use super::io::{Action, Answer, CallKey, JobState};
 use super::jobs::{Job, JobKey, Progress};
 use super::machine::{Machine, log, ms};
+use super::passing::{Ask, encode_reply};
 use super::place::Tier;
+use super::record::End;
 use crate::clock::Now;
 use crate::work::{JobRequest, QueueRules};
 
@@ -45,6 +48,9 @@
         if let Some(feature) = request.unsupported {
             return self.refuse(call, &request.id, &feature.to_string(), out);
         }
+        if request.durable {
+            return self.ask(now, call, Ask::Submit(Box::new(request)), out);
+        }
         if self.is_closed(now) {
             return self.refuse(call, &request.id, "stopping", out);
         }
@@ -65,8 +71,25 @@
         rules: QueueRules,
         out: &mut Vec<Action>,
     ) {
+        let objective = self.objective(&rules, &request);
+        self.log_received(&request, objective, out);
+        let job = Job::new(now.mono, Some(call), request, rules, objective);
+        self.jobs.insert(job);
+        self.changed = true;
+    }
+
+    /// Response time in which the answer meets the target, by what is known of run times.
+    pub(super) fn objective(&self, rules: &QueueRules, request: &JobRequest) -> Duration {
         let chain = self.learning.expected(&rules.name, request.longest_chain());
-        let objective = rules.target + chain.mul_f64(rules.stretch);
+        rules.target + chain.mul_f64(rules.stretch)
+    }
+
+    pub(super) fn log_received(
+        &self,
+        request: &JobRequest,
+        objective: Duration,
+        out: &mut Vec<Action>,
+    ) {
         let fields = vec![
             ("job", request.id.to_string()),
             ("queue", request.queue.to_string()),
@@ -79,9 +102,6 @@
             ("open_jobs", self.jobs.len().to_string()),
         ];
         log(out, 301, "job received", false, fields);
-        self.jobs
-            .insert(Job::new(now.mono, call, request, rules, objective));
-        self.changed = true;
     }
 
     /// The same job is open: the caller waits for its end, or for the next run if this one was
@@ -98,6 +118,9 @@
         let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
+        if job.record.is_some() {
+            return self.refuse(call, &request.id, "the id is in use", out);
+        }
         if job.progress != Progress::Closing {
             return self.jobs.join(key, call);
         }
@@ -124,16 +147,23 @@
         self.reply(call, answer, out);
     }
 
-    pub(super) fn reply(&self, call: CallKey, answer: Answer, out: &mut Vec<Action>) {
-        out.push(Action::Reply(call, answer));
+    /// Answers a caller, here or at the process that has passed its request on.
+    pub(super) fn reply(&mut self, call: CallKey, answer: Answer, out: &mut Vec<Action>) {
+        match self.passing.take_remote(call) {
+            Some((link, number)) => out.push(Action::Send(link, encode_reply(number, &answer))),
+            None => out.push(Action::Reply(call, answer)),
+        }
     }
 
-    pub(super) fn query(&mut self, call: CallKey, id: &str, out: &mut Vec<Action>) {
+    pub(super) fn query(&mut self, now: Now, call: CallKey, id: &str, out: &mut Vec<Action>) {
         let job = self.jobs.find(id).and_then(|key| self.jobs.get(key));
-        let answer = match job.map(|job| job.progress) {
-            Some(Progress::Queued) => Answer::State(JobState::Queued),
-            Some(Progress::Running) => Answer::State(JobState::Running),
-            Some(Progress::Closing) | None => Answer::NoJob,
+        let Some(job) = job.filter(|job| job.record.is_none()) else {
+            return self.ask(now, call, Ask::Query(id.into()), out);
+        };
+        let answer = match job.progress {
+            Progress::Queued => Answer::State(JobState::Queued),
+            Progress::Running => Answer::State(JobState::Running),
+            Progress::Closing => Answer::NoJob,
         };
         self.reply(call, answer, out);
     }
@@ -146,19 +176,20 @@
         let waiting = self
             .jobs
             .iter()
-            .filter(|(_, job)| job.request.queue == queue && job.progress == Progress::Queued);
-        let pending = u32::try_from(waiting.count()).unwrap_or(u32::MAX);
+            .filter(|(_, job)| job.request.queue == queue && job.is_queued());
+        let here = u32::try_from(waiting.count()).unwrap_or(u32::MAX);
+        let pending = here.saturating_add(self.peers.waiting(queue));
         self.reply(call, Answer::Pending(pending), out);
     }
 
     pub(super) fn cancel(&mut self, now: Now, call: CallKey, id: &str, out: &mut Vec<Action>) {
         let open = self.jobs.find(id).filter(|key| {
             let job = self.jobs.get(*key);
-            job.is_some_and(|job| job.progress != Progress::Closing)
+            job.is_some_and(|job| job.progress != Progress::Closing && job.record.is_none())
         });
         let Some(key) = open else {
             self.cancel_elsewhere(id, out);
-            return self.reply(call, Answer::NoJob, out);
+            return self.ask(now, call, Ask::Cancel(id.into()), out);
         };
         self.close_job(now, key, Answer::Cancelled, "cancelled", out);
         self.reply(call, Answer::Cancelled, out);
@@ -179,7 +210,7 @@
         let mut expired: Vec<(JobKey, &'static str)> = Vec::new();
         let fleet = self.fleet_view(now);
         for (key, job) in self.jobs.iter() {
-            if job.progress == Progress::Closing {
+            if job.progress == Progress::Closing || job.record.is_some() {
                 continue;
             }
             let age = now.since(job.arrived);
@@ -222,6 +253,14 @@
         cause: &'static str,
         out: &mut Vec<Action>,
     ) {
+        if self.jobs.get(key).is_some_and(|job| job.record.is_some()) {
+            let end = match answer {
+                Answer::Completed => End::Completed,
+                Answer::Cancelled => End::Cancelled,
+                _ => End::Failed,
+            };
+            return self.end_durable(now, key, end, cause, out);
+        }
         for call in self.jobs.take_calls(key) {
             self.reply(call, answer.clone(), out);
         }
@@ -231,17 +270,7 @@
         };
         job.progress = Progress::Closing;
         let took = now.since(job.arrived);
-        let first = job.placed.map(|at| at.saturating_sub(job.arrived));
-        let fields = vec![
-            ("job", job.request.id.to_string()),
-            ("queue", job.request.queue.to_string()),
-            ("outcome", cause.to_owned()),
-            ("took_ms", ms(took)),
-            ("objective_ms", ms(job.objective)),
-            ("first_start_ms", first.map(ms).unwrap_or_default()),
-            ("starts", job.starts.to_string()),
-            ("stopped", job.out.to_string()),
-        ];
+        let fields = end_fields(now, job, cause);
         let served = matches!(answer, Answer::Completed | Answer::Failed);
         log(out, 304, "job ended", !served, fields);
         self.metrics.observe_end(&answer, took);
@@ -251,7 +280,8 @@
     /// Forgets a job that was given up, once nothing of it runs.
     pub(super) fn drop_closed(&mut self, now: Now, key: JobKey, out: &mut Vec<Action>) {
         let job = self.jobs.get(key);
-        if !job.is_some_and(|job| job.progress == Progress::Closing && job.out == 0) {
+        let ended = job.filter(|job| job.progress == Progress::Closing && job.out == 0);
+        if ended.is_none_or(|job| job.record.is_some()) {
             return;
         }
         let next = self.jobs.remove(key).and_then(|job| job.next);
--- a/crates/core/src/scheduler/io.rs
+++ b/crates/core/src/scheduler/io.rs
@@ -7,7 +7,9 @@
 use knapweedwall_wire::frame::Body;
 use smol_str::SmolStr;
 
+use super::store::{StoreCall, StoreKey, StoreOutcome};
 use crate::event::Event;
+use crate::ids::Instance;
 use crate::peer::{LinkKey, PeerInfo};
 use crate::work::{Catalog, JobRequest};
 
@@ -22,6 +24,8 @@
     pub name: SmolStr,
     /// Zone of the host.
     pub zone: SmolStr,
+    /// Run of the process.
+    pub instance: Instance,
     /// Time after a stop in which callers still find this process and are served as before.
     pub stop_accept: Duration,
     /// Longest time between a stop and the exit.
@@ -40,6 +44,8 @@
 /// Answer to a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Answer {
+    /// The job is stored and will run.
+    Accepted,
     /// The job has ended and all its tasks are done.
     Completed,
     /// A task failed as often as its queue allows.
@@ -118,6 +124,8 @@
     },
     /// Entry processes that were found: name and address.
     Found(Vec<(SmolStr, SmolStr)>),
+    /// A call to the store has an outcome.
+    Stored(StoreKey, StoreOutcome),
     /// The process was asked to stop.
     Stop,
     /// Time has passed; sent at least every 20 ms while a job is open, else every 100 ms.
@@ -133,6 +141,8 @@
     Send(LinkKey, Body),
     /// Closes a connection after a `Reject` with this code.
     Close(LinkKey, &'static str),
+    /// Calls the store; one [`Input::Stored`] follows.
+    Store(StoreKey, StoreCall),
     /// Connects to an entry process, unless there is a connection already.
     Connect(SmolStr),
     /// A configuration document arrived from another entry process.
--- a/crates/core/src/scheduler/jobs.rs
+++ b/crates/core/src/scheduler/jobs.rs
@@ -7,8 +7,9 @@
 use smol_str::SmolStr;
 
 use super::io::CallKey;
+use super::record::Record;
 use super::workers::WorkerKey;
-use crate::maps::KeyMap;
+use crate::maps::{KeyMap, KeySet};
 use crate::work::{JobRequest, QueueRules};
 
 new_key_type! {
@@ -83,12 +84,14 @@
     pub(super) ran: bool,
     /// A later submission of the same id, taken up when this one is closed.
     pub(super) next: Option<Box<(CallKey, JobRequest)>>,
+    /// Set for a durable job.
+    pub(super) record: Option<Record>,
 }
 
 impl Job {
     pub(super) fn new(
         now: Duration,
-        call: CallKey,
+        call: Option<CallKey>,
         request: JobRequest,
         rules: QueueRules,
         objective: Duration,
@@ -116,7 +119,7 @@
         Self {
             request,
             rules,
-            calls: SmallVec::from_elem(call, 1),
+            calls: call.into_iter().collect(),
             progress: Progress::Queued,
             arrived: now,
             placed: None,
@@ -127,6 +130,7 @@
             starts: 0,
             ran: false,
             next: None,
+            record: None,
         }
     }
 
@@ -198,15 +202,23 @@
 pub(super) struct Jobs {
     arena: SlotMap<JobKey, Job>,
     ids: KeyMap<SmolStr, JobKey>,
+    /// Jobs that have not ended for good.
+    open: KeySet<JobKey>,
     calls: KeyMap<CallKey, JobKey>,
 }
 
 impl Jobs {
     pub(super) fn insert(&mut self, job: Job) -> JobKey {
-        let (id, call) = (job.request.id.clone(), job.calls[0]);
+        let (id, calls) = (job.request.id.clone(), job.calls.clone());
+        let ended = job.progress == Progress::Closing;
         let key = self.arena.insert(job);
         self.ids.insert(id, key);
-        self.calls.insert(call, key);
+        if !ended {
+            self.open.insert(key);
+        }
+        for call in calls {
+            self.calls.insert(call, key);
+        }
         key
     }
 
@@ -253,15 +265,29 @@
     pub(super) fn remove(&mut self, key: JobKey) -> Option<Job> {
         let job = self.arena.remove(key)?;
         self.ids.remove(&job.request.id);
+        self.open.remove(&key);
         Some(job)
     }
 
+    /// Notes that a job has ended and is only kept for those who ask for it.
+    pub(super) fn retire(&mut self, key: JobKey) {
+        self.open.remove(&key);
+    }
+
+    /// Jobs that have not ended for good.
     pub(super) fn iter(&self) -> impl Iterator<Item = (JobKey, &Job)> {
+        let open = self.open.iter();
+        open.filter_map(|&key| Some((key, self.arena.get(key)?)))
+    }
+
+    /// All jobs, also those that are only kept for those who ask for them.
+    pub(super) fn iter_all(&self) -> impl Iterator<Item = (JobKey, &Job)> {
         self.arena.iter()
     }
 
+    /// Number of jobs that have not ended for good.
     pub(super) fn len(&self) -> usize {
-        self.arena.len()
+        self.open.len()
     }
 
     /// Whether somebody waits for an answer.
--- a/crates/core/src/scheduler/links.rs
+++ b/crates/core/src/scheduler/links.rs
@@ -40,19 +40,21 @@
         out: &mut Vec<Action>,
     ) {
         if peer.role == Role::Entry {
-            self.peers
-                .insert(link, (peer.name.clone(), peer.address.clone()));
+            self.peers.insert(now.mono, link, &peer);
             if !self.document.is_empty() {
                 out.push(Action::Send(link, self.configuration()));
             }
             return self.found(vec![(peer.name, peer.address)], out);
         }
-        self.workers.link_up(now.mono, link, peer);
+        let key = self.workers.link_up(now.mono, link, peer);
         out.push(Action::Send(link, self.beat(0)));
+        self.introduce_shards(key, out);
     }
 
     pub(super) fn link_down(&mut self, now: Now, link: LinkKey, out: &mut Vec<Action>) {
-        self.peers.remove(&link);
+        if self.peers.remove(link) {
+            return self.lose_replies(link, out);
+        }
         let Some(key) = self.workers.link_down(link) else {
             return;
         };
@@ -80,16 +82,32 @@
                     self.take_reports(now, key, reports, out);
                 }
             }
-            Body::ConfigUpdate(update) if self.peers.contains_key(&link) => {
+            Body::ShardRuns(runs) => {
+                if let Some(key) = self.workers.behind(link) {
+                    self.take_shard_runs(now, key, runs, out);
+                }
+            }
+            Body::PeerBeat(beat) if self.peers.contains(link) => {
+                self.take_peer_beat(now, link, beat);
+            }
+            Body::JobCall(call) if self.peers.contains(link) => {
+                self.take_job_call(now, link, call, out);
+            }
+            Body::JobReply(reply) if self.peers.contains(link) => {
+                self.take_job_reply(&reply, out);
+            }
+            Body::ConfigUpdate(update) if self.peers.contains(link) => {
                 out.push(Action::Document(update.document));
             }
-            Body::OwnerBeat(beat) if self.peers.contains_key(&link) => {
+            Body::OwnerBeat(beat) if self.peers.contains(link) => {
                 let entries = beat.entries.into_iter();
                 let entries = entries.map(|entry| (entry.name.into(), entry.address.into()));
                 self.found(entries.collect(), out);
             }
             Body::CancelRuns(cancel) => {
-                if let Some(key) = self.jobs.find(&cancel.job) {
+                let found = self.jobs.find(&cancel.job);
+                let plain = |key: &_| self.jobs.get(*key).is_some_and(|job| job.record.is_none());
+                if let Some(key) = found.filter(plain) {
                     let answer = super::io::Answer::Cancelled;
                     self.close_job(now, key, answer, "cancelled elsewhere", out);
                 }
@@ -161,7 +179,7 @@
     }
 
     /// Claims a listed run of an open job, and stops one of a job that was given up.
-    fn claim(&mut self, key: WorkerKey, run: &RunId) {
+    pub(super) fn claim(&mut self, key: WorkerKey, run: &RunId) {
         let job = self
             .jobs
             .find(&run.task.job)
@@ -179,6 +197,7 @@
         worker.outbox.claims.push(wire::RunClaim {
             run: Some(run.into()),
             room: Some(room.into()),
+            durable: job.record.is_some(),
         });
     }
 
@@ -267,7 +286,7 @@
         }
         let agents = self.workers.iter();
         let agents = agents.filter_map(|(_, w)| w.link.map(|link| (link, w.reports_seen)));
-        let peers = self.peers.keys().map(|link| (*link, 0));
+        let peers = self.peers.links().map(|link| (link, 0));
         for (link, seen) in agents.chain(peers).collect::<Vec<_>>() {
             out.push(Action::Send(link, self.beat(seen)));
         }
@@ -282,16 +301,16 @@
 
     /// Tells other entry processes of the configuration in force.
     pub(super) fn tell_configuration(&self, out: &mut Vec<Action>) {
-        for link in self.peers.keys() {
-            out.push(Action::Send(*link, self.configuration()));
+        for link in self.peers.links() {
+            out.push(Action::Send(link, self.configuration()));
         }
     }
 
     /// Cancels a job that is not known here wherever it is.
     pub(super) fn cancel_elsewhere(&self, id: &str, out: &mut Vec<Action>) {
-        for link in self.peers.keys() {
+        for link in self.peers.links() {
             let cancel = wire::CancelRuns { job: id.to_owned() };
-            out.push(Action::Send(*link, Body::CancelRuns(cancel)));
+            out.push(Action::Send(link, Body::CancelRuns(cancel)));
         }
     }
 }
--- a/crates/core/src/scheduler/machine.rs
+++ b/crates/core/src/scheduler/machine.rs
@@ -1,20 +1,23 @@
 //! The state machine of an entry process. `intake` has the transitions of callers, `place` those
 //! of orders, `reports` those of runs that end, `links` those of other processes.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use bytes::Bytes;
 use smol_str::SmolStr;
 
-use super::io::{Action, Input, Settings};
-use super::jobs::Jobs;
+use super::io::{Action, CallKey, Input, Settings};
+use super::jobs::{JobKey, Jobs};
 use super::learning::Learning;
 use super::metrics::Metrics;
+use super::passing::Passing;
+use super::peers::Peers;
+use super::shards::Shards;
 use super::workers::Workers;
 use crate::clock::Now;
 use crate::event::Event;
 use crate::maps::KeyMap;
-use crate::peer::LinkKey;
 use crate::work::Catalog;
 
 /// A turn that comes this much later than the one before shows that the process stood still.
@@ -35,8 +38,13 @@
     pub(super) document: Bytes,
     pub(super) jobs: Jobs,
     pub(super) workers: Workers,
-    /// Connections to other entry processes.
-    pub(super) peers: KeyMap<LinkKey, (SmolStr, SmolStr)>,
+    pub(super) peers: Peers,
+    pub(super) shards: Shards,
+    pub(super) passing: Passing,
+    /// Callers who wait for the end of a job: until when, the job, the caller.
+    pub(super) looks: VecDeque<(Duration, JobKey, CallKey)>,
+    /// When ended jobs were last looked through.
+    pub(super) forgot: Duration,
     /// Entry processes that were found: address by name.
     pub(super) entries: KeyMap<SmolStr, SmolStr>,
     pub(super) learning: Learning,
@@ -62,7 +70,11 @@
             document: Bytes::new(),
             jobs: Jobs::default(),
             workers: Workers::default(),
-            peers: KeyMap::default(),
+            peers: Peers::default(),
+            shards: Shards::default(),
+            passing: Passing::default(),
+            looks: VecDeque::new(),
+            forgot: Duration::ZERO,
             entries: KeyMap::default(),
             learning: Learning::default(),
             metrics,
@@ -81,7 +93,7 @@
         self.notice_standstill(now, out);
         match input {
             Input::Submit { call, job } => self.submit(now, call, *job, out),
-            Input::Query { call, id } => self.query(call, &id, out),
+            Input::Query { call, id } => self.query(now, call, &id, out),
             Input::Cancel { call, id } => self.cancel(now, call, &id, out),
             Input::Count { call, queue } => self.count(call, &queue, out),
             Input::CallGone(call) => self.call_gone(now, call, out),
@@ -90,6 +102,7 @@
             Input::Frame(link, body) => self.take_frame(now, link, body, out),
             Input::Configure { catalog, document } => self.configure(catalog, document, out),
             Input::Found(entries) => self.found(entries, out),
+            Input::Stored(key, outcome) => self.take_stored(now, key, outcome, out),
             Input::Stop => self.take_stop(now, out),
             Input::Tick => {}
         }
@@ -102,6 +115,11 @@
             self.round = now.mono;
             self.lose_agents(now, out);
             self.expire_jobs(now, out);
+            self.tend_peers(now, out);
+            self.tend_passing(now, out);
+            self.tend_looks(now, out);
+            self.tend_shards(now, out);
+            self.forget_jobs(now);
             self.update_ready(out);
             self.changed = true;
         }
@@ -109,6 +127,7 @@
             self.changed = false;
             self.place(now);
         }
+        self.flush_shards(now, out);
         self.send_orders(now, out);
         self.try_exit(now, out);
     }
@@ -152,6 +171,7 @@
         log(out, 306, "configuration in force", false, fields);
         let version = i64::try_from(catalog.version).unwrap_or(i64::MAX);
         self.metrics.config_version.set(version);
+        self.adopt_rules(&catalog);
         self.catalog = Some(catalog);
         self.document = document;
         self.tell_configuration(out);
@@ -169,11 +189,24 @@
         }
     }
 
+    /// Durable jobs follow the rules of their queue.
+    fn adopt_rules(&mut self, catalog: &Catalog) {
+        let open = self.jobs.iter().filter(|(_, job)| job.record.is_some());
+        for key in open.map(|(key, _)| key).collect::<Vec<_>>() {
+            if let Some(job) = self.jobs.get_mut(key)
+                && let Some(rules) = catalog.queue(&job.request.queue)
+            {
+                job.rules = rules.clone();
+            }
+        }
+    }
+
     fn take_stop(&mut self, now: Now, out: &mut Vec<Action>) {
         if self.stopping.is_none() {
             self.stopping = Some(now.mono);
             let fields = vec![("open_jobs", self.jobs.len().to_string())];
             log(out, 308, "planned stop begins", false, fields);
+            self.release_shards();
             self.update_ready(out);
         }
     }
@@ -188,7 +221,8 @@
         let Some(since) = self.stopping else {
             return;
         };
-        let idle = self.is_closed(now) && !self.jobs.any_caller();
+        let waits = self.jobs.any_caller() || self.passing.any();
+        let idle = self.is_closed(now) && !waits && !self.holds_shards();
         if (idle || now.since(since) >= self.settings.stop_limit) && !self.exited {
             self.exited = true;
             let fields = vec![("open_jobs", self.jobs.len().to_string())];
--- a/crates/core/src/scheduler/place.rs
+++ b/crates/core/src/scheduler/place.rs
@@ -12,6 +12,7 @@
 use knapweedwall_wire as wire;
 use smallvec::SmallVec;
 
+use super::durable::next_attempt;
 use super::intake::LATE_FACTOR;
 use super::io::Action;
 use super::jobs::{Job, JobKey, Place, Progress, to_u32};
@@ -74,7 +75,8 @@
         let fleet = self.fleet_view(now);
         let mut ready: Vec<(Urgency, JobKey)> = Vec::new();
         for (key, job) in self.jobs.iter() {
-            if job.waiting > 0 && job.progress != Progress::Closing {
+            let waits = job.waiting > 0 && job.progress != Progress::Closing;
+            if waits && self.may_place(now, job) {
                 ready.push((self.urgency(now, job, fleet), key));
             }
         }
@@ -255,6 +257,7 @@
         worker_key: WorkerKey,
         (start_by, waits): (Duration, bool),
     ) {
+        let epoch = self.jobs.get(key).map_or(0, |job| self.epoch_of(job));
         let (Some(job), Some(worker)) = (self.jobs.get_mut(key), self.workers.get_mut(worker_key))
         else {
             return;
@@ -270,7 +273,7 @@
         let Some(task) = job.task_mut(phase, index) else {
             return;
         };
-        task.attempt += 1;
+        task.attempt = next_attempt(task.attempt, epoch);
         let attempt = wire::TaskAttempt {
             index,
             attempt: task.attempt,
@@ -299,12 +302,21 @@
             slack_ms: slack_ms(now, start_by),
             waits,
             tasks: vec![attempt],
+            epoch,
         });
     }
 
     /// Orders the stop of everything of a job that is placed; its other tasks are not started.
     pub(super) fn stop_tasks(&mut self, key: JobKey) {
-        let Some(job) = self.jobs.get_mut(key) else {
+        self.stop_runs(key);
+        if let Some(job) = self.jobs.get_mut(key) {
+            job.waiting = 0;
+        }
+    }
+
+    /// Orders the stop of everything of a job that is placed.
+    pub(super) fn stop_runs(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(key) else {
             return;
         };
         let mut placed: SmallVec<[(RunId, WorkerKey); 8]> = SmallVec::new();
@@ -324,7 +336,6 @@
                 placed.push((run, worker));
             }
         }
-        job.waiting = 0;
         for (run, worker) in placed {
             if let Some(worker) = self.workers.get_mut(worker) {
                 worker.outbox.stops.push((&run).into());
--- a/crates/core/src/scheduler/reports.rs
+++ b/crates/core/src/scheduler/reports.rs
@@ -27,6 +27,9 @@
             return;
         };
         let run_time = Duration::from_millis(u64::from(report.run_ms));
+        if report.kept {
+            self.take_kept_end(now, from, &run, report.outcome());
+        }
         self.end_run(now, from, &run, report.outcome(), run_time, out);
     }
 
--- a/crates/core/src/scheduler/workers.rs
+++ b/crates/core/src/scheduler/workers.rs
@@ -60,6 +60,10 @@
     orders: u64,
     /// Runs of this entry process that are not closed.
     pub(super) runs: KeySet<RunId>,
+    /// Ends that the worker keeps until they are settled.
+    pub(super) unsettled: KeySet<RunId>,
+    /// Number of the last claim of shards that the agent has answered on this connection.
+    pub(super) claim_seen: u64,
     pub(super) speed: Speed,
     bad: f64,
     held_until: Duration,
@@ -137,7 +141,9 @@
     /// Takes the orders of this turn, numbered.
     pub(super) fn take_orders(&mut self) -> Option<(LinkKey, wire::RunOrders)> {
         let orders = &self.outbox;
-        if orders.phases.is_empty() && orders.stops.is_empty() && orders.claims.is_empty() {
+        let settles = !orders.settled.is_empty() || !orders.voided.is_empty();
+        let stops = !orders.stops.is_empty() || !orders.claims.is_empty();
+        if orders.phases.is_empty() && !stops && !settles {
             return None;
         }
         let mut orders = std::mem::take(&mut self.outbox);
@@ -150,6 +156,8 @@
     /// Forgets what belonged to an earlier connection.
     fn reset(&mut self) {
         self.listed = false;
+        self.claim_seen = 0;
+        self.unsettled.clear();
         self.reports_seen = 0;
         self.orders = 0;
         self.unseen.clear();
@@ -214,6 +222,8 @@
                 unseen: VecDeque::new(),
                 orders: 0,
                 runs: KeySet::default(),
+                unsettled: KeySet::default(),
+                claim_seen: 0,
                 speed: Speed::default(),
                 bad: 0.0,
                 held_until: Duration::ZERO,
--- a/crates/core/src/work/job.rs
+++ b/crates/core/src/work/job.rs
@@ -20,6 +20,8 @@
     pub phases: Vec<PhaseSpec>,
     /// How long the caller waits for the answer; none when it gave no limit.
     pub wait: Option<Duration>,
+    /// Whether the job outlives the process that accepted it.
+    pub durable: bool,
     /// What the job needs and this version does not provide.
     pub unsupported: Option<Feature>,
 }
@@ -67,9 +69,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
 #[non_exhaustive]
 pub enum Feature {
-    /// The job must outlive the process that accepted it.
-    #[display("durable jobs")]
-    Durable,
     /// Tasks that work only together.
     #[display("gangs")]
     Gang,
--- a/crates/core/src/work/mod.rs
+++ b/crates/core/src/work/mod.rs
@@ -3,7 +3,9 @@
 mod job;
 mod reference;
 mod room;
+mod shard;
 
 pub use job::{Catalog, Feature, JobRequest, PhaseSpec, QueueRules};
 pub use reference::{RunId, TaskId};
 pub use room::Room;
+pub use shard::{SHARDS, shard_of};
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -14,6 +14,8 @@
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
+use crate::peers::PeerLink;
+use crate::store::Store;
 use crate::worker::{LEASE_MS, Worker, spec};
 
 /// Way between two processes.
@@ -116,6 +118,11 @@
     entries: Vec<Entry>,
     hosts: Vec<Host>,
     links: BTreeMap<(usize, usize), Link>,
+    /// Connections between entry processes.
+    pub peers: Vec<PeerLink>,
+    pub store: Store,
+    /// Answers to questions and cancellations, by call.
+    replies: BTreeMap<u64, Answer>,
     pub callers: Vec<Caller>,
     next_key: u64,
     rng: ChaCha8Rng,
@@ -150,6 +157,9 @@
             entries: Vec::new(),
             hosts: hosts.collect(),
             links: BTreeMap::new(),
+            peers: Vec::new(),
+            store: Store::default(),
+            replies: BTreeMap::new(),
             callers: Vec::new(),
             next_key: 1,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -168,6 +178,9 @@
                 backlog: Vec::new(),
             });
             fleet.start_entry(at);
+            fleet
+                .peers
+                .extend((0..at).map(|first| PeerLink::new(first, at)));
         }
         for at in 0..workers.len() {
             fleet.start_agent(at);
@@ -179,7 +192,7 @@
         fleet
     }
 
-    fn key(&mut self) -> u64 {
+    pub fn key(&mut self) -> u64 {
         self.next_key += 1;
         self.next_key
     }
@@ -202,6 +215,7 @@
         let settings = scheduler::Settings {
             name: name.into(),
             zone: "a".into(),
+            instance: Instance(instance),
             stop_accept: Duration::from_secs(2),
             stop_limit: Duration::from_secs(5),
         };
@@ -234,6 +248,7 @@
         self.entries[at].frozen = false;
         self.entries[at].backlog.clear();
         self.reset_links(|entry, _| entry == at);
+        self.reset_peers(|first, second| first == at || second == at);
         let resend_ms = self.now_ms + RESEND_MS;
         for caller in &mut self.callers {
             if caller.entry == at && caller.answer.is_none() {
@@ -307,6 +322,16 @@
         self.entries[at].machine.is_some()
     }
 
+    /// Run of an entry process.
+    pub fn instance_of(&self, at: usize) -> u64 {
+        self.entries[at].instance
+    }
+
+    /// Whether an entry process runs and does not stand still.
+    pub fn is_awake(&self, at: usize) -> bool {
+        self.entries[at].machine.is_some() && !self.entries[at].frozen
+    }
+
     pub fn has_agent(&self, at: usize) -> bool {
         self.hosts[at].agent.is_some()
     }
@@ -377,7 +402,7 @@
         }
     }
 
-    fn entry_input(&mut self, at: usize, input: scheduler::Input) {
+    pub fn entry_input(&mut self, at: usize, input: scheduler::Input) {
         if self.entries[at].frozen {
             return self.entries[at].backlog.push(input);
         }
@@ -416,9 +441,18 @@
                 scheduler::Action::Send(key, body) => {
                     if let Some((_, link)) = self.link_of(key) {
                         link.down.push_back((due, body));
+                    } else {
+                        self.send_peer(at, key, body);
                     }
                 }
+                scheduler::Action::Store(key, call) => {
+                    let instance = self.entries[at].instance;
+                    self.store.call(self.now_ms, (at, instance), key, call);
+                }
                 scheduler::Action::Close(key, _) => {
+                    if self.close_peer(key) {
+                        continue;
+                    }
                     if let Some(((entry, host), _)) = self.link_of(key) {
                         self.reset_link(entry, host);
                     }
@@ -650,6 +684,7 @@
                 ..PhaseSpec::default()
             }],
             wait: job.wait_ms.map(Duration::from_millis),
+            durable: job.durable,
             unsupported: None,
         };
         self.callers.push(Caller {
@@ -667,11 +702,15 @@
 
     /// Submits the job of a caller once more, on a connection of its own.
     pub fn submit_again(&mut self, number: usize) -> usize {
+        self.submit_again_at(number, self.callers[number].entry)
+    }
+
+    /// Submits the job of a caller once more, at another entry process.
+    pub fn submit_again_at(&mut self, number: usize, entry: usize) -> usize {
         let again = self.callers.len();
         let mut caller = self.callers[number].clone();
         caller.answer = None;
         caller.sent_ms = self.now_ms;
-        let entry = caller.entry;
         self.callers.push(caller);
         self.send(again, entry);
         again
@@ -703,6 +742,7 @@
         let mut callers = self.callers.iter_mut();
         let found = callers.find(|caller| caller.entry == entry && caller.call == call.0);
         let Some(caller) = found else {
+            self.replies.insert(call.0, answer);
             return;
         };
         if answer == Answer::GaveUp {
@@ -713,6 +753,54 @@
         caller.took_ms = now_ms - caller.sent_ms;
     }
 
+    /// State of a caller's job at an entry process.
+    pub fn query(&mut self, entry: usize, number: usize) -> Option<Answer> {
+        let id = self.callers[number].request.id.clone();
+        self.ask(entry, |call| scheduler::Input::Query { call, id })
+    }
+
+    /// Cancels a caller's job at an entry process.
+    pub fn cancel(&mut self, entry: usize, number: usize) -> Option<Answer> {
+        let id = self.callers[number].request.id.clone();
+        self.ask(entry, |call| scheduler::Input::Cancel { call, id })
+    }
+
+    fn ask(
+        &mut self,
+        entry: usize,
+        input: impl FnOnce(CallKey) -> scheduler::Input,
+    ) -> Option<Answer> {
+        let call = self.key();
+        self.entry_input(entry, input(CallKey(call)));
+        self.run(100);
+        self.replies.remove(&call)
+    }
+
+    /// Starts of tasks on all workers.
+    pub fn starts(&self) -> u64 {
+        self.hosts.iter().map(|host| host.worker.starts).sum()
+    }
+
+    /// Durable tasks that were started after an end `done` that was taken note of.
+    fn repeated(&self) -> Vec<String> {
+        let durable = |task: &TaskId| {
+            let mut callers = self.callers.iter();
+            callers.any(|caller| caller.request.id == task.job && caller.request.durable)
+        };
+        let workers = || self.hosts.iter().map(|host| &host.worker);
+        let mut found = Vec::new();
+        for (task, done_ms) in workers().flat_map(|worker| &worker.noted) {
+            let starts = workers().flat_map(|worker| &worker.started);
+            let mut again = starts.filter(|(other, at_ms)| other == task && at_ms > done_ms);
+            if let Some((_, at_ms)) = again.next()
+                && durable(task)
+            {
+                found.push(format!("{task} done at {done_ms}, started at {at_ms}"));
+            }
+        }
+        found
+    }
+
     fn resend(&mut self) {
         for number in 0..self.callers.len() {
             let due = self.callers[number].resend_ms;
@@ -805,7 +893,10 @@
         for _ in 0..ms {
             self.now_ms += 1;
             self.relink();
+            self.relink_peers();
             self.deliver();
+            self.deliver_peers();
+            self.deliver_store();
             for at in 0..self.hosts.len() {
                 self.heartbeat(at);
                 self.carry_out_calls(at);
@@ -849,6 +940,7 @@
     /// Ends the test if a rule was broken.
     pub fn assert_rules(&self) {
         assert_eq!(self.faults, Vec::<String>::new());
+        assert_eq!(self.repeated(), Vec::<String>::new());
         for host in &self.hosts {
             assert_eq!(host.worker.faults, Vec::<String>::new());
         }
@@ -918,6 +1010,7 @@
     pub run_ms: u64,
     pub fails: bool,
     pub wait_ms: Option<u64>,
+    pub durable: bool,
 }
 
 impl Job {
@@ -928,6 +1021,19 @@
             run_ms,
             fails: false,
             wait_ms: None,
+            durable: false,
         }
     }
+
+    /// A job that must be kept.
+    pub fn durable(mut self) -> Self {
+        self.durable = true;
+        self
+    }
+
+    /// A job whose tasks fail.
+    pub fn failing(mut self) -> Self {
+        self.fails = true;
+        self
+    }
 }
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -3,12 +3,15 @@
 #![allow(clippy::print_stdout, reason = "the log of a run that is looked into")]
 
 mod fleet;
+mod peers;
+mod store;
 mod worker;
 
 mod bad_workers;
 mod bounded_room;
 mod callers_gone;
 mod calm_jobs;
+mod durable_jobs;
 mod lost_agents;
 mod lost_starts;
 mod overload;
--- /dev/null
+++ b/crates/core/tests/jobs/store.rs
@@ -0,0 +1,162 @@
+//! Model of the store: shards as parts with conditional writes.
+
+use std::collections::BTreeMap;
+
+use knapweedwall_core::scheduler::{StoreCall, StoreKey, StoreOutcome, StoreRow};
+use knapweedwall_core::{Instance, Shard};
+use smol_str::SmolStr;
+
+/// Time of a call.
+const CALL_MS: u64 = 12;
+
+/// Time after which a call without an answer is given up by its client.
+const LIMIT_MS: u64 = 900;
+
+/// Rows of one reading.
+const PAGE_ROWS: usize = 3;
+
+/// A call on its way.
+#[derive(Debug)]
+struct Pending {
+    due_ms: u64,
+    entry: usize,
+    instance: u64,
+    key: StoreKey,
+    call: StoreCall,
+    /// The answer is lost.
+    lost: bool,
+}
+
+/// An outcome: entry process, its run, the call, what became of it.
+pub type Outcome = (usize, u64, StoreKey, StoreOutcome);
+
+/// The store.
+#[derive(Debug, Default)]
+pub struct Store {
+    rows: BTreeMap<(Shard, SmolStr), StoreRow>,
+    owners: BTreeMap<Shard, StoreRow>,
+    beats: BTreeMap<Instance, u64>,
+    version: u64,
+    pending: Vec<Pending>,
+    timeouts: Vec<(u64, Outcome)>,
+    /// It answers nothing and does nothing.
+    pub down: bool,
+    /// Entry processes that cannot reach it.
+    pub cut: Vec<usize>,
+    /// Every so many writes lose their answer, and take effect at once or much later by turns.
+    pub lose_each: u64,
+    writes: u64,
+}
+
+impl Store {
+    pub fn call(
+        &mut self,
+        now_ms: u64,
+        (entry, instance): (usize, u64),
+        key: StoreKey,
+        call: StoreCall,
+    ) {
+        let timeout = (entry, instance, key, StoreOutcome::NoAnswer);
+        if self.down || self.cut.contains(&entry) {
+            return self.timeouts.push((now_ms + LIMIT_MS, timeout));
+        }
+        let writes = matches!(call, StoreCall::Write { .. });
+        self.writes += u64::from(writes);
+        let lost = writes && self.lose_each > 0 && self.writes.is_multiple_of(self.lose_each);
+        let late = lost && (self.writes / self.lose_each).is_multiple_of(2);
+        if lost {
+            self.timeouts.push((now_ms + LIMIT_MS, timeout));
+        }
+        let due_ms = now_ms + if late { 3_000 } else { CALL_MS };
+        self.pending.push(Pending {
+            due_ms,
+            entry,
+            instance,
+            key,
+            call,
+            lost,
+        });
+    }
+
+    /// Outcomes that are due.
+    pub fn pass(&mut self, now_ms: u64) -> Vec<Outcome> {
+        let mut outcomes = Vec::new();
+        let pending = std::mem::take(&mut self.pending);
+        for call in pending {
+            if call.due_ms > now_ms {
+                self.pending.push(call);
+                continue;
+            }
+            let outcome = self.carry_out(&call);
+            if !call.lost {
+                outcomes.push((call.entry, call.instance, call.key, outcome));
+            }
+        }
+        let timeouts = std::mem::take(&mut self.timeouts);
+        for (due_ms, outcome) in timeouts {
+            if due_ms > now_ms {
+                self.timeouts.push((due_ms, outcome));
+            } else {
+                outcomes.push(outcome);
+            }
+        }
+        outcomes
+    }
+
+    fn carry_out(&mut self, pending: &Pending) -> StoreOutcome {
+        match &pending.call {
+            StoreCall::ReadOwner(shard) => {
+                let row = self.owners.get(shard).cloned();
+                StoreOutcome::Rows(row.into_iter().collect(), false)
+            }
+            StoreCall::ReadJobs { shard, after } => {
+                let rows = self.rows.iter();
+                let rows = rows.filter(|((of, id), _)| of == shard && id > after);
+                let mut rows: Vec<StoreRow> = rows.map(|(_, row)| row.clone()).collect();
+                let more = rows.len() > PAGE_ROWS;
+                rows.truncate(PAGE_ROWS);
+                StoreOutcome::Rows(rows, more)
+            }
+            StoreCall::Write {
+                shard,
+                expected,
+                owner,
+                jobs,
+            } => {
+                let present = self.owners.get(shard);
+                if present.map_or(0, |row| row.version) != *expected {
+                    return StoreOutcome::Conflict(present.cloned());
+                }
+                self.version += 1;
+                let row = |id: &SmolStr, value: &bytes::Bytes| StoreRow {
+                    id: id.clone(),
+                    value: value.clone(),
+                    version: self.version,
+                };
+                self.owners.insert(*shard, row(&SmolStr::default(), owner));
+                for (id, value) in jobs {
+                    let key = (*shard, id.clone());
+                    match value {
+                        Some(value) => self.rows.insert(key, row(id, value)),
+                        None => self.rows.remove(&key),
+                    };
+                }
+                StoreOutcome::Written(self.version)
+            }
+            StoreCall::WriteBeat => {
+                self.version += 1;
+                self.beats.insert(Instance(pending.instance), self.version);
+                StoreOutcome::Written(self.version)
+            }
+            StoreCall::ReadBeat(instance) => {
+                let version = self.beats.get(instance).copied();
+                let row = version.map(|version| StoreRow {
+                    id: SmolStr::default(),
+                    value: bytes::Bytes::new(),
+                    version,
+                });
+                StoreOutcome::Rows(row.into_iter().collect(), false)
+            }
+        }
+    }
+}
--- a/crates/core/tests/jobs/worker.rs
+++ b/crates/core/tests/jobs/worker.rs
@@ -49,6 +49,12 @@
     ended: Vec<EndedRow>,
     last_end: u64,
     pub starts: u64,
+    /// Tasks that were started, with the time.
+    pub started: Vec<(TaskId, u64)>,
+    /// Tasks with an end `done` that is listed: number, time, whether the lease lapsed since.
+    done: BTreeMap<u64, (TaskId, u64, bool)>,
+    /// Ends `done` that were taken note of.
+    pub noted: Vec<(TaskId, u64)>,
     /// Broken rules, in words.
     pub faults: Vec<String>,
 }
@@ -69,6 +75,9 @@
             ended: Vec::new(),
             last_end: 0,
             starts: 0,
+            started: Vec::new(),
+            done: BTreeMap::new(),
+            noted: Vec::new(),
             faults: Vec::new(),
         }
     }
@@ -84,10 +93,13 @@
     /// Ends the lifetime and begins another.
     pub fn restart(&mut self, now_ms: u64) {
         let faults = std::mem::take(&mut self.faults);
-        let starts = self.starts;
+        let (starts, started) = (self.starts, std::mem::take(&mut self.started));
+        let noted = std::mem::take(&mut self.noted);
         *self = Self::new(self.cpu, self.speed, now_ms);
         self.faults = faults;
         self.starts = starts;
+        self.started = started;
+        self.noted = noted;
     }
 
     fn extend(&mut self, now_ms: u64, lease_ms: Option<u64>) {
@@ -112,6 +124,9 @@
     /// Lets time pass. Returns whether a run ended.
     pub fn pass(&mut self, now_ms: u64) -> bool {
         let lapsed = Self::clock(now_ms) > self.lease_ms;
+        for end in self.done.values_mut() {
+            end.2 |= lapsed;
+        }
         let runs = self.runs.clone();
         let mut any = false;
         for (id, run) in runs {
@@ -130,6 +145,9 @@
                 continue;
             };
             self.end(&id, cause);
+            if cause == EndCause::Done {
+                self.done.insert(self.last_end, (id.task, now_ms, false));
+            }
             any = true;
         }
         any
@@ -165,6 +183,7 @@
         let fails = parts.next().unwrap() == 1 || self.broken;
         let run_ms = if self.broken { 3 } else { run_ms };
         self.starts += 1;
+        self.started.push((run.task.clone(), now_ms));
         self.runs.insert(
             run.clone(),
             WorkerRun {
@@ -214,6 +233,15 @@
         self.fence = fence;
         self.extend(now_ms, lease_ms);
         self.ended.retain(|row| row.number > acknowledged);
+        while let Some(end) = self.done.first_entry() {
+            if *end.key() > acknowledged {
+                break;
+            }
+            let (task, at_ms, lapsed) = end.remove();
+            if !lapsed {
+                self.noted.push((task, at_ms));
+            }
+        }
         let percent = |run: &WorkerRun| {
             let span = (run.ends_ms - run.started_ms).max(1);
             let done = if self.hangs {
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use knapweedwall_core::scheduler::{Action, Answer, CallKey, Input, Machine};
+use knapweedwall_core::scheduler::{Action, Answer, CallKey, Input, Machine, StoreCall, StoreKey};
 use knapweedwall_runtime::admin::Readiness;
 use knapweedwall_runtime::links::{LinkEvent, LinksHandle};
 use knapweedwall_runtime::log;
@@ -24,6 +24,9 @@
     /// Answers a request.
     fn reply(&self, call: CallKey, answer: Answer);
 
+    /// Calls the store; one input with the outcome follows.
+    fn store(&self, key: StoreKey, call: StoreCall);
+
     /// Takes a configuration document that another entry process has sent.
     fn document(&self, document: Bytes);
 
@@ -93,6 +96,7 @@
                 Action::Close(link, code) => self.links.close(link, code),
                 Action::Connect(address) => self.links.connect(address),
                 Action::Document(document) => self.port.document(document),
+                Action::Store(key, call) => self.port.store(key, call),
                 Action::Ready(ready) => {
                     self.ready.set(ready);
                     if !ready {
--- a/crates/runtime/src/links/kind.rs
+++ b/crates/runtime/src/links/kind.rs
@@ -3,7 +3,7 @@
 use knapweedwall_wire::frame::Body;
 
 /// Number of kinds.
-pub(super) const KINDS: usize = 24;
+pub(super) const KINDS: usize = 29;
 
 /// Names of the kinds, by index.
 pub(super) const NAMES: [&str; KINDS] = [
@@ -31,6 +31,11 @@
     "run_reports",
     "owner_beat",
     "cancel_runs",
+    "shard_claim",
+    "shard_runs",
+    "peer_beat",
+    "job_call",
+    "job_reply",
 ];
 
 /// Index of the kind of `body`.
@@ -60,5 +65,10 @@
         Body::RunReports(_) => 21,
         Body::OwnerBeat(_) => 22,
         Body::CancelRuns(_) => 23,
+        Body::ShardClaim(_) => 24,
+        Body::ShardRuns(_) => 25,
+        Body::PeerBeat(_) => 26,
+        Body::JobCall(_) => 27,
+        Body::JobReply(_) => 28,
     }
 }
