fix(core): shards leave processes without the store; ends beyond a full list are not lost

Ruled out: acknowledging past an unsettled end (the number is cumulative). Change: a process whose calls to the store fail for 400 ms gives its shards up to one that the store serves, and says so to its peers; submissions that were certainly not stored are refused after 250 ms; the lease is 4 s instead of 7, and what runs is stopped 1 s later; a list with 500 ends closes nothing, and a worker that keeps 350 ends gets no further work; counts of lost processes are kept for 12 s.

--- a/crates/core/src/executor/lists.rs
+++ b/crates/core/src/executor/lists.rs
@@ -10,6 +10,9 @@
 use crate::maps::KeySet;
 use crate::work::RunId;
 
+/// Ends that one list holds at most.
+const LISTED_ENDS: usize = 500;
+
 impl Machine {
     pub(super) fn take_held(
         &mut self,
@@ -63,6 +66,8 @@
             self.worker.born = Some(born);
         }
         self.worker.acknowledged = self.worker.acknowledged.max(call.taken);
+        // With more ends than a list holds, a run that is not listed may have ended.
+        let whole = holding.ended.len() < LISTED_ENDS;
         for row in holding.ended {
             self.take_end(now, &row, out);
         }
@@ -74,7 +79,9 @@
         if !listed.is_empty() {
             self.worker.listed_running(now.mono);
         }
-        self.close_missing(now, call, &listed);
+        if whole {
+            self.close_missing(now, call, &listed);
+        }
         if !self.worker.listed {
             self.worker.listed = true;
             let fields = vec![("running", listed.len().to_string())];
--- a/crates/core/src/executor/machine.rs
+++ b/crates/core/src/executor/machine.rs
@@ -25,6 +25,10 @@
 /// Shortest time after which the answer to a hold is taken for lost.
 const HOLD_LIMIT: Duration = Duration::from_millis(85);
 
+/// Ends that a worker may keep before it gets no further work: of more than 500 it would not list
+/// the latest.
+const MOST_KEPT: u64 = 350;
+
 /// Pause between two holds while the worker keeps ends, which it lists at once each time.
 const KEPT_PAUSE: Duration = Duration::from_millis(5);
 
@@ -424,7 +428,8 @@
 
     /// Whether new runs are taken.
     pub(super) fn is_usable(&self, now: Now) -> bool {
-        self.stopping.is_none() && self.worker.is_usable(now.mono)
+        let kept = self.worker.taken - self.kept.acknowledged(self.worker.taken);
+        self.stopping.is_none() && kept < MOST_KEPT && self.worker.is_usable(now.mono)
     }
 
     fn worker_state(&self, now: Now) -> wire::WorkerState {
--- a/crates/core/src/scheduler/durable.rs
+++ b/crates/core/src/scheduler/durable.rs
@@ -21,7 +21,7 @@
 use super::workers::WorkerKey;
 use crate::clock::Now;
 use crate::ids::Shard;
-use crate::work::{JobRequest, RunId, shard_of};
+use crate::work::{JobRequest, RunId, SHARDS, shard_of};
 
 /// Jobs of one write.
 const BATCH_JOBS: usize = 60;
@@ -35,6 +35,9 @@
 /// Longest time that a caller's question waits for an end that may come any moment.
 const LOOK_WAIT: Duration = Duration::from_millis(50);
 
+/// Time for which the store fails before submissions are refused, and their age at that time.
+const REFUSE_AFTER: Duration = Duration::from_millis(250);
+
 /// Time for which a job is known after its end.
 const RETENTION_MS: u64 = 150_000;
 
@@ -154,6 +157,53 @@
         (rows, keys, ends)
     }
 
+    /// Refuses submissions that were certainly not stored while the store fails.
+    pub(super) fn refuse_unstored(&mut self, now: Now, out: &mut Vec<Action>) {
+        let failing = self.shards.failing();
+        if failing.is_none_or(|since| now.since(since) < REFUSE_AFTER) {
+            return;
+        }
+        for at in 0..SHARDS {
+            let shard = Shard(at);
+            if let Some(batch) = self.take_back(shard) {
+                self.restore_batch(now, batch);
+            }
+            let state = self.shards.get(shard);
+            let late = |key: &&JobKey| {
+                let job = self.jobs.get(**key);
+                job.is_some_and(|job| {
+                    let nothing = |record: &Record| record.stored == Stored::Nothing;
+                    let new = job.record.as_ref().is_some_and(nothing);
+                    new && now.since(job.arrived) >= REFUSE_AFTER
+                })
+            };
+            let refused: Vec<JobKey> = state.dirty.iter().filter(late).copied().collect();
+            for key in refused {
+                let Some(job) = self.jobs.remove(key) else {
+                    continue;
+                };
+                let accepting = job.record.map(|record| record.accepting);
+                for call in accepting.unwrap_or_default() {
+                    self.refuse(call, &job.request.id, "the store does not answer", out);
+                }
+            }
+        }
+    }
+
+    /// The rows of a batch are to be written again.
+    fn restore_batch(&mut self, now: Now, batch: super::shards::Batch) {
+        for run in batch.ends {
+            let key = self.jobs.find(&run.job);
+            let job = key.and_then(|key| self.jobs.get_mut(key));
+            if let Some(record) = job.and_then(|job| job.record.as_mut()) {
+                record.ends.push(run);
+            }
+        }
+        for key in batch.jobs {
+            self.mark_dirty(now, key, Duration::ZERO);
+        }
+    }
+
     /// Rows are stored: callers are answered, and workers may forget the ends.
     pub(super) fn rows_written(&mut self, batch: &super::shards::Batch, out: &mut Vec<Action>) {
         for ((_, row), &key) in batch.rows.iter().zip(&batch.jobs) {
--- a/crates/core/src/scheduler/intake.rs
+++ b/crates/core/src/scheduler/intake.rs
@@ -168,7 +168,7 @@
         self.reply(call, answer, out);
     }
 
-    pub(super) fn count(&mut self, call: CallKey, queue: &str, out: &mut Vec<Action>) {
+    pub(super) fn count(&mut self, now: Now, call: CallKey, queue: &str, out: &mut Vec<Action>) {
         let known = self.catalog.as_ref();
         if known.and_then(|catalog| catalog.queue(queue)).is_none() {
             return self.reply(call, Answer::NoQueue, out);
@@ -178,7 +178,7 @@
             .iter()
             .filter(|(_, job)| job.request.queue == queue && job.is_queued());
         let here = u32::try_from(waiting.count()).unwrap_or(u32::MAX);
-        let pending = here.saturating_add(self.peers.waiting(queue));
+        let pending = here.saturating_add(self.peers.waiting(now.mono, queue));
         self.reply(call, Answer::Pending(pending), out);
     }
 
--- a/crates/core/src/scheduler/links.rs
+++ b/crates/core/src/scheduler/links.rs
@@ -52,7 +52,7 @@
     }
 
     pub(super) fn link_down(&mut self, now: Now, link: LinkKey, out: &mut Vec<Action>) {
-        if self.peers.remove(link) {
+        if self.peers.remove(now.mono, link) {
             return self.lose_replies(link, out);
         }
         let Some(key) = self.workers.link_down(link) else {
--- a/crates/core/src/scheduler/machine.rs
+++ b/crates/core/src/scheduler/machine.rs
@@ -95,7 +95,7 @@
             Input::Submit { call, job } => self.submit(now, call, *job, out),
             Input::Query { call, id } => self.query(now, call, &id, out),
             Input::Cancel { call, id } => self.cancel(now, call, &id, out),
-            Input::Count { call, queue } => self.count(call, &queue, out),
+            Input::Count { call, queue } => self.count(now, call, &queue, out),
             Input::CallGone(call) => self.call_gone(now, call, out),
             Input::LinkUp { link, peer } => self.link_up(now, link, peer, out),
             Input::LinkDown(link) => self.link_down(now, link, out),
--- a/crates/core/src/scheduler/passing.rs
+++ b/crates/core/src/scheduler/passing.rs
@@ -21,7 +21,7 @@
 const REMOTE: u64 = 1 << 63;
 
 /// Longest time that a request waits for an owner of its shard.
-const PARK_LIMIT: Duration = Duration::from_millis(2_500);
+const PARK_LIMIT: Duration = Duration::from_millis(1_000);
 
 /// Time in which the owner replies.
 const REPLY_LIMIT: Duration = Duration::from_secs(2);
--- a/crates/core/src/scheduler/peers.rs
+++ b/crates/core/src/scheduler/peers.rs
@@ -19,6 +19,9 @@
 /// Silence after which a connection is closed, so that it is made anew.
 const SILENT_LINK: Duration = Duration::from_millis(1_500);
 
+/// Time in which the shards of a lost process get another owner.
+const LOST_COUNTS: Duration = Duration::from_secs(12);
+
 /// Another entry process.
 #[derive(Debug)]
 pub(super) struct Peer {
@@ -26,6 +29,7 @@
     instance: Instance,
     heard: Duration,
     owned: Vec<wire::ShardEpoch>,
+    given: Vec<wire::ShardEpoch>,
     waiting: Vec<wire::QueueCount>,
     takes: bool,
 }
@@ -35,6 +39,9 @@
 pub(super) struct Peers {
     map: KeyMap<LinkKey, Peer>,
     told: Duration,
+    /// What lost processes said of waiting jobs, and when they were lost: until their shards have
+    /// another owner, nobody else counts these jobs.
+    lost: Vec<(Duration, Vec<wire::QueueCount>)>,
 }
 
 impl Peers {
@@ -44,14 +51,21 @@
             instance: peer.instance,
             heard: now,
             owned: Vec::new(),
+            given: Vec::new(),
             waiting: Vec::new(),
             takes: false,
         };
         self.map.insert(link, peer);
     }
 
-    pub(super) fn remove(&mut self, link: LinkKey) -> bool {
-        self.map.remove(&link).is_some()
+    pub(super) fn remove(&mut self, now: Duration, link: LinkKey) -> bool {
+        let Some(peer) = self.map.remove(&link) else {
+            return false;
+        };
+        self.lost
+            .retain(|(at, _)| now.saturating_sub(*at) < LOST_COUNTS);
+        self.lost.push((now, peer.waiting));
+        true
     }
 
     pub(super) fn links(&self) -> impl Iterator<Item = LinkKey> {
@@ -78,6 +92,16 @@
         peer.is_some_and(|peer| peer.owned.iter().any(|owned| owned.shard == shard.0))
     }
 
+    /// Whether the connected process with this name has given the shard up in this epoch.
+    pub(super) fn gave(&self, name: &str, shard: Shard, epoch: u64) -> bool {
+        let given = wire::ShardEpoch {
+            shard: shard.0,
+            epoch,
+        };
+        let peer = self.map.values().find(|peer| peer.name == name);
+        peer.is_some_and(|peer| peer.given.contains(&given))
+    }
+
     /// The connection to the process that says it owns the shard with the highest epoch.
     pub(super) fn owner_of(&self, shard: Shard) -> Option<LinkKey> {
         let mut best: Option<(u64, LinkKey)> = None;
@@ -102,9 +126,13 @@
         least.map(|peer| (peer.name.clone(), peer.owned.len()))
     }
 
-    /// Jobs of a queue that wait at other processes.
-    pub(super) fn waiting(&self, queue: &str) -> u32 {
+    /// Jobs of a queue that wait at other processes, or waited at those that were lost.
+    pub(super) fn waiting(&self, now: Duration, queue: &str) -> u32 {
+        let lost = self.lost.iter();
+        let lost = lost.filter(|(at, _)| now.saturating_sub(*at) < LOST_COUNTS);
+        let lost = lost.flat_map(|(_, waiting)| waiting);
         let counts = self.map.values().flat_map(|peer| &peer.waiting);
+        let counts = counts.chain(lost);
         let counts = counts.filter(|count| count.queue == queue);
         counts.map(|count| count.jobs).sum()
     }
@@ -116,6 +144,7 @@
         if let Some(peer) = self.peers.map.get_mut(&link) {
             peer.heard = now.mono;
             peer.owned = beat.owned;
+            peer.given = beat.given;
             peer.waiting = beat.waiting;
             peer.takes = beat.takes;
         }
@@ -150,7 +179,8 @@
         let beat = wire::PeerBeat {
             owned: self.shards.owned().collect(),
             waiting: waiting.collect(),
-            takes: self.stopping.is_none(),
+            takes: self.stopping.is_none() && self.shards.failing().is_none(),
+            given: self.shards.given().collect(),
         };
         for link in self.peers.links() {
             out.push(Action::Send(link, Body::PeerBeat(beat.clone())));
--- a/crates/core/src/scheduler/shards.rs
+++ b/crates/core/src/scheduler/shards.rs
@@ -25,21 +25,30 @@
 use crate::maps::KeyMap;
 use crate::work::SHARDS;
 
-/// Time after a sign of life in the store in which its writer owns shards. Outages of the store
-/// that are shorter stop nothing.
-pub(super) const LEASE: Duration = Duration::from_secs(7);
+/// Time after a sign of life in the store in which its writer may place tasks of its shards.
+/// Outages of the store that are shorter stop nothing.
+pub(super) const LEASE: Duration = Duration::from_secs(4);
 
-/// Time without a new sign of life after which an owner has stopped using its shards: its lease,
-/// and the way of the last sign to the store.
-const DEAD_AFTER: Duration = Duration::from_millis(LEASE.as_millis() as u64 + 1_000);
+/// Time after the lease in which what runs may still end; then it is stopped.
+const LAPSE_PAUSE: Duration = Duration::from_secs(1);
+
+/// Time without a new sign of life after which an owner places nothing any more: its lease, and the
+/// way of the last sign to the store.
+const DEAD_AFTER: Duration = Duration::from_millis(LEASE.as_millis() as u64 + 600);
+
+/// Time after a claim in which runs of the earlier owner end that no agent tells of: it stops them
+/// [`LAPSE_PAUSE`] after its lease, or its agents do when it is silent.
+const PROOF_PAUSE: Duration =
+    Duration::from_millis(super::links::LOST_AFTER.as_millis() as u64 + 400);
 
 /// Pause between two signs of life.
-const BEAT_PAUSE: Duration = Duration::from_millis(1_500);
+const BEAT_PAUSE: Duration = Duration::from_millis(1_000);
 
 /// Time after which the answer to a sign of life is not waited for.
 const BEAT_LIMIT: Duration = Duration::from_secs(1);
 
-/// Time after the start in which no shard is claimed, so that all processes find each other.
+/// Time after the start in which no shard without an owner is claimed, so that all processes find
+/// each other.
 const START_PAUSE: Duration = Duration::from_millis(1_200);
 
 /// Head start of each process that comes before in the order of claims.
@@ -57,6 +66,12 @@
 /// Pause between two releases that even out the numbers of shards.
 const BALANCE_PAUSE: Duration = Duration::from_secs(2);
 
+/// Age of a call without an answer from which the store counts as failing.
+const SLOW_CALL: Duration = Duration::from_millis(350);
+
+/// Time for which the store fails before shards are given up to a process that it serves.
+const GIVE_UP_AFTER: Duration = Duration::from_millis(400);
+
 /// Time after a release in which its successor takes the runs over; then they are stopped.
 const RELEASED_RUNS: Duration = Duration::from_secs(1);
 
@@ -89,6 +104,8 @@
     pub(super) ends: Vec<wire::RunRef>,
     /// Whether the first row gives the shard up.
     releases: bool,
+    /// Whether a call with these rows had no answer: they may be written.
+    unclear: bool,
 }
 
 /// One shard.
@@ -117,6 +134,8 @@
     pub(super) proven: bool,
     /// Whether the ownership was confirmed since the lease last lapsed.
     pub(super) verified: bool,
+    /// Whether what ran was stopped since the lease lapsed.
+    stopped: bool,
     /// Since when it can be claimed.
     free_since: Option<Duration>,
     /// Last sign of life of its owner: version, and since when it is the same.
@@ -124,6 +143,8 @@
     /// Last job that was read.
     pub(super) read: SmolStr,
     successor: SmolStr,
+    /// Set when the shard was given up without the store.
+    given: bool,
 }
 
 impl ShardState {
@@ -144,10 +165,12 @@
             claim: 0,
             proven: false,
             verified: false,
+            stopped: false,
             free_since: None,
             beat: None,
             read: SmolStr::default(),
             successor: SmolStr::default(),
+            given: false,
         }
     }
 
@@ -174,12 +197,16 @@
 #[derive(Debug)]
 pub(super) struct Shards {
     pub(super) list: Vec<ShardState>,
-    calls: KeyMap<StoreKey, Purpose>,
+    calls: KeyMap<StoreKey, (Purpose, Duration)>,
     last_call: u64,
+    /// Since when the store fails for this process.
+    failing: Option<Duration>,
     /// Time of the last sign of life that was written, and when the present one was sent.
     alive: Option<Duration>,
     beat_sent: Option<Duration>,
     began: Option<Duration>,
+    /// Whether other processes may not have been found yet.
+    starting: bool,
     balanced: Duration,
     pub(super) claims: u64,
 }
@@ -192,9 +219,11 @@
                 .collect(),
             calls: KeyMap::default(),
             last_call: 0,
+            failing: None,
             alive: None,
             beat_sent: None,
             began: None,
+            starting: true,
             balanced: Duration::ZERO,
             claims: 0,
         }
@@ -226,10 +255,33 @@
         })
     }
 
-    fn call(&mut self, purpose: Purpose, call: StoreCall, out: &mut Vec<Action>) {
+    /// Since when the store fails for this process.
+    pub(super) fn failing(&self) -> Option<Duration> {
+        self.failing
+    }
+
+    /// Shards that were given up without the store.
+    pub(super) fn given(&self) -> impl Iterator<Item = wire::ShardEpoch> {
+        let given = self.list.iter().filter(|state| state.given);
+        given.map(|state| wire::ShardEpoch {
+            shard: state.shard.0,
+            epoch: state.epoch,
+        })
+    }
+
+    /// Notes calls that have had no answer for long.
+    fn notice_slow_calls(&mut self, now: Duration) {
+        let mut calls = self.calls.values();
+        let slow = calls.any(|(_, sent)| now.saturating_sub(*sent) >= SLOW_CALL);
+        if slow {
+            self.failing.get_or_insert(now);
+        }
+    }
+
+    fn call(&mut self, now: Now, purpose: Purpose, call: StoreCall, out: &mut Vec<Action>) {
         self.last_call += 1;
         let key = StoreKey(self.last_call);
-        self.calls.insert(key, purpose);
+        self.calls.insert(key, (purpose, now.mono));
         out.push(Action::Store(key, call));
     }
 }
@@ -240,9 +292,10 @@
         let began = *self.shards.began.get_or_insert(now.mono);
         self.send_life(now, out);
         self.check_lease(now);
-        if now.since(began) < START_PAUSE {
-            return;
-        }
+        self.shards.notice_slow_calls(now.mono);
+        self.give_shards_up(now, out);
+        self.refuse_unstored(now, out);
+        self.shards.starting = now.since(began) < START_PAUSE;
         for at in 0..SHARDS {
             self.tend_shard(now, Shard(at), out);
         }
@@ -261,51 +314,98 @@
         if due {
             self.shards.beat_sent = Some(now.mono);
             let purpose = Purpose::Beat(now.mono);
-            self.shards.call(purpose, StoreCall::WriteBeat, out);
+            self.shards.call(now, purpose, StoreCall::WriteBeat, out);
         }
     }
 
-    /// Stops what runs of durable jobs when the lease lapses; another process may claim them soon.
+    /// Stops what runs of durable jobs some time after the lease has lapsed; another process may
+    /// claim them soon.
     fn check_lease(&mut self, now: Now) {
+        let lapsed = self.shards.alive.map(|alive| now.since(alive + LEASE));
         if self.shards.has_lease(now.mono) {
             return;
         }
         for at in 0..SHARDS {
             let state = self.shards.get_mut(Shard(at));
-            if state.holding == Holding::Owned && state.verified {
-                state.verified = false;
+            if state.holding != Holding::Owned {
+                continue;
+            }
+            state.verified = false;
+            if !state.stopped && lapsed.is_none_or(|since| since >= LAPSE_PAUSE) {
+                state.stopped = true;
                 self.stop_shard(Shard(at));
             }
         }
     }
 
+    /// Gives shards up that this process cannot write to, when the store serves another.
+    fn give_shards_up(&mut self, now: Now, out: &mut Vec<Action>) {
+        let failing = self.shards.failing;
+        let long = failing.is_some_and(|since| now.since(since) >= GIVE_UP_AFTER);
+        if !long || self.peers.takers().next().is_none() {
+            return;
+        }
+        let mut any = false;
+        for at in 0..SHARDS {
+            let state = self.shards.get_mut(Shard(at));
+            if !matches!(state.holding, Holding::Owned | Holding::Releasing) {
+                continue;
+            }
+            any = true;
+            state.given = true;
+            state.holding = Holding::Released(now.mono + RELEASED_RUNS);
+            let fields = vec![
+                ("shard", state.shard.to_string()),
+                ("epoch", state.epoch.to_string()),
+                (
+                    "failing_ms",
+                    now.since(failing.unwrap_or_default())
+                        .as_millis()
+                        .to_string(),
+                ),
+            ];
+            log(
+                out,
+                326,
+                "shard given up; the store serves others",
+                true,
+                fields,
+            );
+        }
+        if any {
+            self.tell_peers(out);
+        }
+    }
+
     fn tend_shard(&mut self, now: Now, shard: Shard, out: &mut Vec<Action>) {
         let state = self.shards.get_mut(shard);
+        if let Holding::Released(until) = state.holding {
+            if now.mono >= until {
+                self.stop_shard(shard);
+                self.drop_shard(shard, Holding::Unknown, out);
+            }
+            return;
+        }
         if state.busy || now.mono < state.retry_at {
             return;
         }
         match state.holding {
-            Holding::Unknown => self.call_store(shard, StoreCall::ReadOwner(shard), out),
+            Holding::Unknown => self.call_store(now, shard, StoreCall::ReadOwner(shard), out),
             Holding::Foreign => self.consider_claim(now, shard, out),
-            Holding::Claiming => self.send_claim(shard, out),
+            Holding::Claiming => self.send_claim(now, shard, out),
             Holding::Loading => {
                 let after = state.read.clone();
-                self.call_store(shard, StoreCall::ReadJobs { shard, after }, out);
+                self.call_store(now, shard, StoreCall::ReadJobs { shard, after }, out);
             }
             Holding::Owned => self.tend_owned(now, shard, out),
-            Holding::Releasing => self.send_release(now, shard, out),
-            Holding::Released(until) => {
-                if now.mono >= until {
-                    self.stop_shard(shard);
-                    self.drop_shard(shard, Holding::Unknown, out);
-                }
-            }
+            Holding::Releasing => self.write_shard(now, shard, true, out),
+            Holding::Released(_) => {}
         }
     }
 
-    fn call_store(&mut self, shard: Shard, call: StoreCall, out: &mut Vec<Action>) {
+    fn call_store(&mut self, now: Now, shard: Shard, call: StoreCall, out: &mut Vec<Action>) {
         self.shards.get_mut(shard).busy = true;
-        self.shards.call(Purpose::Shard(shard), call, out);
+        self.shards.call(now, Purpose::Shard(shard), call, out);
     }
 
     /// Claims a shard without a living owner, in the order of the processes' ranks.
@@ -316,6 +416,7 @@
         let state = self.shards.get(shard);
         let own = self.settings.instance;
         let head_start = match &state.row {
+            None if self.shards.starting => return,
             None => self.rank(shard),
             Some(row) if row.released => {
                 let successor = &row.successor;
@@ -331,6 +432,7 @@
             Some(row) if Instance(row.instance) == own || self.settings.name == row.name => {
                 Duration::ZERO
             }
+            Some(row) if self.peers.gave(&row.name, shard, row.epoch) => self.rank(shard),
             Some(row) => match self.peers.instance_of(&row.name) {
                 Some(instance) if instance == Instance(row.instance) => {
                     return self.watch_owner(now, shard);
@@ -346,7 +448,7 @@
         let since = *state.free_since.get_or_insert(now.mono);
         if now.since(since) >= head_start {
             state.holding = Holding::Claiming;
-            self.send_claim(shard, out);
+            self.send_claim(now, shard, out);
         }
     }
 
@@ -368,7 +470,7 @@
         let state = self.shards.get_mut(shard);
         state.retry_at = now.mono + READ_PAUSE;
         let call = StoreCall::ReadBeat(owner);
-        self.shards.call(Purpose::OwnerBeat(shard), call, out);
+        self.shards.call(now, Purpose::OwnerBeat(shard), call, out);
     }
 
     /// Head start of the processes that come before this one for a shard.
@@ -391,7 +493,7 @@
         }
     }
 
-    fn send_claim(&mut self, shard: Shard, out: &mut Vec<Action>) {
+    fn send_claim(&mut self, now: Now, shard: Shard, out: &mut Vec<Action>) {
         let state = self.shards.get_mut(shard);
         let before = state.row.as_ref().map_or(0, |row| row.epoch);
         state.epoch = before + 1;
@@ -405,7 +507,7 @@
             owner: owner.encode_to_vec().into(),
             jobs: Vec::new(),
         };
-        self.call_store(shard, call, out);
+        self.call_store(now, shard, call, out);
     }
 
     fn tend_owned(&mut self, now: Now, shard: Shard, out: &mut Vec<Action>) {
@@ -419,10 +521,6 @@
         }
     }
 
-    fn send_release(&mut self, now: Now, shard: Shard, out: &mut Vec<Action>) {
-        self.write_shard(now, shard, true, out);
-    }
-
     /// Writes the rows that are due, or repeats the write that has no outcome.
     fn write_shard(&mut self, now: Now, shard: Shard, release: bool, out: &mut Vec<Action>) {
         if self.shards.get(shard).batch.is_none() {
@@ -437,6 +535,7 @@
                 jobs,
                 ends,
                 releases,
+                unclear: false,
             });
         }
         let state = self.shards.get(shard);
@@ -449,7 +548,7 @@
             owner: batch.owner.clone(),
             jobs: batch.rows.clone(),
         };
-        self.call_store(shard, call, out);
+        self.call_store(now, shard, call, out);
     }
 
     /// Takes the outcome of a call to the store.
@@ -460,12 +559,18 @@
         outcome: StoreOutcome,
         out: &mut Vec<Action>,
     ) {
+        match outcome {
+            StoreOutcome::Declined | StoreOutcome::NoAnswer => {
+                self.shards.failing.get_or_insert(now.mono);
+            }
+            _ => self.shards.failing = None,
+        }
         match self.shards.calls.remove(&key) {
-            Some(Purpose::Shard(shard)) => {
+            Some((Purpose::Shard(shard), _)) => {
                 self.shards.get_mut(shard).busy = false;
                 self.take_shard_outcome(now, shard, outcome, out);
             }
-            Some(Purpose::OwnerBeat(shard)) => {
+            Some((Purpose::OwnerBeat(shard), _)) => {
                 if let StoreOutcome::Rows(rows, _) = outcome {
                     let version = rows.first().map_or(0, |row| row.version);
                     let state = self.shards.get_mut(shard);
@@ -473,7 +578,7 @@
                     state.beat = known.or(Some((version, now.mono)));
                 }
             }
-            Some(Purpose::Beat(sent)) => {
+            Some((Purpose::Beat(sent), _)) => {
                 if matches!(outcome, StoreOutcome::Written(_)) {
                     self.shards.alive = self.shards.alive.max(Some(sent));
                 }
@@ -491,9 +596,14 @@
         out: &mut Vec<Action>,
     ) {
         let holding = self.shards.get(shard).holding;
+        let unclear = outcome == StoreOutcome::NoAnswer;
         match (holding, outcome) {
             (_, StoreOutcome::Declined | StoreOutcome::NoAnswer) => {
-                self.shards.get_mut(shard).retry_at = now.mono + RETRY_PAUSE;
+                let state = self.shards.get_mut(shard);
+                state.retry_at = now.mono + RETRY_PAUSE;
+                if let Some(batch) = &mut state.batch {
+                    batch.unclear |= unclear;
+                }
             }
             (Holding::Unknown, StoreOutcome::Rows(rows, _)) => {
                 self.take_first_row(shard, rows.first());
@@ -519,6 +629,7 @@
         let state = self.shards.get_mut(shard);
         let decoded = row.and_then(|row| wire::ShardOwner::decode(row.value.clone()).ok());
         let changed = state.row != decoded;
+        state.given &= decoded.as_ref().is_some_and(|row| row.epoch <= state.epoch);
         state.row = decoded;
         state.version = row.map_or(0, |row| row.version);
         if changed {
@@ -599,7 +710,7 @@
     /// others run has ended.
     fn prove(&mut self, now: Now, shard: Shard) {
         let state = self.shards.get(shard);
-        if state.proven || now.since(state.claimed) < super::links::LOST_AFTER {
+        if state.proven || now.since(state.claimed) < PROOF_PAUSE {
             return;
         }
         let claim = state.claim;
@@ -615,6 +726,7 @@
     fn finish_write(&mut self, now: Now, shard: Shard, out: &mut Vec<Action>) {
         let state = self.shards.get_mut(shard);
         state.verified = true;
+        state.stopped = false;
         let Some(batch) = state.batch.take() else {
             return;
         };
@@ -656,6 +768,13 @@
         }
     }
 
+    /// Takes back the rows of a write that was certainly not carried out.
+    pub(super) fn take_back(&mut self, shard: Shard) -> Option<Batch> {
+        let state = self.shards.get_mut(shard);
+        let waits = !state.busy && state.batch.as_ref().is_some_and(|batch| !batch.unclear);
+        state.batch.take_if(|_| waits)
+    }
+
     /// Whether shards are still owned in a planned stop.
     pub(super) fn holds_shards(&self) -> bool {
         let mut shards = self.shards.list.iter();
--- a/crates/core/tests/jobs/durable_jobs.rs
+++ b/crates/core/tests/jobs/durable_jobs.rs
@@ -166,6 +166,50 @@
     assert_done(&mut fleet, 20_000);
 }
 
+/// Guards against submissions that wait for a process that has lost the store, while the others
+/// have not.
+#[rstest]
+fn shards_leave_a_process_without_the_store() {
+    let mut fleet = fleet(3, 18);
+    submit(&mut fleet, 10, 300);
+    fleet.store.cut.push(0);
+    fleet.run(2_500);
+    let first = fleet.callers.len();
+    submit(&mut fleet, 40, 50);
+    fleet.run(200);
+    for at in first..fleet.callers.len() {
+        assert_eq!(fleet.answer_to(at), Some(&Answer::Accepted), "job {at}");
+    }
+    fleet.store.cut.clear();
+    assert_done(&mut fleet, 8_000);
+}
+
+/// Guards against refusals that are not true, and against submissions that are held while the
+/// store is away.
+#[rstest]
+fn what_cannot_be_stored_is_refused() {
+    let mut fleet = fleet(3, 19);
+    submit(&mut fleet, 6, 50);
+    fleet.run(300);
+    let first = fleet.callers.len();
+    fleet.store.down = true;
+    submit(&mut fleet, 100, 50);
+    fleet.run(1_200);
+    let refused: Vec<usize> = (first..fleet.callers.len())
+        .filter(|&at| matches!(fleet.answer_to(at), Some(Answer::NotRun { .. })))
+        .collect();
+    assert!(refused.len() >= 50, "{} refused", refused.len());
+    for &at in &refused {
+        assert!(fleet.callers[at].took_ms <= 1_100);
+    }
+    fleet.store.down = false;
+    fleet.run(5_000);
+    for at in refused {
+        assert!(!fleet.has_started(at), "job {at} was refused and has run");
+    }
+    assert_done(&mut fleet, 8_000);
+}
+
 /// Guards against an end that is taken note of although the task was started again meanwhile.
 #[rstest]
 #[case(13)]
@@ -225,3 +269,22 @@
     assert!(fleet.starts() <= 3, "{}", fleet.starts());
     fleet.assert_rules();
 }
+
+/// Guards against ends beyond those that a worker lists at once: while one of them cannot be
+/// settled, runs whose ends are not listed would seem lost, and be started again.
+#[rstest]
+fn unlisted_ends_are_not_lost() {
+    let mut fleet = Fleet::new(3, &[(64_000, 1.0)], 20);
+    fleet.run(CLAIM_MS);
+    for round in 0..320 {
+        let entry = if round < 40 { round % 3 } else { 1 + round % 2 };
+        let job = Job::new(8, 500, 40).durable();
+        fleet.submit(entry, "checks", job);
+        fleet.run(20);
+        if round == 40 {
+            fleet.kill_entry(0);
+        }
+    }
+    fleet.run(12_000);
+    fleet.assert_rules();
+}
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -781,6 +781,13 @@
         self.hosts.iter().map(|host| host.worker.starts).sum()
     }
 
+    /// Whether a task of a caller's job has started.
+    pub fn has_started(&self, number: usize) -> bool {
+        let id = &self.callers[number].request.id;
+        let starts = self.hosts.iter().flat_map(|host| &host.worker.started);
+        starts.into_iter().any(|(task, _)| task.job == *id)
+    }
+
     /// Durable tasks that were started after an end `done` that was taken note of.
     fn repeated(&self) -> Vec<String> {
         let durable = |task: &TaskId| {
--- a/crates/core/tests/jobs/worker.rs
+++ b/crates/core/tests/jobs/worker.rs
@@ -21,6 +21,9 @@
     format!("{cpu}:{run_ms}:{}", u8::from(fails))
 }
 
+/// Ends that one list holds.
+const LISTED_ENDS: usize = 500;
+
 /// A run on the worker.
 #[derive(Debug, Clone)]
 pub struct WorkerRun {
@@ -258,7 +261,7 @@
         HoldOutcome::Held(Holding {
             born: Some(self.born),
             running: running.collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(LISTED_ENDS).cloned().collect(),
         })
     }
 }
