fix(core): one owner a shard; soak and random faults of durable jobs

Change: only an owner with a confirmed ownership settles, and agents take it from the newest owner only; closed jobs adopt nothing; a successor claims at once, and rows of shards that a peer no longer names are read at once; a claim clears what was given up; an owner confirms its ownership when a peer names a higher epoch. The worker's profile is sent once a connection instead of with each report, and reports of changed room come less often the more entry processes there are.

--- a/crates/core/src/executor/kept.rs
+++ b/crates/core/src/executor/kept.rs
@@ -74,20 +74,32 @@
 /// Claims of shards.
 #[derive(Debug, Default)]
 pub(super) struct Claims {
-    epochs: KeyMap<Shard, u64>,
+    /// Epoch and owner of each shard, as far as known.
+    owners: KeyMap<Shard, (u64, Instance)>,
     /// Claims without an answer: from whom, number, shards.
     open: Vec<(Instance, u64, Vec<Shard>)>,
 }
 
 impl Claims {
     /// Whether an order of this epoch is the newest owner's; notes a newer epoch.
-    pub(super) fn admits(&mut self, job: &str, epoch: u64) -> bool {
-        let Some(shard) = shard_of(job) else {
-            return false;
-        };
-        let known = self.epochs.entry(shard).or_default();
-        *known = epoch.max(*known);
-        *known == epoch
+    pub(super) fn admits(&mut self, job: &str, epoch: u64, owner: Instance) -> bool {
+        shard_of(job).is_some_and(|shard| self.note(shard, epoch, owner))
+    }
+
+    /// Notes the owner of a shard; false for one of an earlier epoch.
+    fn note(&mut self, shard: Shard, epoch: u64, owner: Instance) -> bool {
+        let known = self.owners.entry(shard).or_insert((epoch, owner));
+        if epoch > known.0 {
+            *known = (epoch, owner);
+        }
+        *known == (epoch, owner)
+    }
+
+    /// Whether the process owns the shard of the run's job.
+    fn owns(&self, owner: Instance, run: &wire::RunRef) -> bool {
+        let shard = shard_of(&run.job);
+        let known = shard.and_then(|shard| self.owners.get(&shard));
+        known.is_some_and(|known| known.1 == owner)
     }
 }
 
@@ -97,9 +109,7 @@
         let mut shards: Vec<Shard> = Vec::with_capacity(claim.shards.len());
         for claimed in &claim.shards {
             let shard = Shard(claimed.shard);
-            let known = self.claims.epochs.entry(shard).or_default();
-            if claimed.epoch >= *known {
-                *known = claimed.epoch;
+            if self.claims.note(shard, claimed.epoch, owner) {
                 shards.push(shard);
             }
         }
@@ -137,17 +147,18 @@
         }
     }
 
-    /// Ends are stored, or count for nothing.
+    /// Ends are stored, or count for nothing, as the owner of their shards says.
     pub(super) fn take_settled(
         &mut self,
+        owner: Instance,
         settled: &[wire::RunRef],
         voided: &[wire::RunRef],
         out: &mut Vec<Action>,
     ) {
-        for run in settled {
+        for run in settled.iter().filter(|run| self.claims.owns(owner, run)) {
             self.kept.settle(run);
         }
-        for run in voided {
+        for run in voided.iter().filter(|run| self.claims.owns(owner, run)) {
             if self.kept.void(run) {
                 self.worker.lapsing = true;
                 let fields = vec![("run", RunId::from(run.clone()).to_string())];
--- a/crates/core/src/executor/machine.rs
+++ b/crates/core/src/executor/machine.rs
@@ -40,6 +40,8 @@
 pub struct Machine {
     pub(super) settings: Settings,
     pub(super) worker: Worker,
+    /// What entry processes are told of the worker's lifetime.
+    profile: wire::WorkerProfile,
     pub(super) runs: Runs,
     pub(super) owners: Owners,
     pub(super) calls: Calls,
@@ -77,6 +79,7 @@
         Self {
             settings,
             worker: Worker::new(now.mono, now.wall_ms),
+            profile: wire::WorkerProfile::default(),
             runs: Runs::default(),
             owners: Owners::default(),
             calls: Calls::default(),
@@ -197,6 +200,12 @@
             log(out, 402, "worker is leaving", false, fields);
             self.decline_waiting(now);
         }
+        self.profile = wire::WorkerProfile {
+            instance: beat.instance.to_string(),
+            service: beat.service.to_string(),
+            labels: beat.labels.iter().map(ToString::to_string).collect(),
+            capacity: Some(beat.capacity.into()),
+        };
         self.worker.beat = Some(beat);
     }
 
@@ -413,7 +422,8 @@
         } else {
             None
         };
-        self.owners.flush(now.mono, &state, open, out);
+        let worker = (&self.profile, &state);
+        self.owners.flush(now.mono, worker, open, out);
     }
 
     /// Room that is free for further runs.
@@ -433,14 +443,10 @@
     }
 
     fn worker_state(&self, now: Now) -> wire::WorkerState {
-        let Some(beat) = &self.worker.beat else {
+        if self.worker.beat.is_none() {
             return wire::WorkerState::default();
-        };
+        }
         wire::WorkerState {
-            instance: beat.instance.to_string(),
-            service: beat.service.to_string(),
-            labels: beat.labels.iter().map(ToString::to_string).collect(),
-            capacity: Some(beat.capacity.into()),
             free: Some(self.free().into()),
             waiting_cpu: self.runs.waiting_cpu(),
             usable: self.is_usable(now),
--- a/crates/core/src/executor/owners.rs
+++ b/crates/core/src/executor/owners.rs
@@ -23,6 +23,9 @@
 /// Shortest pause between two reports that only tell of changed room.
 const ROOM_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Pause between two such reports for each entry process: all together get at most one each 3 ms.
+const ROOM_PAUSE_EACH: Duration = Duration::from_millis(3);
+
 /// Reports whose send times are remembered; more than are sent within [`OWNER_SILENCE`] at the
 /// rate of one each 2 ms.
 const SENT_TIMES: usize = 512;
@@ -45,6 +48,8 @@
     listed: bool,
     last: Duration,
     free: Option<wire::Room>,
+    /// What the owner knows of the worker's lifetime.
+    profile: Option<wire::WorkerProfile>,
 }
 
 /// All entry processes with a connection or with runs.
@@ -79,6 +84,7 @@
             listed: false,
             last: Duration::ZERO,
             free: None,
+            profile: None,
         });
         owner.link = Some(link);
         owner.contact = now;
@@ -86,6 +92,7 @@
         owner.number = 0;
         owner.orders = 0;
         owner.listed = false;
+        owner.profile = None;
         earlier
     }
 
@@ -173,17 +180,20 @@
     pub(super) fn flush(
         &mut self,
         now: Duration,
-        state: &wire::WorkerState,
+        (profile, state): (&wire::WorkerProfile, &wire::WorkerState),
         open: Option<&dyn Fn() -> Vec<wire::RunRef>>,
         out: &mut Vec<Action>,
     ) {
+        let linked = self.map.values().filter(|owner| owner.link.is_some());
+        let linked = u32::try_from(linked.count()).unwrap_or(u32::MAX);
+        let room_interval = ROOM_INTERVAL.max(ROOM_PAUSE_EACH.saturating_mul(linked));
         for owner in self.map.values_mut() {
             let Some(link) = owner.link else {
                 continue;
             };
             let lists = !owner.listed && open.is_some();
             let pause = now.saturating_sub(owner.last);
-            let changed = state.free != owner.free && pause >= ROOM_INTERVAL;
+            let changed = state.free != owner.free && pause >= room_interval;
             let due = lists || !owner.reports.is_empty() || changed || pause >= REPORT_INTERVAL;
             if !due || (!owner.listed && !lists && pause < REPORT_INTERVAL) {
                 continue;
@@ -196,6 +206,11 @@
             owner.last = now;
             owner.free = state.free;
             owner.listed |= lists;
+            let news = owner.profile.as_ref() != Some(profile);
+            let news = news.then(|| profile.clone());
+            if news.is_some() {
+                owner.profile.clone_from(&news);
+            }
             let open = open.filter(|_| lists).map(|open| open());
             out.push(Action::Send(
                 link,
@@ -206,6 +221,7 @@
                     worker: Some(state.clone()),
                     listing: lists,
                     open: open.unwrap_or_default(),
+                    profile: news,
                 }),
             ));
         }
--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -48,7 +48,7 @@
                 self.stop_run(now, &id, StopCause::Owner);
             }
         }
-        self.take_settled(&orders.settled, &orders.voided, out);
+        self.take_settled(owner, &orders.settled, &orders.voided, out);
         for phase in orders.phases {
             self.take_phase(now, owner, phase, out);
         }
@@ -68,7 +68,7 @@
         let urgent_at = Duration::from_micros(u64::try_from(urgent_us).unwrap_or_default());
         let job = SmolStr::from(order.job);
         let durable = order.epoch > 0;
-        let current = !durable || self.claims.admits(&job, order.epoch);
+        let current = !durable || self.claims.admits(&job, order.epoch, owner);
         for task in order.tasks {
             self.metrics.ordered.inc();
             let id = RunId {
--- a/crates/core/src/scheduler/durable.rs
+++ b/crates/core/src/scheduler/durable.rs
@@ -269,10 +269,15 @@
         run: &RunId,
         outcome: wire::RunOutcome,
     ) {
-        let shard = shard_of(&run.task.job);
-        let Some(shard) = shard.filter(|&s| self.shards.get(s).holding == Holding::Owned) else {
+        let Some(shard) = shard_of(&run.task.job) else {
             return;
         };
+        // A process that may have lost the shard knows nothing of its newer jobs.
+        let state = self.shards.get(shard);
+        let owned = state.holding == Holding::Owned && state.verified;
+        if !owned || !self.shards.has_lease(now.mono) {
+            return;
+        }
         let Some(worker) = self.workers.get_mut(from) else {
             return;
         };
@@ -293,7 +298,8 @@
             record.ends.push(run.into());
             let waits = task.is_some_and(|task| task.place == Place::Waiting);
             let counts = done || outcome == wire::RunOutcome::Failed;
-            if record.loaded && !proven && waits && counts {
+            let open = job.progress != Progress::Closing;
+            if record.loaded && !proven && waits && counts && open {
                 adopt_run(job, run, from);
             }
         }
--- a/crates/core/src/scheduler/links.rs
+++ b/crates/core/src/scheduler/links.rs
@@ -41,6 +41,11 @@
     ) {
         if peer.role == Role::Entry {
             self.peers.insert(now.mono, link, &peer);
+            let fields = vec![
+                ("entry", peer.name.to_string()),
+                ("instance", peer.instance.to_string()),
+            ];
+            log(out, 327, "entry process connected", false, fields);
             if !self.document.is_empty() {
                 out.push(Action::Send(link, self.configuration()));
             }
@@ -52,7 +57,18 @@
     }
 
     pub(super) fn link_down(&mut self, now: Now, link: LinkKey, out: &mut Vec<Action>) {
-        if self.peers.remove(now.mono, link) {
+        if let Some((name, silent)) = self.peers.remove(now.mono, link) {
+            let fields = vec![
+                ("entry", name.to_string()),
+                ("silent_ms", silent.as_millis().to_string()),
+            ];
+            log(
+                out,
+                328,
+                "connection to an entry process lost",
+                true,
+                fields,
+            );
             return self.lose_replies(link, out);
         }
         let Some(key) = self.workers.link_down(link) else {
@@ -128,8 +144,11 @@
         };
         worker.heard = now.mono;
         worker.reports_seen = reports.number;
-        let state = reports.worker.unwrap_or_default();
-        if worker.observe(state, reports.orders_seen) {
+        let renewed = reports
+            .profile
+            .is_some_and(|profile| worker.introduce(profile));
+        worker.observe(reports.worker.unwrap_or_default(), reports.orders_seen);
+        if renewed {
             let speed = self.workers.likely_speed(key);
             if let Some(worker) = self.workers.get_mut(key) {
                 worker.speed = speed;
--- a/crates/core/src/scheduler/peers.rs
+++ b/crates/core/src/scheduler/peers.rs
@@ -58,14 +58,13 @@
         self.map.insert(link, peer);
     }
 
-    pub(super) fn remove(&mut self, now: Duration, link: LinkKey) -> bool {
-        let Some(peer) = self.map.remove(&link) else {
-            return false;
-        };
+    /// Removes a process whose connection has ended; its name, and for how long it was silent.
+    pub(super) fn remove(&mut self, now: Duration, link: LinkKey) -> Option<(SmolStr, Duration)> {
+        let peer = self.map.remove(&link)?;
         self.lost
             .retain(|(at, _)| now.saturating_sub(*at) < LOST_COUNTS);
         self.lost.push((now, peer.waiting));
-        true
+        Some((peer.name, now.saturating_sub(peer.heard)))
     }
 
     pub(super) fn links(&self) -> impl Iterator<Item = LinkKey> {
@@ -143,10 +142,13 @@
     pub(super) fn take_peer_beat(&mut self, now: Now, link: LinkKey, beat: wire::PeerBeat) {
         if let Some(peer) = self.peers.map.get_mut(&link) {
             peer.heard = now.mono;
-            peer.owned = beat.owned;
+            let owned = beat.owned;
+            peer.owned.clone_from(&owned);
             peer.given = beat.given;
             peer.waiting = beat.waiting;
             peer.takes = beat.takes;
+            let name = peer.name.clone();
+            self.look_again(now, &name, &owned);
         }
     }
 
--- a/crates/core/src/scheduler/shards.rs
+++ b/crates/core/src/scheduler/shards.rs
@@ -118,6 +118,8 @@
     version: u64,
     pub(super) epoch: u64,
     sequence: u64,
+    /// Sequence of the last write that is known to be done.
+    written: u64,
     /// A call is on its way.
     busy: bool,
     retry_at: Duration,
@@ -156,6 +158,7 @@
             version: 0,
             epoch: 0,
             sequence: 0,
+            written: 0,
             busy: false,
             retry_at: Duration::ZERO,
             batch: None,
@@ -418,10 +421,12 @@
         let head_start = match &state.row {
             None if self.shards.starting => return,
             None => self.rank(shard),
+            Some(row) if row.released && row.successor == self.settings.name.as_str() => {
+                Duration::ZERO
+            }
             Some(row) if row.released => {
                 let successor = &row.successor;
-                let other = *successor != self.settings.name.as_str();
-                let waits = other && self.peers.is_linked(successor);
+                let waits = self.peers.is_linked(successor);
                 self.rank(shard)
                     + if waits {
                         SUCCESSOR_PAUSE
@@ -466,6 +471,32 @@
         }
     }
 
+    /// Takes what another process says of its shards: rows of those that it no longer owns are
+    /// read again, and the ownership of those that it has claimed since is confirmed.
+    pub(super) fn look_again(&mut self, now: Now, name: &str, owned: &[wire::ShardEpoch]) {
+        for claimed in owned {
+            if claimed.shard >= SHARDS {
+                continue;
+            }
+            let state = self.shards.get_mut(Shard(claimed.shard));
+            state.verified &= claimed.epoch <= state.epoch;
+        }
+        for at in 0..SHARDS {
+            let shard = Shard(at);
+            let state = self.shards.get(shard);
+            let foreign = state.holding == Holding::Foreign;
+            let of_peer = state
+                .row
+                .as_ref()
+                .is_some_and(|row| row.name == name && !row.released);
+            if foreign && of_peer && !self.peers.owns(name, shard) {
+                let state = self.shards.get_mut(shard);
+                state.holding = Holding::Unknown;
+                state.retry_at = now.mono;
+            }
+        }
+    }
+
     fn read_life(&mut self, now: Now, shard: Shard, owner: Instance, out: &mut Vec<Action>) {
         let state = self.shards.get_mut(shard);
         state.retry_at = now.mono + READ_PAUSE;
@@ -649,9 +680,13 @@
         self.take_first_row(shard, row.as_ref());
         let own = self.settings.instance.0;
         let state = self.shards.get(shard);
-        let applied = state.row.as_ref().is_some_and(|row| {
-            row.instance == own && row.epoch == state.epoch && row.sequence == state.sequence
-        });
+        let row = state.row.as_ref();
+        let row = row.filter(|row| row.instance == own && row.epoch == state.epoch);
+        let applied = row.is_some_and(|row| row.sequence == state.sequence);
+        if !applied && row.is_some_and(|row| row.sequence == state.written) {
+            // The version that was told with the last write was a later one; the write is repeated.
+            return;
+        }
         match state.holding {
             Holding::Claiming if applied => self.begin_loading(now, shard, out),
             Holding::Owned | Holding::Releasing if applied => self.finish_write(now, shard, out),
@@ -678,6 +713,8 @@
         let before = state.row.take().map(|row| row.name);
         state.forget_ownership(Holding::Loading);
         state.claimed = now.mono;
+        state.written = state.sequence;
+        state.given = false;
         state.verified = true;
         state.read = SmolStr::default();
         let fields = vec![
@@ -727,6 +764,7 @@
         let state = self.shards.get_mut(shard);
         state.verified = true;
         state.stopped = false;
+        state.written = state.sequence;
         let Some(batch) = state.batch.take() else {
             return;
         };
--- a/crates/core/src/scheduler/workers.rs
+++ b/crates/core/src/scheduler/workers.rs
@@ -73,18 +73,23 @@
 }
 
 impl Worker {
-    /// Takes what the agent says of its worker. Returns whether it is a new lifetime.
-    pub(super) fn observe(&mut self, state: wire::WorkerState, orders_seen: u64) -> bool {
-        let renewed = self.instance != state.instance.as_str();
+    /// Takes what the agent says of a lifetime of its worker. Returns whether it is a new one.
+    pub(super) fn introduce(&mut self, profile: wire::WorkerProfile) -> bool {
+        let renewed = self.instance != profile.instance.as_str();
+        self.instance = profile.instance.into();
+        self.service = profile.service.into();
+        self.labels = profile.labels.into_iter().map(SmolStr::from).collect();
+        self.capacity = profile.capacity.map(Room::from).unwrap_or_default();
         if renewed {
-            self.instance = state.instance.into();
-            self.service = state.service.into();
-            self.labels = state.labels.into_iter().map(SmolStr::from).collect();
-            self.capacity = state.capacity.map(Room::from).unwrap_or_default();
             self.bad = 0.0;
             self.held_until = Duration::ZERO;
             self.hold_back = HOLD_BACK;
         }
+        renewed
+    }
+
+    /// Takes what the agent says of its worker as it is now.
+    pub(super) fn observe(&mut self, state: wire::WorkerState, orders_seen: u64) {
         self.free = state.free.map(Room::from).unwrap_or_default();
         self.waiting_cpu = state.waiting_cpu;
         self.usable = state.usable;
@@ -95,7 +100,6 @@
         {
             self.unseen.pop_front();
         }
-        renewed
     }
 
     /// Room that is free by what is known, also for orders on their way.
--- a/crates/core/tests/jobs/durable_jobs.rs
+++ b/crates/core/tests/jobs/durable_jobs.rs
@@ -5,6 +5,9 @@
 
 use crate::fleet::{Fleet, Job};
 
+/// Event of a shard that is lost to another process.
+const SHARD_LOST: u16 = 322;
+
 /// Time in which shards have owners after the start.
 const CLAIM_MS: u64 = 3_000;
 
@@ -288,3 +291,14 @@
     fleet.run(12_000);
     fleet.assert_rules();
 }
+
+/// Guards against an owner that takes its own last write for that of another process.
+#[rstest]
+fn a_later_version_is_no_conflict() {
+    let mut fleet = Fleet::new(3, &[(16_000, 1.0)], 21);
+    fleet.store.tells_later = true;
+    fleet.run(CLAIM_MS);
+    submit(&mut fleet, 30, 50);
+    assert_done(&mut fleet, 6_000);
+    assert_eq!(fleet.count(SHARD_LOST), 0);
+}
--- a/crates/core/tests/jobs/random_faults.rs
+++ b/crates/core/tests/jobs/random_faults.rs
@@ -33,6 +33,34 @@
     }
 }
 
+/// Faults of the store and between entry processes.
+fn store_fault(fleet: &mut Fleet) {
+    let entry = usize::try_from(fleet.random(3)).unwrap();
+    let other = usize::try_from(fleet.random(3)).unwrap();
+    match fleet.random(6) {
+        0 => fleet.store.down = true,
+        1 => fleet.store.cut.push(entry),
+        2 => fleet.store.lose_each = 3,
+        3 => fleet.store.tells_later = true,
+        4 if entry != other => fleet.cut_peers(entry, other, true),
+        _ => fleet.reset_peers(|first, _| first == entry),
+    }
+}
+
+fn heal_store(fleet: &mut Fleet, share: u64) {
+    if fleet.random(share) == 0 {
+        fleet.store.down = false;
+        fleet.store.lose_each = 0;
+        fleet.store.tells_later = false;
+    }
+    if fleet.random(share) == 0 {
+        fleet.store.cut.clear();
+        for (one, other) in [(0, 1), (0, 2), (1, 2)] {
+            fleet.cut_peers(one, other, false);
+        }
+    }
+}
+
 fn heal(fleet: &mut Fleet, share: u64) {
     for entry in 0..3 {
         if !fleet.has_entry(entry) && fleet.random(share) == 0 {
@@ -97,13 +125,60 @@
     assert_eq!(open.count(), 0, "seed {seed}");
 }
 
+/// Plays durable jobs; each one that was accepted must be done at the end.
+fn play_durable(seed: u64) {
+    let workers = [(8_000, 0.7), (8_000, 0.7), (12_000, 1.7), (8_000, 1.0)];
+    let mut fleet = Fleet::new(3, &workers, seed);
+    fleet.run(3_000);
+    for _ in 0..FAULTY_ROUNDS {
+        match fleet.random(8) {
+            0 | 1 => fault(&mut fleet),
+            2 => store_fault(&mut fleet),
+            _ => {}
+        }
+        heal(&mut fleet, 12);
+        heal_store(&mut fleet, 16);
+        let entry = usize::try_from(fleet.random(3)).unwrap();
+        if fleet.has_entry(entry) {
+            let tasks = 1 + u32::try_from(fleet.random(6)).unwrap();
+            let run_ms = 20 + fleet.random(900);
+            let job = Job::new(tasks, 1_000, run_ms).durable();
+            fleet.submit(entry, "patient", job);
+        }
+        fleet.run(ROUND_MS);
+    }
+    heal(&mut fleet, 1);
+    heal_store(&mut fleet, 1);
+    fleet.run(25_000);
+    fleet.assert_rules();
+    for at in 0..fleet.callers.len() {
+        if fleet.answer_to(at) == Some(&Answer::Accepted) {
+            let state = fleet.query(at % 3, at);
+            assert_eq!(state, Some(Answer::Completed), "seed {seed}, job {at}");
+        }
+    }
+}
+
+fn seeds(default: &str) -> std::ops::Range<u64> {
+    let seeds = std::env::var("KNAPWEEDWALL_SEEDS").unwrap_or_else(|_| default.to_owned());
+    let (first, end) = seeds.split_once("..").unwrap();
+    first.parse().unwrap()..end.parse().unwrap()
+}
+
+/// Guards against accepted jobs that are lost, and tasks that run again after their end was taken
+/// note of, whatever faults come together.
+#[rstest]
+fn durable_jobs_survive_random_faults() {
+    for seed in seeds("0..12") {
+        play_durable(seed);
+    }
+}
+
 /// Guards against a task that runs twice at the same time, a worker beyond its room, and a fleet
 /// that does not recover, whatever faults come together.
 #[rstest]
 fn rules_hold_under_random_faults() {
-    let seeds = std::env::var("KNAPWEEDWALL_SEEDS").unwrap_or_else(|_| "0..24".to_owned());
-    let (first, end) = seeds.split_once("..").unwrap();
-    for seed in first.parse().unwrap()..end.parse().unwrap() {
+    for seed in seeds("0..24") {
         play(seed);
     }
 }
--- a/crates/core/tests/jobs/store.rs
+++ b/crates/core/tests/jobs/store.rs
@@ -46,6 +46,8 @@
     /// Every so many writes lose their answer, and take effect at once or much later by turns.
     pub lose_each: u64,
     writes: u64,
+    /// Answers to writes tell a later version than that of the rows.
+    pub tells_later: bool,
 }
 
 impl Store {
@@ -141,6 +143,8 @@
                         None => self.rows.remove(&key),
                     };
                 }
+                // The store may tell a version that it has reached meanwhile.
+                self.version += u64::from(self.tells_later);
                 StoreOutcome::Written(self.version)
             }
             StoreCall::WriteBeat => {
--- a/crates/lab/src/site/runs.rs
+++ b/crates/lab/src/site/runs.rs
@@ -98,6 +98,8 @@
     /// Highest attempt that was stopped or has ended, by task.
     barred: BTreeMap<String, u64>,
     ended: VecDeque<End>,
+    /// Ends `done` that were not acknowledged, and whether the lease has lapsed since.
+    done: BTreeMap<u64, (RunKey, bool)>,
     ends: u64,
     fence: u64,
     lease_ms: u64,
@@ -115,6 +117,7 @@
         length_ms: Option<u64>,
     ) -> Result<bool, Refusal> {
         self.check_fence(start.fence)?;
+        self.pass(now_ms);
         if start.lease_ms <= now_ms {
             return Err(Refusal::Late);
         }
@@ -154,20 +157,35 @@
         Ok(run.stopping)
     }
 
-    /// Extends the lease and forgets acknowledged ends.
+    /// Extends the lease and forgets acknowledged ends. Returns the runs whose end `done` counts
+    /// from now on: it was acknowledged before the lease lapsed.
     ///
     /// # Errors
     /// [`Refusal::Fence`].
     pub fn hold(
         &mut self,
+        now_ms: u64,
         fence: u64,
         lease_ms: Option<u64>,
         acknowledged: u64,
-    ) -> Result<(), Refusal> {
+    ) -> Result<Vec<RunKey>, Refusal> {
         self.check_fence(fence)?;
+        self.pass(now_ms);
         self.lease_ms = self.lease_ms.max(lease_ms.unwrap_or_default());
         self.ended.retain(|end| end.number > acknowledged);
-        Ok(())
+        let kept = self.done.split_off(&(acknowledged + 1));
+        let noted = std::mem::replace(&mut self.done, kept);
+        let noted = noted.into_values().filter(|(_, lapsed)| !lapsed);
+        Ok(noted.map(|(run, _)| run).collect())
+    }
+
+    /// Notes when the lease has lapsed: earlier ends count for nothing.
+    fn pass(&mut self, now_ms: u64) {
+        if now_ms >= self.lease_ms {
+            for end in self.done.values_mut() {
+                end.1 = true;
+            }
+        }
     }
 
     /// Ends a run, if it is still there.
@@ -179,6 +197,9 @@
         let barred = self.barred.entry(run.0.clone()).or_default();
         *barred = (*barred).max(run.1);
         self.ends += 1;
+        if cause == "done" {
+            self.done.insert(self.ends, (run.clone(), false));
+        }
         self.ended.push_back(End {
             number: self.ends,
             run: run.clone(),
@@ -189,7 +210,8 @@
 
     /// Runs whose lease has passed.
     #[must_use]
-    pub fn lapsed(&self, now_ms: u64) -> Vec<RunKey> {
+    pub fn lapsed(&mut self, now_ms: u64) -> Vec<RunKey> {
+        self.pass(now_ms);
         if now_ms < self.lease_ms {
             return Vec::new();
         }
--- a/crates/lab/src/site/store.rs
+++ b/crates/lab/src/site/store.rs
@@ -263,7 +263,11 @@
         }
         match self.draw_fate() {
             Fate::Answered => match self.write(&conditions, changes) {
-                Ok(_) => self.rows_answer(StatusCode::OK, Vec::new(), false),
+                Ok(version) => {
+                    let now_ms = u64::try_from(self.began.elapsed().as_millis());
+                    let now_ms = now_ms.unwrap_or(u64::MAX);
+                    answer_json(StatusCode::OK, &json!({"Ver": version, "NowMs": now_ms}))
+                }
                 Err(rows) => self.rows_answer(StatusCode::PRECONDITION_FAILED, rows, false),
             },
             Fate::Lost => {
--- a/crates/lab/src/site/watcher.rs
+++ b/crates/lab/src/site/watcher.rs
@@ -10,6 +10,9 @@
     /// A run has ended, `lost` when its worker is gone.
     fn ended(&self, worker: usize, run: &RunKey, cause: &'static str);
 
+    /// The end `done` of a run was acknowledged, and its lease had not lapsed meanwhile.
+    fn noted(&self, run: &RunKey);
+
     /// An agent has acknowledged that the worker is leaving.
     fn leaving(&self, worker: usize);
 
--- a/crates/lab/src/site/worker.rs
+++ b/crates/lab/src/site/worker.rs
@@ -376,9 +376,14 @@
         let mut ends = self.ends.subscribe();
         let waits = {
             let mut state = self.state();
-            let longest = state.clock.now_ms() + LEASE_MS;
-            let lease = call.deadline_ms.map(|lease| lease.min(longest));
-            state.runs.hold(call.fence, lease, call.ack_cursor)?;
+            let now_ms = state.clock.now_ms();
+            let lease = call.deadline_ms.map(|lease| lease.min(now_ms + LEASE_MS));
+            let noted = state
+                .runs
+                .hold(now_ms, call.fence, lease, call.ack_cursor)?;
+            for run in noted {
+                self.watcher.noted(&run);
+            }
             !state.runs.has_ends()
         };
         if waits {
--- a/crates/lab/src/soak/caller.rs
+++ b/crates/lab/src/soak/caller.rs
@@ -26,6 +26,12 @@
 /// Time after a request's last byte in which a process that stops may not have read it.
 const UNREAD: Duration = Duration::from_millis(200);
 
+/// Longest time that a caller asks for an accepted job.
+const FOLLOW_LIMIT: Duration = Duration::from_secs(25);
+
+/// Pause between two questions for an accepted job.
+const LOOK_PAUSE: Duration = Duration::from_millis(150);
+
 /// How a caller behaves with one job.
 #[derive(Debug, Clone, Copy)]
 enum Manner {
@@ -67,12 +73,14 @@
                 1 => Manner::Cancels(while_ms),
                 _ => Manner::Waits,
             };
-            self.serve(&job, manner).await;
+            if self.serve(&job, manner).await == Answer::Accepted {
+                self.follow(&job, manner).await;
+            }
         }
     }
 
-    /// Sees one job through.
-    async fn serve(&mut self, job: &Job, manner: Manner) {
+    /// Sees one submission through; returns its last answer.
+    async fn serve(&mut self, job: &Job, manner: Manner) -> Answer {
         for _ in 0..SUBMISSIONS {
             if !self.connect().await {
                 sleep(RESEND).await;
@@ -86,10 +94,54 @@
             self.check(job, manner, &reply, answer, began);
             let left = matches!(manner, Manner::Leaves(_) | Manner::Cancels(_));
             if left || !matches!(answer, Answer::None | Answer::GaveUp) {
-                return;
+                return answer;
             }
             sleep(RESEND).await;
         }
+        Answer::None
+    }
+
+    /// Asks for an accepted job until it has ended, at any process.
+    async fn follow(&mut self, job: &Job, manner: Manner) {
+        if let Manner::Cancels(after) = manner {
+            sleep(after).await;
+            cancel(&self.shared, &job.id, &job.path()).await;
+        }
+        let accepted = Instant::now();
+        while accepted.elapsed() < FOLLOW_LIMIT {
+            sleep(LOOK_PAUSE).await;
+            if self.rng.random_ratio(1, 4) {
+                self.connection.close();
+            }
+            if !self.connect().await {
+                continue;
+            }
+            let looked = Instant::now();
+            let path = job.path();
+            let look = self
+                .connection
+                .send(Method::GET, &path, String::new(), WAIT);
+            let reply = look.await;
+            let witness = &self.shared.witness;
+            if matches!(reply, Reply::Status(410, _)) && witness.calm().is_calm(accepted) {
+                let text = format!("job {} is not known after it was accepted", job.id);
+                return witness.violate(Rule::Lost, text);
+            }
+            let answer = answer_of(&reply);
+            if !matches!(
+                answer,
+                Answer::Completed | Answer::Failed | Answer::Cancelled
+            ) {
+                continue;
+            }
+            witness.shown(&job.id, answer);
+            if witness.calm().is_calm(accepted) && looked - accepted > job.objective() {
+                let took = looked - accepted;
+                let text = format!("job {} ended {took:?} after it was accepted", job.id);
+                witness.violate(Rule::Served, text);
+            }
+            return;
+        }
     }
 
     async fn submit(&mut self, job: &Job, manner: Manner) -> Reply {
@@ -104,6 +156,7 @@
                     Reply::Late
                 })
             }
+            Manner::Cancels(_) if job.durable => submission.await,
             Manner::Cancels(after) => {
                 let shared = Arc::clone(&self.shared);
                 let (id, path) = (job.id.clone(), path.clone());
@@ -149,7 +202,9 @@
         if cancels || !witness.calm().is_calm(began) {
             return;
         }
-        let expected = if job.fails {
+        let expected = if job.durable {
+            Answer::Accepted
+        } else if job.fails {
             Answer::Failed
         } else {
             Answer::Completed
@@ -183,6 +238,7 @@
     };
     let body: Value = serde_json::from_slice(body).unwrap_or_default();
     match (status, body["State"].as_str()) {
+        (200, None) => Answer::Accepted,
         (200, Some("completed")) => Answer::Completed,
         (200, Some("failed")) => Answer::Failed,
         (200, Some("cancelled")) => Answer::Cancelled,
--- a/crates/lab/src/soak/job.rs
+++ b/crates/lab/src/soak/job.rs
@@ -1,5 +1,7 @@
 //! Jobs that the callers submit.
 
+use std::time::Duration;
+
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
@@ -7,6 +9,12 @@
 /// Queues of the soak; each job goes to one of them.
 pub const QUEUES: [&str; 3] = ["slot", "confirm", "cancel"];
 
+/// Target of the queues, in milliseconds.
+pub const TARGET_MS: u64 = 1_000;
+
+/// Stretch of the queues: response time in multiples of the longest chain of run times.
+pub const STRETCH: f64 = 3.0;
+
 /// Runs of a task that may fail.
 pub const ATTEMPTS: u32 = 2;
 
@@ -38,10 +46,12 @@
     pub phases: Vec<Phase>,
     /// Whether its tasks fail.
     pub fails: bool,
+    /// Whether it must be kept once it is accepted.
+    pub durable: bool,
 }
 
 impl Job {
-    /// Draws a job. One of 50 fails, one of 8 has two phases.
+    /// Draws a job. One of 50 fails, one of 8 has two phases, one of 3 must be kept.
     pub fn draw(rng: &mut ChaCha8Rng) -> Self {
         let kind = rng.random_range(0..QUEUES.len());
         let (count, ms) = [(8, 50), (4, 300), (2, 120)][kind];
@@ -62,9 +72,18 @@
             estimate_ms: ms,
             phases,
             fails,
+            durable: rng.random_ratio(1, 3),
         }
     }
 
+    /// Time in which the job ends while nothing is disturbed, as the queues of the soak say.
+    #[must_use]
+    pub fn objective(&self) -> Duration {
+        let chain =
+            Duration::from_millis(self.estimate_ms) * u32::try_from(self.phases.len()).unwrap_or(1);
+        Duration::from_millis(TARGET_MS) + chain.mul_f64(STRETCH)
+    }
+
     /// Path of the job.
     #[must_use]
     pub fn path(&self) -> String {
@@ -86,7 +105,7 @@
             })
         });
         let phases: Vec<Value> = phases.collect();
-        json!({"Spec": self.spec, "BestEffort": true, "Phases": phases}).to_string()
+        json!({"Spec": self.spec, "BestEffort": !self.durable, "Phases": phases}).to_string()
     }
 
     /// Names of the tasks of a phase.
--- a/crates/lab/src/soak/operator.rs
+++ b/crates/lab/src/soak/operator.rs
@@ -10,7 +10,7 @@
 
 use super::connection::{Connection, HOST, Reply};
 use super::fleet::{Fleet, SERVICE};
-use super::job::{ATTEMPTS, QUEUES};
+use super::job::{ATTEMPTS, QUEUES, STRETCH, TARGET_MS};
 use super::witness::{Rule, Witness};
 use crate::site::SiteStore;
 
@@ -120,7 +120,7 @@
     let queue = |name: &str| {
         json!({
             "Name": name, "Host": HOST, "Prefix": format!("/{name}/"), "Service": SERVICE,
-            "TargetLatencyMs": 1_000, "MaxAttempts": ATTEMPTS, "StretchFactor": 3.0,
+            "TargetLatencyMs": TARGET_MS, "MaxAttempts": ATTEMPTS, "StretchFactor": STRETCH,
         })
     };
     let mut routes: Vec<Value> = QUEUES.iter().map(|name| queue(name)).collect();
--- a/crates/lab/src/soak/witness.rs
+++ b/crates/lab/src/soak/witness.rs
@@ -32,6 +32,8 @@
     Refused,
     /// An answer is whole and has a cause.
     Answer,
+    /// An accepted job is shown as ended.
+    Lost,
     /// Nothing starts after a cancellation.
     Cancelled,
     /// A worker that leaves gets no new work.
@@ -67,6 +69,8 @@
 /// Final answer to a submission.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Answer {
+    /// It is stored and will run.
+    Accepted,
     /// All tasks are done.
     Completed,
     /// A task failed too often.
@@ -88,6 +92,10 @@
     open: u32,
     /// Whether a submission had another answer than a refusal.
     accepted: bool,
+    /// Whether it was acknowledged that the job is kept.
+    stored: bool,
+    /// Whether it was shown as ended.
+    ended: bool,
     cancelled: Option<Instant>,
     started: bool,
 }
@@ -98,6 +106,11 @@
     running: Vec<(usize, u64)>,
     done: bool,
     failed: u32,
+    /// Last start, and last end `done`.
+    started: Option<Instant>,
+    finished: Option<Instant>,
+    /// An end `done` that was taken note of.
+    noted: Option<Instant>,
 }
 
 #[derive(Debug, Default)]
@@ -159,6 +172,8 @@
             job: job.clone(),
             open: 0,
             accepted: false,
+            stored: false,
+            ended: false,
             cancelled: None,
             started: false,
         });
@@ -173,6 +188,20 @@
         if let Some(record) = state.jobs.get_mut(id) {
             record.open -= 1;
             record.accepted |= answer != Answer::Refused;
+            record.stored |= answer == Answer::Accepted;
+        }
+        drop(state);
+        if let Some((rule, text)) = fault {
+            self.violate(rule, text);
+        }
+    }
+
+    /// A durable job was shown as ended.
+    pub fn shown(&self, id: &str, answer: Answer) {
+        let mut state = self.state();
+        let fault = state.judge(id, answer);
+        if let Some(record) = state.jobs.get_mut(id) {
+            record.ended = true;
         }
         drop(state);
         if let Some((rule, text)) = fault {
@@ -201,6 +230,11 @@
                 faults.push((Rule::Refused, format!("job {id} was refused and has run")));
             }
         }
+        for (id, record) in &state.jobs {
+            if record.stored && !record.ended && record.cancelled.is_none() {
+                faults.push((Rule::Lost, format!("job {id} was accepted and never ended")));
+            }
+        }
         for (index, worker) in &state.workers {
             for (task, attempt) in worker.running.keys() {
                 let text = format!("{task}#{attempt} still runs on worker {index}");
@@ -285,6 +319,13 @@
         {
             faults.push((Rule::Twice, format!("beside {:?}", known.running)));
         }
+        let ended = self
+            .tasks
+            .get(task)
+            .is_some_and(|task| task.noted.is_some());
+        if record.job.durable && ended {
+            faults.push((Rule::Twice, "after its end was taken note of".to_owned()));
+        }
         let spread = record.job.phases.get(phase).map_or(0, |phase| phase.spread);
         if let Some(known) = self.workers.get(&worker) {
             let prefix = format!("{id}.0.{phase}.");
@@ -312,6 +353,7 @@
         }
         let task = state.tasks.entry(run.0.clone()).or_default();
         task.running.push((worker, run.1));
+        task.started = Some(Instant::now());
         let record = state.workers.entry(worker).or_default();
         record.running.insert(run.clone(), room);
         let used = record.running.values();
@@ -332,10 +374,28 @@
         record.running.remove(run);
         let task = state.tasks.entry(run.0.clone()).or_default();
         task.running.retain(|known| *known != (worker, run.1));
-        task.done |= cause == "done";
+        if cause == "done" {
+            task.done = true;
+            task.finished = Some(Instant::now());
+        }
         task.failed += u32::from(cause == "failed");
     }
 
+    fn noted(&self, run: &RunKey) {
+        let mut state = self.state();
+        let id = run.0.split('.').next().unwrap_or_default();
+        let durable = state.jobs.get(id).is_some_and(|record| record.job.durable);
+        let task = state.tasks.entry(run.0.clone()).or_default();
+        let again = task.started > task.finished;
+        let first = task.noted.is_none();
+        task.noted = task.noted.or(task.finished);
+        drop(state);
+        if durable && first && again {
+            let text = format!("{} was started again after an end that counts", run.0);
+            self.violate(Rule::Twice, text);
+        }
+    }
+
     fn leaving(&self, worker: usize) {
         let mut state = self.state();
         let record = state.workers.entry(worker).or_default();
--- a/crates/lab/tests/site/run_rules.rs
+++ b/crates/lab/tests/site/run_rules.rs
@@ -18,7 +18,7 @@
 #[rstest]
 fn a_lower_fence_does_nothing() {
     let mut runs = Runs::default();
-    runs.hold(7, None, 0).unwrap();
+    runs.hold(0, 7, None, 0).unwrap();
     assert_eq!(
         runs.start(0, start(1, 6, 900), Some(50)),
         Err(Refusal::Fence)
@@ -54,8 +54,20 @@
     assert_eq!(lapsed, [(TASK.to_owned(), 1)]);
     runs.end(&lapsed[0], "lapsed");
     assert_eq!(runs.lists(900).ended[0].cause, "lapsed");
-    runs.hold(1, None, 0).unwrap();
+    runs.hold(900, 1, None, 0).unwrap();
     assert!(runs.has_ends());
-    runs.hold(1, None, 1).unwrap();
+    runs.hold(900, 1, None, 1).unwrap();
     assert!(!runs.has_ends());
 }
+
+/// Guards against an end that counts although the lease has lapsed before its acknowledgement.
+#[rstest]
+#[case(500, true)]
+#[case(950, false)]
+fn an_end_counts_within_the_lease(#[case] now_ms: u64, #[case] counts: bool) {
+    let mut runs = Runs::default();
+    runs.start(0, start(1, 1, 900), Some(50)).unwrap();
+    runs.end(&(TASK.to_owned(), 1), "done");
+    let noted = runs.hold(now_ms, 1, Some(2_000), 1).unwrap();
+    assert_eq!(!noted.is_empty(), counts);
+}
--- a/crates/lab/tests/soak/broken_promises.rs
+++ b/crates/lab/tests/soak/broken_promises.rs
@@ -23,6 +23,7 @@
         estimate_ms: 50,
         phases,
         fails: false,
+        durable: false,
     }
 }
 
@@ -101,6 +102,23 @@
     assert_eq!(rules(&witness), [rule]);
 }
 
+/// Guards against a durable task that is started after its end was taken note of, and against a
+/// job that is forgotten, which nobody notices.
+#[rstest]
+fn broken_durability_is_noticed() {
+    let witness = Witness::new(Calm::default(), (2_000, 1_000));
+    let mut kept = job(vec![phase(1)]);
+    kept.durable = true;
+    witness.submits(&kept);
+    witness.answered(ID, Answer::Accepted);
+    for attempt in [1, 2] {
+        witness.started(0, &run(0, 0, attempt), "work");
+        witness.ended(0, &run(0, 0, attempt), "done");
+        witness.noted(&run(0, 0, attempt));
+    }
+    assert_eq!(rules(&witness), [Rule::Twice, Rule::Lost]);
+}
+
 /// Guards against runs that nobody ends.
 #[rstest]
 fn what_still_runs_is_noticed() {
