fix(core): a failed run counts once, also across owners

Change: rows carry the number of the last counted start; ends of starts that are known already are settled and counted no more. Measured: one_failure_counts_once failed before (after 16 ms), passes now; crates/core/tests/jobs, 58 passed.

--- a/crates/core/src/scheduler/durable.rs
+++ b/crates/core/src/scheduler/durable.rs
@@ -13,7 +13,7 @@
 use smol_str::SmolStr;
 
 use super::io::{Action, Answer, CallKey, JobState};
-use super::jobs::{Job, JobKey, Place, Progress};
+use super::jobs::{Job, JobKey, Place, Progress, Task};
 use super::machine::{Machine, log, ms};
 use super::record::{End, Record, Stored, decode_request, encode, restore, stored_rules};
 use super::shards::Holding;
@@ -296,7 +296,7 @@
         let proven = self.shards.get(shard).proven;
         if let Some(record) = &mut job.record {
             record.ends.push(run.into());
-            let waits = task.is_some_and(|task| task.place == Place::Waiting);
+            let waits = task.is_some_and(|task| task.awaits(run));
             let counts = done || outcome == wire::RunOutcome::Failed;
             let open = job.progress != Progress::Closing;
             if record.loaded && !proven && waits && counts && open {
@@ -547,7 +547,7 @@
         };
         let loaded = job.record.as_ref().is_some_and(|record| record.loaded);
         let task = job.task(run.task.phase, run.task.index);
-        let waits = task.is_some_and(|task| task.place == Place::Waiting);
+        let waits = task.is_some_and(|task| task.awaits(run));
         if loaded && waits && !proven && job.progress != Progress::Closing {
             adopt_run(job, run, from);
             if let Some(worker) = self.workers.get_mut(from) {
@@ -587,6 +587,13 @@
     }
 }
 
+impl Task {
+    /// Whether the task waits and nothing is known yet of this run of it.
+    fn awaits(&self, run: &RunId) -> bool {
+        self.place == Place::Waiting && run.attempt > self.attempt
+    }
+}
+
 impl Job {
     /// Shard of a durable job.
     pub(super) fn shard(&self) -> Option<Shard> {
--- a/crates/core/src/scheduler/jobs.rs
+++ b/crates/core/src/scheduler/jobs.rs
@@ -36,8 +36,9 @@
     pub(super) place: Place,
     /// Number of the last start.
     pub(super) attempt: u32,
-    /// Runs that failed.
+    /// Runs that failed, and the number of the last start among them.
     pub(super) failed: u32,
+    pub(super) counted: u32,
     /// Workers on which it failed or stood still.
     pub(super) avoid: SmallVec<[WorkerKey; 2]>,
 }
@@ -109,6 +110,7 @@
                 place,
                 attempt: 0,
                 failed: 0,
+                counted: 0,
                 avoid: SmallVec::new(),
             };
             phases.push(Phase {
--- a/crates/core/src/scheduler/record.rs
+++ b/crates/core/src/scheduler/record.rs
@@ -117,6 +117,7 @@
             failures.push(wire::TaskFailures {
                 index: to_u32(index),
                 runs: task.failed,
+                attempt: task.counted,
             });
         }
     }
@@ -205,6 +206,8 @@
         for failure in &phase.failures {
             if let Some(task) = job.task_mut(phase_at, failure.index) {
                 task.failed = failure.runs;
+                task.attempt = failure.attempt;
+                task.counted = failure.attempt;
             }
         }
     }
--- a/crates/core/src/scheduler/reports.rs
+++ b/crates/core/src/scheduler/reports.rs
@@ -144,6 +144,7 @@
         };
         if outcome == wire::RunOutcome::Failed {
             task.failed += 1;
+            task.counted = run.attempt;
         }
         let failed = task.failed;
         let fields = vec![
--- a/crates/core/tests/jobs/durable_jobs.rs
+++ b/crates/core/tests/jobs/durable_jobs.rs
@@ -302,3 +302,31 @@
     assert_done(&mut fleet, 6_000);
     assert_eq!(fleet.count(SHARD_LOST), 0);
 }
+
+/// Guards against a failure that counts twice because its report comes to the next owner too, or
+/// comes twice: the job would be shown as failed without cause.
+#[rstest]
+fn one_failure_counts_once() {
+    for delay_ms in (16..72).step_by(4) {
+        let mut fleet = fleet(3, 22);
+        for at in 0..3 {
+            fleet.worker(at).broken = true;
+        }
+        let job = fleet.submit(0, "checks", Job::new(1, 1_000, 50).durable());
+        while fleet.starts() == 0 {
+            fleet.run(1);
+        }
+        for at in 0..3 {
+            fleet.worker(at).broken = false;
+        }
+        fleet.run(delay_ms - 16);
+        for at in 0..3 {
+            fleet.kill_entry(at);
+            fleet.start_entry(at);
+        }
+        fleet.run(9_000);
+        let state = fleet.query(1, job);
+        assert_eq!(state, Some(Answer::Completed), "after {delay_ms} ms");
+        fleet.assert_rules();
+    }
+}
