fix(core): an end that arrives after its run was given up for lost counts

Ruled out: ends settled by another process (the agents take it from the owner only). Change: the end of a waiting task's last start is taken, whether it was ordered by this owner or an earlier one.

--- a/crates/core/src/scheduler/durable.rs
+++ b/crates/core/src/scheduler/durable.rs
@@ -293,15 +293,13 @@
             worker.unsettled.remove(run);
             return worker.outbox.voided.push(run.into());
         }
-        let proven = self.shards.get(shard).proven;
         if let Some(record) = &mut job.record {
             record.ends.push(run.into());
-            let waits = task.is_some_and(|task| task.awaits(run));
-            let counts = done || outcome == wire::RunOutcome::Failed;
-            let open = job.progress != Progress::Closing;
-            if record.loaded && !proven && waits && counts && open {
-                adopt_run(job, run, from);
-            }
+        }
+        let waits = task.is_some_and(|task| task.awaits_end(run));
+        let counts = done || outcome == wire::RunOutcome::Failed;
+        if waits && counts && job.progress != Progress::Closing {
+            adopt_run(job, run, from);
         }
         self.mark_dirty(now, key, PROGRESS_PAUSE);
     }
@@ -592,6 +590,13 @@
     fn awaits(&self, run: &RunId) -> bool {
         self.place == Place::Waiting && run.attempt > self.attempt
     }
+
+    /// Whether the task waits and the end of its last start, or of a later one, is not known yet:
+    /// the run was given up for lost, or ordered by an earlier owner.
+    fn awaits_end(&self, run: &RunId) -> bool {
+        let last = run.attempt >= self.attempt && run.attempt > self.counted;
+        self.place == Place::Waiting && last
+    }
 }
 
 impl Job {
--- a/crates/core/tests/jobs/durable_jobs.rs
+++ b/crates/core/tests/jobs/durable_jobs.rs
@@ -330,3 +330,28 @@
         fleet.assert_rules();
     }
 }
+
+/// Guards against an end that is settled and not taken, because its run was given up for lost
+/// while the owner stood still: the task would be started again.
+#[rstest]
+fn an_end_during_a_standstill_counts() {
+    let mut fleet = fleet(3, 23);
+    for _ in 0..6 {
+        // Leases do not lapse while these run.
+        fleet.submit(2, "patient", Job::new(3, 500, 6_000));
+    }
+    fleet.run(50);
+    for round in 0..12 {
+        fleet.submit(round % 2, "checks", Job::new(2, 500, 300).durable());
+        fleet.run(10);
+    }
+    for entry in 0..2 {
+        fleet.freeze_entry(entry, true);
+    }
+    fleet.run(2_300);
+    for entry in 0..2 {
+        fleet.freeze_entry(entry, false);
+    }
+    fleet.run(6_000);
+    assert_done(&mut fleet, 6_000);
+}
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -284,8 +284,17 @@
         self.reset_links(|_, host| host == at);
     }
 
+    /// Lets an entry process stand still or go on. Its decisions go on before what arrived
+    /// meanwhile has been read.
     pub fn freeze_entry(&mut self, at: usize, frozen: bool) {
+        let thaws = self.entries[at].frozen && !frozen;
         self.entries[at].frozen = frozen;
+        let now = self.now();
+        let mut out = Vec::new();
+        if let Some(machine) = self.entries[at].machine.as_mut().filter(|_| thaws) {
+            machine.flush(now, &mut out);
+        }
+        self.entry_actions(at, out);
         for input in std::mem::take(&mut self.entries[at].backlog) {
             self.entry_input(at, input);
         }
