fix(core): slow writes of shards that were given up, ends of later phases

Change: the outcome of a write counts until the shard is dropped; ends and runs of tasks whose earlier phase is not known as done are taken too.

--- a/crates/core/src/executor/owners.rs
+++ b/crates/core/src/executor/owners.rs
@@ -218,7 +218,7 @@
                     number: owner.number,
                     orders_seen: owner.orders,
                     reports: mem::take(&mut owner.reports).into(),
-                    worker: Some(state.clone()),
+                    worker: Some(*state),
                     listing: lists,
                     open: open.unwrap_or_default(),
                     profile: news,
--- a/crates/core/src/scheduler/durable.rs
+++ b/crates/core/src/scheduler/durable.rs
@@ -588,14 +588,20 @@
 impl Task {
     /// Whether the task waits and nothing is known yet of this run of it.
     fn awaits(&self, run: &RunId) -> bool {
-        self.place == Place::Waiting && run.attempt > self.attempt
+        self.is_unplaced() && run.attempt > self.attempt
+    }
+
+    /// Whether it waits, also for a phase before its own: an earlier owner may have known that
+    /// phase as done.
+    fn is_unplaced(&self) -> bool {
+        matches!(self.place, Place::Waiting | Place::Blocked)
     }
 
     /// Whether the task waits and the end of its last start, or of a later one, is not known yet:
     /// the run was given up for lost, or ordered by an earlier owner.
     fn awaits_end(&self, run: &RunId) -> bool {
         let last = run.attempt >= self.attempt && run.attempt > self.counted;
-        self.place == Place::Waiting && last
+        self.is_unplaced() && last
     }
 }
 
--- a/crates/core/src/scheduler/jobs.rs
+++ b/crates/core/src/scheduler/jobs.rs
@@ -169,14 +169,27 @@
         }
     }
 
+    /// Lets a task wait, for a worker or for an earlier phase.
+    pub(super) fn wait_again(&mut self, phase: u32, index: u32) {
+        let place = if self.is_blocked(phase as usize) {
+            Place::Blocked
+        } else {
+            Place::Waiting
+        };
+        self.set_place(phase, index, place);
+    }
+
+    /// Whether an earlier phase is not done.
+    fn is_blocked(&self, phase: usize) -> bool {
+        let after = &self.request.phases[phase].after;
+        let mut after = after.iter();
+        after.any(|&before| self.phases[before as usize].open > 0)
+    }
+
     /// Lets phases wait for workers whose earlier phases are done.
     pub(super) fn unblock(&mut self) {
         for at in 0..self.phases.len() {
-            let after = &self.request.phases[at].after;
-            if after
-                .iter()
-                .any(|&before| self.phases[before as usize].open > 0)
-            {
+            if self.is_blocked(at) {
                 continue;
             }
             for index in 0..self.phases[at].tasks.len() {
--- a/crates/core/src/scheduler/reports.rs
+++ b/crates/core/src/scheduler/reports.rs
@@ -69,7 +69,7 @@
             job.set_place(*phase, *index, Place::Done);
             job.unblock();
         } else {
-            job.set_place(*phase, *index, Place::Waiting);
+            job.wait_again(*phase, *index);
         }
         if job.progress == Progress::Closing {
             return self.drop_closed(now, key, out);
--- a/crates/core/src/scheduler/shards.rs
+++ b/crates/core/src/scheduler/shards.rs
@@ -647,7 +647,10 @@
                 self.shards.get_mut(shard).version = version;
                 self.begin_loading(now, shard, out);
             }
-            (Holding::Owned | Holding::Releasing, StoreOutcome::Written(version)) => {
+            (
+                Holding::Owned | Holding::Releasing | Holding::Released(_),
+                StoreOutcome::Written(version),
+            ) => {
                 self.shards.get_mut(shard).version = version;
                 self.finish_write(now, shard, out);
             }
@@ -689,8 +692,10 @@
         }
         match state.holding {
             Holding::Claiming if applied => self.begin_loading(now, shard, out),
-            Holding::Owned | Holding::Releasing if applied => self.finish_write(now, shard, out),
-            Holding::Owned | Holding::Releasing | Holding::Loading => {
+            Holding::Owned | Holding::Releasing | Holding::Released(_) if applied => {
+                self.finish_write(now, shard, out);
+            }
+            Holding::Owned | Holding::Releasing | Holding::Released(_) | Holding::Loading => {
                 let owner = state.row.as_ref().map(|row| row.name.clone());
                 let fields = vec![
                     ("shard", shard.to_string()),
@@ -809,7 +814,9 @@
     /// Takes back the rows of a write that was certainly not carried out.
     pub(super) fn take_back(&mut self, shard: Shard) -> Option<Batch> {
         let state = self.shards.get_mut(shard);
-        let waits = !state.busy && state.batch.as_ref().is_some_and(|batch| !batch.unclear);
+        let holds = matches!(state.holding, Holding::Owned | Holding::Releasing);
+        let waits =
+            holds && !state.busy && state.batch.as_ref().is_some_and(|batch| !batch.unclear);
         state.batch.take_if(|_| waits)
     }
 
--- a/crates/core/tests/jobs/durable_jobs.rs
+++ b/crates/core/tests/jobs/durable_jobs.rs
@@ -355,3 +355,48 @@
     fleet.run(6_000);
     assert_done(&mut fleet, 6_000);
 }
+
+/// Guards against a refusal of a job whose row is written after its shard was given up.
+#[rstest]
+#[case(500)]
+#[case(850)]
+fn a_slow_write_is_no_refusal(#[case] slow_ms: u64) {
+    let mut fleet = fleet(3, 24);
+    fleet.store.slow = Some((0, slow_ms));
+    submit(&mut fleet, 60, 50);
+    fleet.run(3_000);
+    fleet.store.slow = None;
+    fleet.run(8_000);
+    for at in 0..fleet.callers.len() {
+        if matches!(fleet.answer_to(at), Some(Answer::NotRun { .. })) {
+            assert!(!fleet.has_started(at), "job {at} was refused and has run");
+        }
+    }
+    assert_done(&mut fleet, 6_000);
+}
+
+/// Guards against ends of a later phase that are settled and not taken, since the ends of the
+/// phase before it were not stored either and come later.
+#[rstest]
+fn ends_of_later_phases_count() {
+    let mut fleet = fleet(3, 25);
+    fleet.submit(2, "patient", Job::new(3, 500, 6_000));
+    fleet.run(50);
+    fleet.store.lose_each = 0;
+    for round in 0..12 {
+        let job = Job::new(2, 500, 60).durable().phases(3);
+        fleet.submit(round % 3, "checks", job);
+        fleet.run(16);
+    }
+    fleet.store.down = true;
+    fleet.run(400);
+    for at in 0..3 {
+        fleet.kill_entry(at);
+    }
+    fleet.run(200);
+    fleet.store.down = false;
+    for at in 0..3 {
+        fleet.start_entry(at);
+    }
+    assert_done(&mut fleet, 20_000);
+}
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -11,7 +11,6 @@
 use knapweedwall_wire::frame::Body;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
-use smallvec::SmallVec;
 use smol_str::SmolStr;
 
 use crate::peers::PeerLink;
@@ -677,21 +676,22 @@
     ) -> usize {
         let number = self.callers.len();
         let id = format!("{number:016x}");
+        let phases = (0..job.phases).map(|at: u32| PhaseSpec {
+            count: job.tasks,
+            room: Room {
+                cpu: job.cpu,
+                memory: 64,
+                gpus: 0,
+            },
+            estimate: Duration::from_millis(estimate_ms),
+            after: at.checked_sub(1).into_iter().collect(),
+            ..PhaseSpec::default()
+        });
         let request = JobRequest {
             id: id.into(),
             queue: queue.into(),
             spec: spec(job.cpu, job.run_ms, job.fails).into(),
-            phases: vec![PhaseSpec {
-                count: job.tasks,
-                room: Room {
-                    cpu: job.cpu,
-                    memory: 64,
-                    gpus: 0,
-                },
-                estimate: Duration::from_millis(estimate_ms),
-                after: SmallVec::new(),
-                ..PhaseSpec::default()
-            }],
+            phases: phases.collect(),
             wait: job.wait_ms.map(Duration::from_millis),
             durable: job.durable,
             unsupported: None,
@@ -1027,6 +1027,8 @@
     pub fails: bool,
     pub wait_ms: Option<u64>,
     pub durable: bool,
+    /// Phases, each after the one before it.
+    pub phases: u32,
 }
 
 impl Job {
@@ -1038,9 +1040,16 @@
             fails: false,
             wait_ms: None,
             durable: false,
+            phases: 1,
         }
     }
 
+    /// A job of several phases.
+    pub fn phases(mut self, phases: u32) -> Self {
+        self.phases = phases;
+        self
+    }
+
     /// A job that must be kept.
     pub fn durable(mut self) -> Self {
         self.durable = true;
--- a/crates/core/tests/jobs/store.rs
+++ b/crates/core/tests/jobs/store.rs
@@ -46,6 +46,8 @@
     /// Every so many writes lose their answer, and take effect at once or much later by turns.
     pub lose_each: u64,
     writes: u64,
+    /// Entry process whose calls take longer, and by how much.
+    pub slow: Option<(usize, u64)>,
     /// Answers to writes tell a later version than that of the rows.
     pub tells_later: bool,
 }
@@ -69,7 +71,9 @@
         if lost {
             self.timeouts.push((now_ms + LIMIT_MS, timeout));
         }
-        let due_ms = now_ms + if late { 3_000 } else { CALL_MS };
+        let slow = self.slow.filter(|(at, _)| *at == entry);
+        let call_ms = CALL_MS + slow.map_or(0, |(_, ms)| ms);
+        let due_ms = now_ms + if late { 3_000 } else { call_ms };
         self.pending.push(Pending {
             due_ms,
             entry,
--- a/crates/lab/tests/site/row_rules.rs
+++ b/crates/lab/tests/site/row_rules.rs
@@ -26,7 +26,7 @@
         id: id("a"),
         version: 0,
     };
-    let first = rows.transact(&[absent.clone()], vec![set("a", "1")]);
+    let first = rows.transact(std::slice::from_ref(&absent), vec![set("a", "1")]);
     let first = first.unwrap();
     let again = rows.transact(&[absent], vec![set("a", "2"), set("b", "2")]);
     assert_eq!(again.unwrap_err().0[0].version, first);
