perf(core): shards without open jobs are handed over to even out their numbers

Change: the shard with the fewest open jobs is released, one with some only after 12 s. Measured: crates/core/tests/jobs, durable tests, 27 passed.

--- a/crates/core/src/scheduler/shards.rs
+++ b/crates/core/src/scheduler/shards.rs
@@ -66,6 +66,9 @@
 /// Pause between two releases that even out the numbers of shards.
 const BALANCE_PAUSE: Duration = Duration::from_secs(2);
 
+/// Time after which a shard with open jobs is released too.
+const BALANCE_PATIENCE: Duration = Duration::from_secs(12);
+
 /// Age of a call without an answer from which the store counts as failing.
 const SLOW_CALL: Duration = Duration::from_millis(350);
 
@@ -831,26 +834,35 @@
         })
     }
 
-    /// Releases a shard to a process that owns at least two fewer.
+    /// Releases a shard to a process that owns at least two fewer: one without open jobs, as tasks
+    /// that wait would wait longer at the next owner.
     fn balance_shards(&mut self, now: Now, out: &mut Vec<Action>) {
-        if now.since(self.shards.balanced) < BALANCE_PAUSE || self.stopping.is_some() {
+        let pause = now.since(self.shards.balanced);
+        if pause < BALANCE_PAUSE || self.stopping.is_some() {
             return;
         }
-        self.shards.balanced = now.mono;
         let own = self.shards.owned().count();
-        let Some((name, count)) = self.peers.least_loaded() else {
+        let least = self.peers.least_loaded();
+        let Some((name, _)) = least.filter(|(_, count)| own >= count + 2) else {
+            self.shards.balanced = now.mono;
             return;
         };
-        if own < count + 2 {
-            return;
+        let mut open = [0_u32; SHARDS as usize];
+        for shard in self.jobs.iter().filter_map(|(_, job)| job.shard()) {
+            open[shard.0 as usize] += 1;
         }
-        let calm = self.shards.list.iter().find(|state| {
+        let calm = self.shards.list.iter().filter(|state| {
             let owned = state.holding == Holding::Owned;
             owned && state.proven && state.verified && !state.busy && state.batch.is_none()
         });
+        let calm = calm.min_by_key(|state| open[state.shard.0 as usize]);
         let Some(shard) = calm.map(|state| state.shard) else {
             return;
         };
+        if open[shard.0 as usize] > 0 && pause < BALANCE_PATIENCE {
+            return;
+        }
+        self.shards.balanced = now.mono;
         let state = self.shards.get_mut(shard);
         state.successor = name;
         state.holding = Holding::Releasing;
