--- a/crates/core/tests/jobs/bad_workers.rs
+++ b/crates/core/tests/jobs/bad_workers.rs
@@ -3,7 +3,8 @@
 use knapweedwall_core::scheduler::Answer;
 use rstest::rstest;
 
-use crate::fleet::{Fleet, Job};
+use crate::callers::Job;
+use crate::fleet::Fleet;
 
 /// Guards against a broken worker that attracts tasks because it is always free: each job may fail
 /// twice on a task before it has failed.
--- a/crates/core/tests/jobs/bounded_room.rs
+++ b/crates/core/tests/jobs/bounded_room.rs
@@ -2,7 +2,8 @@
 
 use rstest::rstest;
 
-use crate::fleet::{Fleet, Job};
+use crate::callers::Job;
+use crate::fleet::Fleet;
 
 /// Guards against a worker that is given more than it has room for by several entry processes.
 #[rstest]
--- a/crates/core/tests/jobs/calm_jobs.rs
+++ b/crates/core/tests/jobs/calm_jobs.rs
@@ -3,7 +3,8 @@
 use knapweedwall_core::scheduler::Answer;
 use rstest::rstest;
 
-use crate::fleet::{Fleet, Job};
+use crate::callers::Job;
+use crate::fleet::Fleet;
 
 /// Guards against jobs that wait although there is room.
 #[rstest]
--- a/crates/core/tests/jobs/durable_jobs.rs
+++ b/crates/core/tests/jobs/durable_jobs.rs
@@ -3,7 +3,8 @@
 use knapweedwall_core::scheduler::Answer;
 use rstest::rstest;
 
-use crate::fleet::{Fleet, Job};
+use crate::callers::Job;
+use crate::fleet::Fleet;
 
 /// Event of a shard that is lost to another process.
 const SHARD_LOST: u16 = 322;
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -4,128 +4,81 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use knapweedwall_core::executor::{self, HoldOutcome, Refusal, StartOutcome, StopOutcome};
-use knapweedwall_core::scheduler::{self, Answer, CallKey};
-use knapweedwall_core::work::{Catalog, JobRequest, PhaseSpec, QueueRules, Room, RunId, TaskId};
+use knapweedwall_core::executor;
+use knapweedwall_core::scheduler::{self, Answer};
+use knapweedwall_core::work::{Catalog, QueueRules, TaskId};
 use knapweedwall_core::{Event, Instance, LinkKey, Now, PeerInfo, Role};
 use knapweedwall_wire::frame::Body;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
 use smol_str::SmolStr;
 
+use crate::callers::{Caller, RESEND_MS};
+use crate::calls::{LateAnswer, PendingCall};
 use crate::peers::PeerLink;
 use crate::store::Store;
-use crate::worker::{LEASE_MS, Worker, spec};
+use crate::worker::{LEASE_MS, Worker};
 
 /// Way between two processes.
-const WAY_MS: u64 = 1;
+pub const WAY_MS: u64 = 1;
 
 /// Pause before a lost connection is made anew.
 const RELINK_MS: u64 = 60;
 
-/// Pause of a worker's heartbeat.
-const HEARTBEAT_MS: u64 = 500;
-
-/// Time in which the platform's client waits for an answer of the worker.
-const CALL_MS: u64 = 200;
-
-/// Time that such a client waits for the lists beyond what the worker was asked to wait.
-const HOLD_SLACK_MS: u64 = 100;
-
-/// Pause before a caller that lost its answer submits again.
-const RESEND_MS: u64 = 1_300;
-
 /// Start of the simulated time: zero stands for "never" in the decisions.
 const START_MS: u64 = 60_000;
 
-/// A call to a worker on its way.
-#[derive(Debug, Clone)]
-enum Call {
-    Start(executor::Order, u64, u64),
-    Stop(RunId, u64),
-    Hold {
-        lease_ms: Option<u64>,
-        fence: u64,
-        acknowledged: u64,
-        until_ms: u64,
-    },
-}
-
-/// A call to a worker that waits to be carried out.
-#[derive(Debug)]
-struct PendingCall {
-    key: executor::CallKey,
-    call: Call,
-    due_ms: u64,
-    /// Nobody waits for the answer.
-    lost: bool,
-    /// Lifetime that the call is meant for; any when empty.
-    life: SmolStr,
-}
-
 /// A host with a worker and its agent.
-struct Host {
-    agent: Option<executor::Machine>,
-    instance: u64,
+pub struct Host {
+    pub agent: Option<executor::Machine>,
+    pub instance: u64,
     pub worker: Worker,
-    calls: Vec<PendingCall>,
-    next_beat_ms: u64,
-    beats: u64,
-    draining: bool,
-    frozen: bool,
+    pub calls: Vec<PendingCall>,
+    pub next_beat_ms: u64,
+    pub beats: u64,
+    pub draining: bool,
+    pub frozen: bool,
     /// Lifetime of the worker that calls are meant for.
-    life: SmolStr,
+    pub life: SmolStr,
     /// What arrived while the agent stood still; it reads this first.
-    backlog: Vec<executor::Input>,
+    pub backlog: Vec<executor::Input>,
 }
 
 /// An entry process.
-struct Entry {
-    machine: Option<scheduler::Machine>,
-    instance: u64,
-    frozen: bool,
+pub struct Entry {
+    pub machine: Option<scheduler::Machine>,
+    pub instance: u64,
+    pub frozen: bool,
     /// What arrived while the process stood still; it reads this first.
-    backlog: Vec<scheduler::Input>,
+    pub backlog: Vec<scheduler::Input>,
 }
 
 /// A connection between an entry process and an agent.
 #[derive(Default)]
-struct Link {
-    key: Option<LinkKey>,
+pub struct Link {
+    pub key: Option<LinkKey>,
     /// Frames to the agent and to the entry process, with the time of arrival.
-    down: VecDeque<(u64, Body)>,
-    up: VecDeque<(u64, Body)>,
-    cut: bool,
-    relink_ms: u64,
-}
-
-/// What a caller knows of its job.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Caller {
-    pub request: JobRequest,
-    pub entry: usize,
-    pub sent_ms: u64,
-    pub answer: Option<Answer>,
-    pub took_ms: u64,
-    call: u64,
-    resend_ms: Option<u64>,
+    pub down: VecDeque<(u64, Body)>,
+    pub up: VecDeque<(u64, Body)>,
+    pub cut: bool,
+    pub relink_ms: u64,
 }
 
 /// The whole fleet.
 pub struct Fleet {
     pub now_ms: u64,
-    entries: Vec<Entry>,
-    hosts: Vec<Host>,
-    links: BTreeMap<(usize, usize), Link>,
+    pub entries: Vec<Entry>,
+    pub hosts: Vec<Host>,
+    pub links: BTreeMap<(usize, usize), Link>,
     /// Connections between entry processes.
     pub peers: Vec<PeerLink>,
     pub store: Store,
     /// Answers to questions and cancellations, by call.
-    replies: BTreeMap<u64, Answer>,
+    pub replies: BTreeMap<u64, Answer>,
     pub callers: Vec<Caller>,
-    next_key: u64,
-    rng: ChaCha8Rng,
-    late_answers: Vec<LateAnswer>,
+    pub next_key: u64,
+    pub rng: ChaCha8Rng,
+    pub late_answers: Vec<LateAnswer>,
     /// Share of the calls to workers without an answer, in percent; they are carried out late.
     pub late_percent: u32,
     /// Time that each call to a worker takes longer than usual.
@@ -200,7 +153,7 @@
         self.rng.next_u64() % below
     }
 
-    fn now(&self) -> Now {
+    pub fn now(&self) -> Now {
         Now {
             mono: Duration::from_millis(self.now_ms),
             wall_ms: self.now_ms,
@@ -344,7 +297,7 @@
         self.hosts[at].agent.is_some()
     }
 
-    fn reset_links(&mut self, which: impl Fn(usize, usize) -> bool) {
+    pub fn reset_links(&mut self, which: impl Fn(usize, usize) -> bool) {
         let keys: Vec<(usize, usize)> = self.links.keys().copied().collect();
         for (entry, host) in keys {
             if which(entry, host) {
@@ -366,7 +319,7 @@
         self.agent_input(host, executor::Input::LinkDown(key));
     }
 
-    fn relink(&mut self) {
+    pub fn relink(&mut self) {
         let keys: Vec<(usize, usize)> = self.links.keys().copied().collect();
         for (entry, host) in keys {
             let link = &self.links[&(entry, host)];
@@ -422,7 +375,7 @@
         self.entry_actions(at, out);
     }
 
-    fn agent_input(&mut self, at: usize, input: executor::Input) {
+    pub fn agent_input(&mut self, at: usize, input: executor::Input) {
         if self.hosts[at].frozen {
             return self.hosts[at].backlog.push(input);
         }
@@ -434,14 +387,14 @@
         self.agent_actions(at, out);
     }
 
-    fn link_of(&mut self, key: LinkKey) -> Option<((usize, usize), &mut Link)> {
+    pub fn link_of(&mut self, key: LinkKey) -> Option<((usize, usize), &mut Link)> {
         let mut links = self.links.iter_mut();
         links
             .find(|(_, link)| link.key == Some(key))
             .map(|(at, link)| (*at, link))
     }
 
-    fn entry_actions(&mut self, at: usize, actions: Vec<scheduler::Action>) {
+    pub fn entry_actions(&mut self, at: usize, actions: Vec<scheduler::Action>) {
         let due = self.now_ms + WAY_MS;
         for action in actions {
             match action {
@@ -475,94 +428,8 @@
         }
     }
 
-    fn agent_actions(&mut self, at: usize, actions: Vec<executor::Action>) {
-        let due = self.now_ms + WAY_MS;
-        let called = due + self.slow_ms;
-        for action in actions {
-            let (key, call) = match action {
-                executor::Action::Send(key, body) => {
-                    if let Some((_, link)) = self.link_of(key) {
-                        link.up.push_back((due, body));
-                    }
-                    continue;
-                }
-                executor::Action::Close(key, _) => {
-                    if let Some(((entry, host), _)) = self.link_of(key) {
-                        self.reset_link(entry, host);
-                    }
-                    continue;
-                }
-                executor::Action::StartRun {
-                    call,
-                    order,
-                    lease_ms,
-                    fence,
-                } => (call, Call::Start(order, lease_ms, fence)),
-                executor::Action::StopRun { call, run, fence } => (call, Call::Stop(run, fence)),
-                executor::Action::Hold {
-                    call,
-                    lease_ms,
-                    fence,
-                    acknowledged,
-                    wait_ms,
-                } => {
-                    let call_made = Call::Hold {
-                        lease_ms,
-                        fence,
-                        acknowledged,
-                        until_ms: called + wait_ms,
-                    };
-                    (call, call_made)
-                }
-                executor::Action::Log(event) => {
-                    self.trace(&format!("agent-{at}"), &event);
-                    self.events.push(event.number);
-                    continue;
-                }
-                executor::Action::Exit => {
-                    self.kill_agent(at);
-                    continue;
-                }
-                executor::Action::UseWorker { instance, .. } => {
-                    self.hosts[at].life = instance;
-                    continue;
-                }
-                _ => continue,
-            };
-            self.calls += 1;
-            let late = self.random(100) < u64::from(self.late_percent);
-            let limit = match &call {
-                Call::Hold { .. } => HOLD_SLACK_MS,
-                _ => CALL_MS,
-            };
-            let unheard = self.slow_ms > limit;
-            let due_ms = if late {
-                due + 2_000 + self.random(10_000)
-            } else {
-                called
-            };
-            if late || unheard {
-                let input = no_answer(key, &call);
-                let wait = match &call {
-                    Call::Hold { until_ms, .. } => until_ms - called + limit,
-                    _ => limit,
-                };
-                self.late_answers
-                    .push((self.now_ms + wait, at, self.hosts[at].instance, input));
-            }
-            let pending = PendingCall {
-                key,
-                call,
-                due_ms,
-                lost: late || unheard,
-                life: self.hosts[at].life.clone(),
-            };
-            self.hosts[at].calls.push(pending);
-        }
-    }
-
     /// Prints the log of a run that is looked into; shown with `--nocapture`.
-    fn trace(&self, process: &str, event: &Event) {
+    pub fn trace(&self, process: &str, event: &Event) {
         if std::env::var_os("KNAPWEEDWALL_TRACE").is_some() {
             println!(
                 "{} {process} {} {:?}",
@@ -571,269 +438,7 @@
         }
     }
 
-    fn carry_out_calls(&mut self, at: usize) {
-        let now_ms = self.now_ms;
-        let host = &mut self.hosts[at];
-        host.worker.pass(now_ms);
-        let mut inputs = Vec::new();
-        let mut kept = Vec::new();
-        for pending in std::mem::take(&mut host.calls) {
-            if pending.due_ms > now_ms {
-                kept.push(pending);
-                continue;
-            }
-            if !host.worker.up {
-                if !pending.lost {
-                    inputs.push(no_answer(pending.key, &pending.call));
-                }
-                continue;
-            }
-            if !pending.life.is_empty() && pending.life != host.worker.instance().as_str() {
-                if !pending.lost {
-                    inputs.push(other_life(pending.key, &pending.call));
-                }
-                continue;
-            }
-            let clock_ms = Some(Worker::clock(now_ms));
-            let (key, lost) = (pending.key, pending.lost);
-            let input = match &pending.call {
-                Call::Start(order, lease_ms, fence) => executor::Input::Started {
-                    call: key,
-                    outcome: host.worker.start(now_ms, order, *lease_ms, *fence),
-                    clock_ms,
-                },
-                Call::Stop(run, fence) => executor::Input::Stopped {
-                    call: key,
-                    outcome: host.worker.stop(now_ms, run, *fence),
-                    clock_ms,
-                },
-                Call::Hold {
-                    lease_ms,
-                    fence,
-                    acknowledged,
-                    until_ms,
-                } => {
-                    let outcome = host.worker.hold(now_ms, *lease_ms, *fence, *acknowledged);
-                    if now_ms < *until_ms && !host.worker.has_news(*acknowledged) && !lost {
-                        kept.push(pending);
-                        continue;
-                    }
-                    executor::Input::Held {
-                        call: key,
-                        outcome,
-                        clock_ms,
-                    }
-                }
-            };
-            if !lost {
-                inputs.push(input);
-            }
-        }
-        host.calls = kept;
-        for input in inputs {
-            self.agent_input(at, input);
-        }
-    }
-
-    fn heartbeat(&mut self, at: usize) {
-        let host = &mut self.hosts[at];
-        if self.now_ms < host.next_beat_ms || !host.worker.up {
-            return;
-        }
-        host.next_beat_ms = self.now_ms + HEARTBEAT_MS;
-        host.beats += 1;
-        let beat = executor::Heartbeat {
-            instance: host.worker.instance().into(),
-            born: host.worker.born,
-            service: "desk".into(),
-            address: format!("127.0.0.1:{at}").into(),
-            labels: vec!["a".into()],
-            capacity: Room {
-                cpu: host.worker.cpu,
-                memory: 64_000,
-                gpus: 0,
-            },
-            draining: host.draining,
-            number: host.beats,
-        };
-        if host.agent.is_some() && !host.frozen {
-            self.agent_input(at, executor::Input::Heartbeat(beat));
-        }
-    }
-
-    /// Submits a job of equal tasks; returns the caller's number.
-    pub fn submit(&mut self, entry: usize, queue: &str, job: Job) -> usize {
-        self.submit_estimated(entry, queue, job, job.run_ms)
-    }
-
-    /// Submits a job whose caller estimates another run time than it has.
-    pub fn submit_estimated(
-        &mut self,
-        entry: usize,
-        queue: &str,
-        job: Job,
-        estimate_ms: u64,
-    ) -> usize {
-        let number = self.callers.len();
-        let id = format!("{number:016x}");
-        let phases = (0..job.phases).map(|at: u32| PhaseSpec {
-            count: job.tasks,
-            room: Room {
-                cpu: job.cpu,
-                memory: 64,
-                gpus: 0,
-            },
-            estimate: Duration::from_millis(estimate_ms),
-            after: at.checked_sub(1).into_iter().collect(),
-            ..PhaseSpec::default()
-        });
-        let request = JobRequest {
-            id: id.into(),
-            queue: queue.into(),
-            spec: spec(job.cpu, job.run_ms, job.fails).into(),
-            phases: phases.collect(),
-            wait: job.wait_ms.map(Duration::from_millis),
-            durable: job.durable,
-            unsupported: None,
-        };
-        self.callers.push(Caller {
-            request,
-            entry,
-            sent_ms: self.now_ms,
-            answer: None,
-            took_ms: 0,
-            call: 0,
-            resend_ms: None,
-        });
-        self.send(number, entry);
-        number
-    }
-
-    /// Submits the job of a caller once more, on a connection of its own.
-    pub fn submit_again(&mut self, number: usize) -> usize {
-        self.submit_again_at(number, self.callers[number].entry)
-    }
-
-    /// Submits the job of a caller once more, at another entry process.
-    pub fn submit_again_at(&mut self, number: usize, entry: usize) -> usize {
-        let again = self.callers.len();
-        let mut caller = self.callers[number].clone();
-        caller.answer = None;
-        caller.sent_ms = self.now_ms;
-        self.callers.push(caller);
-        self.send(again, entry);
-        again
-    }
-
-    fn send(&mut self, number: usize, entry: usize) {
-        let call = self.key();
-        let caller = &mut self.callers[number];
-        caller.call = call;
-        caller.entry = entry;
-        caller.resend_ms = None;
-        let job = Box::new(caller.request.clone());
-        let input = scheduler::Input::Submit {
-            call: CallKey(call),
-            job,
-        };
-        self.entry_input(entry, input);
-    }
-
-    /// The caller closes its connection.
-    pub fn leave(&mut self, number: usize) {
-        let (entry, call) = (self.callers[number].entry, self.callers[number].call);
-        self.callers[number].answer = Some(Answer::Cancelled);
-        self.entry_input(entry, scheduler::Input::CallGone(CallKey(call)));
-    }
-
-    fn answer(&mut self, entry: usize, call: CallKey, answer: Answer) {
-        let now_ms = self.now_ms;
-        let mut callers = self.callers.iter_mut();
-        let found = callers.find(|caller| caller.entry == entry && caller.call == call.0);
-        let Some(caller) = found else {
-            self.replies.insert(call.0, answer);
-            return;
-        };
-        if answer == Answer::GaveUp {
-            caller.resend_ms = Some(now_ms + RESEND_MS);
-            return;
-        }
-        caller.answer = Some(answer);
-        caller.took_ms = now_ms - caller.sent_ms;
-    }
-
-    /// State of a caller's job at an entry process.
-    pub fn query(&mut self, entry: usize, number: usize) -> Option<Answer> {
-        let id = self.callers[number].request.id.clone();
-        self.ask(entry, |call| scheduler::Input::Query { call, id })
-    }
-
-    /// Cancels a caller's job at an entry process.
-    pub fn cancel(&mut self, entry: usize, number: usize) -> Option<Answer> {
-        let id = self.callers[number].request.id.clone();
-        self.ask(entry, |call| scheduler::Input::Cancel { call, id })
-    }
-
-    fn ask(
-        &mut self,
-        entry: usize,
-        input: impl FnOnce(CallKey) -> scheduler::Input,
-    ) -> Option<Answer> {
-        let call = self.key();
-        self.entry_input(entry, input(CallKey(call)));
-        self.run(100);
-        self.replies.remove(&call)
-    }
-
-    /// Starts of tasks on all workers.
-    pub fn starts(&self) -> u64 {
-        self.hosts.iter().map(|host| host.worker.starts).sum()
-    }
-
-    /// Whether a task of a caller's job has started.
-    pub fn has_started(&self, number: usize) -> bool {
-        let id = &self.callers[number].request.id;
-        let starts = self.hosts.iter().flat_map(|host| &host.worker.started);
-        starts.into_iter().any(|(task, _)| task.job == *id)
-    }
-
-    /// Durable tasks that were started after an end `done` that was taken note of.
-    fn repeated(&self) -> Vec<String> {
-        let durable = |task: &TaskId| {
-            let mut callers = self.callers.iter();
-            callers.any(|caller| caller.request.id == task.job && caller.request.durable)
-        };
-        let workers = || self.hosts.iter().map(|host| &host.worker);
-        let mut found = Vec::new();
-        for (task, done_ms) in workers().flat_map(|worker| &worker.noted) {
-            let starts = workers().flat_map(|worker| &worker.started);
-            let mut again = starts.filter(|(other, at_ms)| other == task && at_ms > done_ms);
-            if let Some((_, at_ms)) = again.next()
-                && durable(task)
-            {
-                found.push(format!("{task} done at {done_ms}, started at {at_ms}"));
-            }
-        }
-        found
-    }
-
-    fn resend(&mut self) {
-        for number in 0..self.callers.len() {
-            let due = self.callers[number].resend_ms;
-            if due.is_none_or(|due| due > self.now_ms) {
-                continue;
-            }
-            let alive: Vec<usize> = (0..self.entries.len())
-                .filter(|at| self.entries[*at].machine.is_some())
-                .collect();
-            if !alive.is_empty() {
-                let entry = alive[number % alive.len()];
-                self.send(number, entry);
-            }
-        }
-    }
-
-    fn deliver(&mut self) {
+    pub fn deliver(&mut self) {
         let keys: Vec<(usize, usize)> = self.links.keys().copied().collect();
         for (entry, host) in keys {
             loop {
@@ -859,7 +464,7 @@
         }
     }
 
-    fn flush(&mut self) {
+    pub fn flush(&mut self) {
         let now = self.now();
         for at in 0..self.entries.len() {
             if self.entries[at].frozen {
@@ -884,7 +489,7 @@
     }
 
     /// Notes tasks that run twice at the same time.
-    fn check(&mut self) {
+    pub fn check(&mut self) {
         let mut seen: BTreeMap<&TaskId, usize> = BTreeMap::new();
         let mut found = Vec::new();
         for (at, host) in self.hosts.iter().enumerate() {
@@ -924,35 +529,12 @@
         }
     }
 
-    fn answer_late(&mut self) {
-        let now_ms = self.now_ms;
-        let due: Vec<LateAnswer>;
-        (due, self.late_answers) = std::mem::take(&mut self.late_answers)
-            .into_iter()
-            .partition(|(at_ms, ..)| *at_ms <= now_ms);
-        for (_, at, instance, input) in due {
-            if self.hosts[at].instance == instance {
-                self.agent_input(at, input);
-            }
-        }
-    }
-
     /// How often an event was logged.
     pub fn count(&self, event: u16) -> usize {
         let events = self.events.iter();
         events.filter(|&&number| number == event).count()
     }
 
-    /// Lets time pass until all callers have an answer, for at most `ms`.
-    pub fn finish(&mut self, ms: u64) {
-        for _ in 0..ms {
-            if self.callers.iter().all(|caller| caller.answer.is_some()) {
-                return;
-            }
-            self.run(1);
-        }
-    }
-
     /// Ends the test if a rule was broken.
     pub fn assert_rules(&self) {
         assert_eq!(self.faults, Vec::<String>::new());
@@ -962,103 +544,8 @@
         }
     }
 
-    /// Answer to a caller.
-    pub fn answer_to(&self, number: usize) -> Option<&Answer> {
-        self.callers[number].answer.as_ref()
-    }
-
     /// Number of runs on a worker.
     pub fn running(&self, at: usize) -> usize {
         self.hosts[at].worker.runs.len()
     }
 }
-
-/// Time, host, lifetime of the agent, and outcome of a call without an answer.
-type LateAnswer = (u64, usize, u64, executor::Input);
-
-fn no_answer(key: executor::CallKey, call: &Call) -> executor::Input {
-    let clock_ms = None;
-    match call {
-        Call::Start(..) => executor::Input::Started {
-            call: key,
-            outcome: StartOutcome::NoAnswer("no answer".into()),
-            clock_ms,
-        },
-        Call::Stop(..) => executor::Input::Stopped {
-            call: key,
-            outcome: StopOutcome::NoAnswer("no answer".into()),
-            clock_ms,
-        },
-        Call::Hold { .. } => executor::Input::Held {
-            call: key,
-            outcome: HoldOutcome::NoAnswer("no answer".into()),
-            clock_ms,
-        },
-    }
-}
-
-fn other_life(key: executor::CallKey, call: &Call) -> executor::Input {
-    let clock_ms = None;
-    match call {
-        Call::Start(..) => executor::Input::Started {
-            call: key,
-            outcome: StartOutcome::Refused(Refusal::OtherLife),
-            clock_ms,
-        },
-        Call::Stop(..) => executor::Input::Stopped {
-            call: key,
-            outcome: StopOutcome::OtherLife,
-            clock_ms,
-        },
-        Call::Hold { .. } => executor::Input::Held {
-            call: key,
-            outcome: HoldOutcome::OtherLife,
-            clock_ms,
-        },
-    }
-}
-
-/// A job of equal tasks.
-#[derive(Debug, Clone, Copy)]
-pub struct Job {
-    pub tasks: u32,
-    pub cpu: u32,
-    pub run_ms: u64,
-    pub fails: bool,
-    pub wait_ms: Option<u64>,
-    pub durable: bool,
-    /// Phases, each after the one before it.
-    pub phases: u32,
-}
-
-impl Job {
-    pub fn new(tasks: u32, cpu: u32, run_ms: u64) -> Self {
-        Self {
-            tasks,
-            cpu,
-            run_ms,
-            fails: false,
-            wait_ms: None,
-            durable: false,
-            phases: 1,
-        }
-    }
-
-    /// A job of several phases.
-    pub fn phases(mut self, phases: u32) -> Self {
-        self.phases = phases;
-        self
-    }
-
-    /// A job that must be kept.
-    pub fn durable(mut self) -> Self {
-        self.durable = true;
-        self
-    }
-
-    /// A job whose tasks fail.
-    pub fn failing(mut self) -> Self {
-        self.fails = true;
-        self
-    }
-}
--- a/crates/core/tests/jobs/lost_agents.rs
+++ b/crates/core/tests/jobs/lost_agents.rs
@@ -3,7 +3,8 @@
 use knapweedwall_core::scheduler::Answer;
 use rstest::rstest;
 
-use crate::fleet::{Fleet, Job};
+use crate::callers::Job;
+use crate::fleet::Fleet;
 
 /// Guards against work that is thrown away when an agent restarts within the lease.
 #[rstest]
--- a/crates/core/tests/jobs/lost_starts.rs
+++ b/crates/core/tests/jobs/lost_starts.rs
@@ -3,7 +3,8 @@
 use knapweedwall_core::scheduler::Answer;
 use rstest::rstest;
 
-use crate::fleet::{Fleet, Job};
+use crate::callers::Job;
+use crate::fleet::Fleet;
 
 /// Guards against a task that runs a second time when a lost order arrives late, and against
 /// callers that wait for the time-out of a lost order.
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -2,6 +2,8 @@
 #![allow(clippy::unwrap_used, reason = "a failed expectation ends the test")]
 #![allow(clippy::print_stdout, reason = "the log of a run that is looked into")]
 
+mod callers;
+mod calls;
 mod fleet;
 mod peers;
 mod store;
--- a/crates/core/tests/jobs/overload.rs
+++ b/crates/core/tests/jobs/overload.rs
@@ -3,7 +3,8 @@
 use knapweedwall_core::scheduler::Answer;
 use rstest::rstest;
 
-use crate::fleet::{Fleet, Job};
+use crate::callers::Job;
+use crate::fleet::Fleet;
 
 /// Guards against a collapse beyond saturation: with a load of 1.3 times the room, at least half of
 /// the jobs are answered within their objective of 220 ms.
--- a/crates/core/tests/jobs/random_faults.rs
+++ b/crates/core/tests/jobs/random_faults.rs
@@ -3,7 +3,8 @@
 use knapweedwall_core::scheduler::Answer;
 use rstest::rstest;
 
-use crate::fleet::{Fleet, Job};
+use crate::callers::Job;
+use crate::fleet::Fleet;
 
 /// Length of a run under faults.
 const FAULTY_ROUNDS: u64 = 160;
--- a/crates/core/tests/jobs/slow_answers.rs
+++ b/crates/core/tests/jobs/slow_answers.rs
@@ -3,7 +3,8 @@
 use knapweedwall_core::scheduler::Answer;
 use rstest::rstest;
 
-use crate::fleet::{Fleet, Job};
+use crate::callers::Job;
+use crate::fleet::Fleet;
 
 /// Event of a start without an answer.
 const UNCLEAR: u16 = 410;
--- a/crates/core/tests/jobs/worker_lives.rs
+++ b/crates/core/tests/jobs/worker_lives.rs
@@ -3,7 +3,8 @@
 use knapweedwall_core::scheduler::Answer;
 use rstest::rstest;
 
-use crate::fleet::{Fleet, Job};
+use crate::callers::Job;
+use crate::fleet::Fleet;
 
 /// Guards against tasks that stay lost when a worker crashes and a new lifetime answers at the
 /// same address.
