refactor(core): usual names for what is forwarded and relinquished

Cause: read as a newcomer, names such as passing, looks, takers and given needed explaining. Change: forwarding, queries, eligible, relinquished; update_ for periodic work.

--- a/crates/core/src/scheduler/claims.rs
+++ b/crates/core/src/scheduler/claims.rs
@@ -62,7 +62,9 @@
             Some(row) if Instance(row.instance) == own || self.settings.name == row.name => {
                 Duration::ZERO
             }
-            Some(row) if self.peers.gave(&row.name, shard, row.epoch) => self.rank(shard),
+            Some(row) if self.peers.has_relinquished(&row.name, shard, row.epoch) => {
+                self.rank(shard)
+            }
             Some(row) => match self.peers.instance_of(&row.name) {
                 Some(instance) if instance == Instance(row.instance) => {
                     return self.watch_owner(now, shard);
@@ -98,7 +100,7 @@
 
     /// Takes what another process says of its shards: rows of those that it no longer owns are
     /// read again, and the ownership of those that it has claimed since is confirmed.
-    pub(super) fn look_again(&mut self, now: Now, name: &str, owned: &[wire::ShardEpoch]) {
+    pub(super) fn reread_rows(&mut self, now: Now, name: &str, owned: &[wire::ShardEpoch]) {
         for claimed in owned {
             if claimed.shard >= SHARDS {
                 continue;
@@ -139,7 +141,7 @@
     pub(super) fn rank(&self, shard: Shard) -> Duration {
         let weight = |name: &str| xxh3_64(format!("{shard} {name}").as_bytes());
         let own = weight(&self.settings.name);
-        let before = self.peers.takers();
+        let before = self.peers.eligible();
         let before = before.filter(|name| weight(name) < own).count();
         RANK_PAUSE * u32::try_from(before).unwrap_or(u32::MAX)
     }
@@ -167,7 +169,7 @@
         state.forget_ownership(Holding::Loading);
         state.claimed = now.mono;
         state.written = state.sequence;
-        state.given = false;
+        state.relinquished = false;
         state.verified = true;
         state.read = SmolStr::default();
         let fields = vec![
@@ -176,7 +178,7 @@
             ("before", before.unwrap_or_default()),
         ];
         log(out, 320, "shard claimed", false, fields);
-        self.tend_shard(now, shard, out);
+        self.update_shard(now, shard, out);
     }
 
     /// All jobs have been read: agents tell what runs of them.
--- a/crates/core/src/scheduler/durable.rs
+++ b/crates/core/src/scheduler/durable.rs
@@ -26,7 +26,7 @@
 const RETENTION_MS: u64 = 150_000;
 
 /// Longest time that a caller's question waits for an end that may come any moment.
-const LOOK_WAIT: Duration = Duration::from_millis(50);
+const QUERY_WAIT: Duration = Duration::from_millis(50);
 
 /// Numbers of starts that one owner may use for a task; the next owner begins above them.
 const ATTEMPTS_OF_EPOCH: u64 = 1_000;
@@ -166,7 +166,7 @@
     }
 
     /// Answers with the state of a durable job, as stored. An end that is being stored is waited
-    /// for; so is one that may come any moment, for at most [`LOOK_WAIT`], so that callers need not
+    /// for; so is one that may come any moment, for at most [`QUERY_WAIT`], so that callers need not
     /// ask again.
     pub(super) fn query_durable(
         &mut self,
@@ -189,8 +189,8 @@
             (_, Some(_)) => return record.asking.push(call),
             (Stored::Open, None) if nears_end => {
                 record.asking.push(call);
-                let until = now.mono + LOOK_WAIT;
-                return self.looks.extend(key.map(|key| (until, key, call)));
+                let until = now.mono + QUERY_WAIT;
+                return self.queries.extend(key.map(|key| (until, key, call)));
             }
             _ if queued => Answer::State(JobState::Queued),
             _ => Answer::State(JobState::Running),
@@ -201,9 +201,9 @@
     }
 
     /// Answers callers who have waited for an end that has not come.
-    pub(super) fn tend_looks(&mut self, now: Now, out: &mut Vec<Action>) {
-        while self.looks.front().is_some_and(|look| look.0 <= now.mono) {
-            let Some((_, key, call)) = self.looks.pop_front() else {
+    pub(super) fn expire_queries(&mut self, now: Now, out: &mut Vec<Action>) {
+        while self.queries.front().is_some_and(|look| look.0 <= now.mono) {
+            let Some((_, key, call)) = self.queries.pop_front() else {
                 return;
             };
             let record = self.jobs.get_mut(key).and_then(|job| job.record.as_mut());
--- a/crates/core/src/scheduler/passing.rs
+++ b/crates/core/src/scheduler/forwarding.rs
@@ -34,7 +34,7 @@
 
 /// A request on a durable job.
 #[derive(Debug, Clone)]
-pub(super) enum Ask {
+pub(super) enum JobCall {
     /// A submission.
     Submit(Box<JobRequest>),
     /// The state of a job.
@@ -43,7 +43,7 @@
     Cancel(SmolStr),
 }
 
-impl Ask {
+impl JobCall {
     fn id(&self) -> &SmolStr {
         match self {
             Self::Submit(request) => &request.id,
@@ -56,13 +56,13 @@
 #[derive(Debug)]
 struct Waiting {
     call: CallKey,
-    ask: Ask,
+    ask: JobCall,
     since: Duration,
 }
 
 /// Requests that are passed on.
 #[derive(Debug, Default)]
-pub(super) struct Passing {
+pub(super) struct Forwarding {
     parked: Vec<Waiting>,
     sent: KeyMap<u64, (LinkKey, Waiting)>,
     /// Requests of other processes that are open here.
@@ -70,7 +70,7 @@
     last: u64,
 }
 
-impl Passing {
+impl Forwarding {
     /// The process and the number of a request that was passed on to this process.
     pub(super) fn take_remote(&mut self, call: CallKey) -> Option<(LinkKey, u64)> {
         if call.0 & REMOTE == 0 {
@@ -87,7 +87,13 @@
 
 impl Machine {
     /// Carries out a request at the owner of the shard, here or elsewhere.
-    pub(super) fn ask(&mut self, now: Now, call: CallKey, ask: Ask, out: &mut Vec<Action>) {
+    pub(super) fn call_owner(
+        &mut self,
+        now: Now,
+        call: CallKey,
+        ask: JobCall,
+        out: &mut Vec<Action>,
+    ) {
         let waiting = Waiting {
             call,
             ask,
@@ -106,33 +112,33 @@
         let Some(link) = self.peers.owner_of(shard) else {
             return self.park(waiting, out);
         };
-        self.passing.last += 1;
-        let number = self.passing.last;
+        self.forwarding.last += 1;
+        let number = self.forwarding.last;
         let call = match &waiting.ask {
-            Ask::Submit(request) => Call::Submit(encode_request(request)),
-            Ask::Query(id) => Call::Query(id.to_string()),
-            Ask::Cancel(id) => Call::Cancel(id.to_string()),
+            JobCall::Submit(request) => Call::Submit(encode_request(request)),
+            JobCall::Query(id) => Call::Query(id.to_string()),
+            JobCall::Cancel(id) => Call::Cancel(id.to_string()),
         };
         let body = wire::JobCall {
             number,
             call: Some(call),
         };
         out.push(Action::Send(link, Body::JobCall(body)));
-        self.passing.sent.insert(number, (link, waiting));
+        self.forwarding.sent.insert(number, (link, waiting));
     }
 
     fn carry_out(
         &mut self,
         now: Now,
         call: CallKey,
-        ask: Ask,
+        ask: JobCall,
         shard: Shard,
         out: &mut Vec<Action>,
     ) {
         let request = match ask {
-            Ask::Submit(request) => return self.accept(now, call, *request, shard, out),
-            Ask::Query(id) => return self.query_durable(now, call, &id, out),
-            Ask::Cancel(id) => id,
+            JobCall::Submit(request) => return self.accept(now, call, *request, shard, out),
+            JobCall::Query(id) => return self.query_durable(now, call, &id, out),
+            JobCall::Cancel(id) => id,
         };
         let key = self.jobs.find(&request);
         let durable = key.filter(|key| self.jobs.get(*key).is_some_and(|job| job.record.is_some()));
@@ -143,22 +149,22 @@
     }
 
     fn park(&mut self, waiting: Waiting, out: &mut Vec<Action>) {
-        if self.passing.parked.len() >= WAITING {
+        if self.forwarding.parked.len() >= WAITING {
             return self.reply(waiting.call, no_owner(), out);
         }
-        self.passing.parked.push(waiting);
+        self.forwarding.parked.push(waiting);
     }
 
     /// Tries requests again that wait for an owner, and gives up those that have waited too long.
-    pub(super) fn tend_passing(&mut self, now: Now, out: &mut Vec<Action>) {
-        for waiting in std::mem::take(&mut self.passing.parked) {
+    pub(super) fn update_forwarded(&mut self, now: Now, out: &mut Vec<Action>) {
+        for waiting in std::mem::take(&mut self.forwarding.parked) {
             if now.since(waiting.since) >= PARK_LIMIT {
                 self.reply(waiting.call, no_owner(), out);
             } else {
                 self.route(now, waiting, out);
             }
         }
-        let sent = self.passing.sent.iter();
+        let sent = self.forwarding.sent.iter();
         let late = sent.filter(|(_, (_, waiting))| now.since(waiting.since) >= REPLY_LIMIT);
         for number in late.map(|(number, _)| *number).collect::<Vec<_>>() {
             self.lose_reply(number, out);
@@ -167,24 +173,24 @@
 
     /// The reply to a request that was passed on is lost.
     fn lose_reply(&mut self, number: u64, out: &mut Vec<Action>) {
-        let Some((_, waiting)) = self.passing.sent.remove(&number) else {
+        let Some((_, waiting)) = self.forwarding.sent.remove(&number) else {
             return;
         };
         match waiting.ask {
             // It may have been accepted.
-            Ask::Submit(_) => self.reply(waiting.call, Answer::GaveUp, out),
-            Ask::Query(_) | Ask::Cancel(_) => self.park(waiting, out),
+            JobCall::Submit(_) => self.reply(waiting.call, Answer::GaveUp, out),
+            JobCall::Query(_) | JobCall::Cancel(_) => self.park(waiting, out),
         }
     }
 
     /// The connection to another entry process has ended.
     pub(super) fn lose_replies(&mut self, link: LinkKey, out: &mut Vec<Action>) {
-        let sent = self.passing.sent.iter();
+        let sent = self.forwarding.sent.iter();
         let lost = sent.filter(|(_, (to, _))| *to == link);
         for number in lost.map(|(number, _)| *number).collect::<Vec<_>>() {
             self.lose_reply(number, out);
         }
-        self.passing.remote.retain(|_, (from, _)| *from != link);
+        self.forwarding.remote.retain(|_, (from, _)| *from != link);
     }
 
     /// Takes a request of another entry process.
@@ -196,9 +202,9 @@
         out: &mut Vec<Action>,
     ) {
         let ask = match body.call {
-            Some(Call::Submit(stored)) => Ask::Submit(Box::new(decode_request(&stored))),
-            Some(Call::Query(id)) => Ask::Query(id.into()),
-            Some(Call::Cancel(id)) => Ask::Cancel(id.into()),
+            Some(Call::Submit(stored)) => JobCall::Submit(Box::new(decode_request(&stored))),
+            Some(Call::Query(id)) => JobCall::Query(id.into()),
+            Some(Call::Cancel(id)) => JobCall::Cancel(id.into()),
             None => return,
         };
         let owned = shard_of(ask.id());
@@ -211,15 +217,15 @@
             };
             return out.push(Action::Send(link, Body::JobReply(reply)));
         };
-        self.passing.last += 1;
-        let call = CallKey(self.passing.last | REMOTE);
-        self.passing.remote.insert(call, (link, body.number));
+        self.forwarding.last += 1;
+        let call = CallKey(self.forwarding.last | REMOTE);
+        self.forwarding.remote.insert(call, (link, body.number));
         self.carry_out(now, call, ask, shard, out);
     }
 
     /// Takes the reply to a request that was passed on.
     pub(super) fn take_job_reply(&mut self, reply: &wire::JobReply, out: &mut Vec<Action>) {
-        let Some((_, waiting)) = self.passing.sent.remove(&reply.number) else {
+        let Some((_, waiting)) = self.forwarding.sent.remove(&reply.number) else {
             return;
         };
         let answer = match reply.answer() {
--- a/crates/core/src/scheduler/handover.rs
+++ b/crates/core/src/scheduler/handover.rs
@@ -21,10 +21,10 @@
 
 impl Machine {
     /// Gives shards up that this process cannot write to, when the store serves another.
-    pub(super) fn give_shards_up(&mut self, now: Now, out: &mut Vec<Action>) {
+    pub(super) fn relinquish_shards(&mut self, now: Now, out: &mut Vec<Action>) {
         let failing = self.shards.failing;
         let long = failing.is_some_and(|since| now.since(since) >= GIVE_UP_AFTER);
-        if !long || self.peers.takers().next().is_none() {
+        if !long || self.peers.eligible().next().is_none() {
             return;
         }
         let mut any = false;
@@ -34,7 +34,7 @@
                 continue;
             }
             any = true;
-            state.given = true;
+            state.relinquished = true;
             state.holding = Holding::Released(now.mono + RELEASED_RUNS);
             let fields = vec![
                 ("shard", state.shard.to_string()),
@@ -103,6 +103,6 @@
         let state = self.shards.get_mut(shard);
         state.successor = name;
         state.holding = Holding::Releasing;
-        self.tend_shard(now, shard, out);
+        self.update_shard(now, shard, out);
     }
 }
--- a/crates/core/src/scheduler/intake.rs
+++ b/crates/core/src/scheduler/intake.rs
@@ -5,10 +5,10 @@
 use smol_str::SmolStr;
 
 use super::durable::end_fields;
+use super::forwarding::{JobCall, encode_reply};
 use super::io::{Action, Answer, CallKey, JobState};
 use super::jobs::{Job, JobKey, Progress};
 use super::machine::{Machine, log, ms};
-use super::passing::{Ask, encode_reply};
 use super::place::Tier;
 use super::record::End;
 use crate::clock::Now;
@@ -49,7 +49,7 @@
             return self.refuse(call, &request.id, &feature.to_string(), out);
         }
         if request.durable {
-            return self.ask(now, call, Ask::Submit(Box::new(request)), out);
+            return self.call_owner(now, call, JobCall::Submit(Box::new(request)), out);
         }
         if self.is_closed(now) {
             return self.refuse(call, &request.id, "stopping", out);
@@ -149,7 +149,7 @@
 
     /// Answers a caller, here or at the process that has passed its request on.
     pub(super) fn reply(&mut self, call: CallKey, answer: Answer, out: &mut Vec<Action>) {
-        match self.passing.take_remote(call) {
+        match self.forwarding.take_remote(call) {
             Some((link, number)) => out.push(Action::Send(link, encode_reply(number, &answer))),
             None => out.push(Action::Reply(call, answer)),
         }
@@ -158,7 +158,7 @@
     pub(super) fn query(&mut self, now: Now, call: CallKey, id: &str, out: &mut Vec<Action>) {
         let job = self.jobs.find(id).and_then(|key| self.jobs.get(key));
         let Some(job) = job.filter(|job| job.record.is_none()) else {
-            return self.ask(now, call, Ask::Query(id.into()), out);
+            return self.call_owner(now, call, JobCall::Query(id.into()), out);
         };
         let answer = match job.progress {
             Progress::Queued => Answer::State(JobState::Queued),
@@ -189,7 +189,7 @@
         });
         let Some(key) = open else {
             self.cancel_elsewhere(id, out);
-            return self.ask(now, call, Ask::Cancel(id.into()), out);
+            return self.call_owner(now, call, JobCall::Cancel(id.into()), out);
         };
         self.close_job(now, key, Answer::Cancelled, "cancelled", out);
         self.reply(call, Answer::Cancelled, out);
--- a/crates/core/src/scheduler/machine.rs
+++ b/crates/core/src/scheduler/machine.rs
@@ -7,11 +7,11 @@
 use bytes::Bytes;
 use smol_str::SmolStr;
 
+use super::forwarding::Forwarding;
 use super::io::{Action, CallKey, Input, Settings};
 use super::jobs::{JobKey, Jobs};
 use super::learning::Learning;
 use super::metrics::Metrics;
-use super::passing::Passing;
 use super::peers::Peers;
 use super::shards::Shards;
 use super::workers::Workers;
@@ -40,9 +40,9 @@
     pub(super) workers: Workers,
     pub(super) peers: Peers,
     pub(super) shards: Shards,
-    pub(super) passing: Passing,
+    pub(super) forwarding: Forwarding,
     /// Callers who wait for the end of a job: until when, the job, the caller.
-    pub(super) looks: VecDeque<(Duration, JobKey, CallKey)>,
+    pub(super) queries: VecDeque<(Duration, JobKey, CallKey)>,
     /// When ended jobs were last looked through.
     pub(super) forgot: Duration,
     /// Entry processes that were found: address by name.
@@ -72,8 +72,8 @@
             workers: Workers::default(),
             peers: Peers::default(),
             shards: Shards::default(),
-            passing: Passing::default(),
-            looks: VecDeque::new(),
+            forwarding: Forwarding::default(),
+            queries: VecDeque::new(),
             forgot: Duration::ZERO,
             entries: KeyMap::default(),
             learning: Learning::default(),
@@ -115,10 +115,10 @@
             self.round = now.mono;
             self.lose_agents(now, out);
             self.expire_jobs(now, out);
-            self.tend_peers(now, out);
-            self.tend_passing(now, out);
-            self.tend_looks(now, out);
-            self.tend_shards(now, out);
+            self.update_peers(now, out);
+            self.update_forwarded(now, out);
+            self.expire_queries(now, out);
+            self.update_shards(now, out);
             self.forget_jobs(now);
             self.update_ready(out);
             self.changed = true;
@@ -221,7 +221,7 @@
         let Some(since) = self.stopping else {
             return;
         };
-        let waits = self.jobs.any_caller() || self.passing.any();
+        let waits = self.jobs.any_caller() || self.forwarding.any();
         let idle = self.is_closed(now) && !waits && !self.holds_shards();
         if (idle || now.since(since) >= self.settings.stop_limit) && !self.exited {
             self.exited = true;
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -6,6 +6,7 @@
 
 mod claims;
 mod durable;
+mod forwarding;
 mod handover;
 mod intake;
 mod io;
@@ -14,7 +15,6 @@
 mod links;
 mod machine;
 mod metrics;
-mod passing;
 mod peers;
 mod place;
 mod record;
--- a/crates/core/src/scheduler/peers.rs
+++ b/crates/core/src/scheduler/peers.rs
@@ -29,9 +29,9 @@
     instance: Instance,
     heard: Duration,
     owned: Vec<wire::ShardEpoch>,
-    given: Vec<wire::ShardEpoch>,
+    relinquished: Vec<wire::ShardEpoch>,
     waiting: Vec<wire::QueueCount>,
-    takes: bool,
+    eligible: bool,
 }
 
 /// Connected entry processes.
@@ -51,9 +51,9 @@
             instance: peer.instance,
             heard: now,
             owned: Vec::new(),
-            given: Vec::new(),
+            relinquished: Vec::new(),
             waiting: Vec::new(),
-            takes: false,
+            eligible: false,
         };
         self.map.insert(link, peer);
     }
@@ -92,13 +92,13 @@
     }
 
     /// Whether the connected process with this name has given the shard up in this epoch.
-    pub(super) fn gave(&self, name: &str, shard: Shard, epoch: u64) -> bool {
-        let given = wire::ShardEpoch {
+    pub(super) fn has_relinquished(&self, name: &str, shard: Shard, epoch: u64) -> bool {
+        let relinquished = wire::ShardEpoch {
             shard: shard.0,
             epoch,
         };
         let peer = self.map.values().find(|peer| peer.name == name);
-        peer.is_some_and(|peer| peer.given.contains(&given))
+        peer.is_some_and(|peer| peer.relinquished.contains(&relinquished))
     }
 
     /// The connection to the process that says it owns the shard with the highest epoch.
@@ -113,15 +113,15 @@
     }
 
     /// Names of the processes that take shards.
-    pub(super) fn takers(&self) -> impl Iterator<Item = &SmolStr> {
-        let takers = self.map.values().filter(|peer| peer.takes);
-        takers.map(|peer| &peer.name)
+    pub(super) fn eligible(&self) -> impl Iterator<Item = &SmolStr> {
+        let eligible = self.map.values().filter(|peer| peer.eligible);
+        eligible.map(|peer| &peer.name)
     }
 
     /// The process that takes shards and owns the fewest, with their number.
     pub(super) fn least_loaded(&self) -> Option<(SmolStr, usize)> {
-        let takers = self.map.values().filter(|peer| peer.takes);
-        let least = takers.min_by_key(|peer| (peer.owned.len(), &peer.name));
+        let eligible = self.map.values().filter(|peer| peer.eligible);
+        let least = eligible.min_by_key(|peer| (peer.owned.len(), &peer.name));
         least.map(|peer| (peer.name.clone(), peer.owned.len()))
     }
 
@@ -144,16 +144,16 @@
             peer.heard = now.mono;
             let owned = beat.owned;
             peer.owned.clone_from(&owned);
-            peer.given = beat.given;
+            peer.relinquished = beat.relinquished;
             peer.waiting = beat.waiting;
-            peer.takes = beat.takes;
+            peer.eligible = beat.eligible;
             let name = peer.name.clone();
-            self.look_again(now, &name, &owned);
+            self.reread_rows(now, &name, &owned);
         }
     }
 
     /// Sends signs of life that are due, and closes silent connections.
-    pub(super) fn tend_peers(&mut self, now: Now, out: &mut Vec<Action>) {
+    pub(super) fn update_peers(&mut self, now: Now, out: &mut Vec<Action>) {
         for (link, peer) in &self.peers.map {
             if now.since(peer.heard) >= SILENT_LINK {
                 out.push(Action::Close(*link, "silent"));
@@ -181,8 +181,8 @@
         let beat = wire::PeerBeat {
             owned: self.shards.owned().collect(),
             waiting: waiting.collect(),
-            takes: self.stopping.is_none() && self.shards.failing().is_none(),
-            given: self.shards.given().collect(),
+            eligible: self.stopping.is_none() && self.shards.failing().is_none(),
+            relinquished: self.shards.relinquished().collect(),
         };
         for link in self.peers.links() {
             out.push(Action::Send(link, Body::PeerBeat(beat.clone())));
--- a/crates/core/src/scheduler/shards.rs
+++ b/crates/core/src/scheduler/shards.rs
@@ -119,7 +119,7 @@
     pub(super) read: SmolStr,
     pub(super) successor: SmolStr,
     /// Set when the shard was given up without the store.
-    pub(super) given: bool,
+    pub(super) relinquished: bool,
 }
 
 impl ShardState {
@@ -146,7 +146,7 @@
             beat: None,
             read: SmolStr::default(),
             successor: SmolStr::default(),
-            given: false,
+            relinquished: false,
         }
     }
 
@@ -237,9 +237,9 @@
     }
 
     /// Shards that were given up without the store.
-    pub(super) fn given(&self) -> impl Iterator<Item = wire::ShardEpoch> {
-        let given = self.list.iter().filter(|state| state.given);
-        given.map(|state| wire::ShardEpoch {
+    pub(super) fn relinquished(&self) -> impl Iterator<Item = wire::ShardEpoch> {
+        let relinquished = self.list.iter().filter(|state| state.relinquished);
+        relinquished.map(|state| wire::ShardEpoch {
             shard: state.shard.0,
             epoch: state.epoch,
         })
@@ -270,16 +270,16 @@
 
 impl Machine {
     /// Periodic work: signs of life, claims, writes, releases.
-    pub(super) fn tend_shards(&mut self, now: Now, out: &mut Vec<Action>) {
+    pub(super) fn update_shards(&mut self, now: Now, out: &mut Vec<Action>) {
         let began = *self.shards.began.get_or_insert(now.mono);
         self.send_life(now, out);
         self.check_lease(now);
         self.shards.notice_slow_calls(now.mono);
-        self.give_shards_up(now, out);
+        self.relinquish_shards(now, out);
         self.refuse_unstored(now, out);
         self.shards.starting = now.since(began) < START_PAUSE;
         for at in 0..SHARDS {
-            self.tend_shard(now, Shard(at), out);
+            self.update_shard(now, Shard(at), out);
         }
         self.balance_shards(now, out);
     }
@@ -320,7 +320,7 @@
         }
     }
 
-    pub(super) fn tend_shard(&mut self, now: Now, shard: Shard, out: &mut Vec<Action>) {
+    pub(super) fn update_shard(&mut self, now: Now, shard: Shard, out: &mut Vec<Action>) {
         let state = self.shards.get_mut(shard);
         if let Holding::Released(until) = state.holding {
             if now.mono >= until {
@@ -340,7 +340,7 @@
                 let after = state.read.clone();
                 self.call_store(now, shard, StoreCall::ReadJobs { shard, after }, out);
             }
-            Holding::Owned => self.tend_owned(now, shard, out),
+            Holding::Owned => self.update_owned(now, shard, out),
             Holding::Releasing => self.write_shard(now, shard, true, out),
             Holding::Released(_) => {}
         }
@@ -449,7 +449,7 @@
         let state = self.shards.get_mut(shard);
         let decoded = row.and_then(|row| wire::ShardOwner::decode(row.value.clone()).ok());
         let changed = state.row != decoded;
-        state.given &= decoded.as_ref().is_some_and(|row| row.epoch <= state.epoch);
+        state.relinquished &= decoded.as_ref().is_some_and(|row| row.epoch <= state.epoch);
         state.row = decoded;
         state.version = row.map_or(0, |row| row.version);
         if changed {
--- a/crates/core/src/scheduler/writes.rs
+++ b/crates/core/src/scheduler/writes.rs
@@ -39,7 +39,7 @@
 );
 
 impl Machine {
-    pub(super) fn tend_owned(&mut self, now: Now, shard: Shard, out: &mut Vec<Action>) {
+    pub(super) fn update_owned(&mut self, now: Now, shard: Shard, out: &mut Vec<Action>) {
         let has_lease = self.shards.has_lease(now.mono);
         self.prove(now, shard);
         let state = self.shards.get(shard);
--- a/crates/lab/src/site/worker.rs
+++ b/crates/lab/src/site/worker.rs
@@ -197,7 +197,7 @@
         self.shared.renew(keep_id, true);
     }
 
-    /// The worker says that it leaves, and takes no notice of anything else that it is told.
+    /// The worker says from its next heartbeat on that it is leaving.
     pub fn drain(&self) {
         self.shared.state().draining = true;
     }
