fix(site): the outcome of a store call waits for room

Cause: with a full inbox the outcome of a call for a shard was dropped, and the shard waited for it for ever; found by reading. Change: the outcome is sent as soon as there is room.

--- a/crates/fleet/src/inbox.rs
+++ b/crates/fleet/src/inbox.rs
@@ -28,6 +28,12 @@
         self.0.try_send(input).is_ok()
     }
 
+    /// Adds an input as soon as there is room.
+    pub async fn send(&self, input: I) {
+        // Nobody needs the input when the process has ended.
+        let _sent = self.0.send(input).await;
+    }
+
     /// Adds an input from a thread without a runtime, as soon as there is room.
     pub fn send_blocking(&self, input: I) {
         // Nobody needs the input when the process has ended.
