feat(agent): resume a running worker from its registration in the store

Cause: an agent knows the capacity of its worker from heartbeats only, which are 1.5 s apart. Ruled out: links (all 33 up within 35 ms of the first start), runs left over from before (5 on two workers), the store. A restarted agent uses it when the worker's lists name the same incarnation, until the next heartbeat, 2 s at most. It is withdrawn when the worker drains or leaves. An agent that cannot reach the store while its worker starts to drain, and is then killed, uses the worker for at most one heartbeat interval.

--- a/crates/core/src/executor/io.rs
+++ b/crates/core/src/executor/io.rs
@@ -168,6 +168,9 @@
     Heartbeat(Heartbeat),
     /// The worker with this instance id has deregistered.
     WorkerLeft(SmolStr),
+    /// The last description of the worker that an earlier run of this agent stored, see
+    /// [`Action::StoreRegistration`].
+    RegistrationFound(Heartbeat),
     /// A link has completed its handshake of `Hello` and `Welcome`.
     LinkUp {
         /// Id of the link.
@@ -267,6 +270,9 @@
         /// Maximum time that the worker waits for a run to end before it responds, in milliseconds.
         wait_ms: u64,
     },
+    /// Stores the description of the worker for the next run of this agent, or withdraws it. A later
+    /// action replaces an earlier one that has not been carried out.
+    StoreRegistration(Option<Heartbeat>),
     /// Logs an event.
     Log(Event),
     /// Exits the process. Follows [`Input::Stop`], when all runs have ended or the time limit has
--- a/crates/core/src/executor/machine.rs
+++ b/crates/core/src/executor/machine.rs
@@ -11,6 +11,7 @@
 use super::metrics::Metrics;
 use super::owners::Owners;
 use super::pending_calls::{PendingCall, PendingCalls, Purpose};
+use super::registration::Registration;
 use super::runs::{Run, RunState, Runs, StopCause, run_report};
 use super::worker::Worker;
 use crate::clock::Now;
@@ -57,6 +58,7 @@
     /// processes that connect within [`super::OWNER_SILENCE_TIMEOUT`].
     pub(super) unclaimed_reports: Vec<(wire::RunReport, Duration)>,
     pub(super) retained_runs: RetainedRuns,
+    pub(super) registration: Registration,
     pub(super) shard_claims: ShardClaims,
     /// Runs for which a stop request must be sent or resent.
     pub(super) pending_stops: Vec<RunId>,
@@ -95,6 +97,7 @@
             metrics,
             unclaimed_reports: Vec::new(),
             retained_runs: RetainedRuns::default(),
+            registration: Registration::default(),
             shard_claims: ShardClaims::default(),
             pending_stops: Vec::new(),
             probe_needed: false,
@@ -112,6 +115,7 @@
     pub fn step(&mut self, now: Now, input: Input, out: &mut Vec<Action>) {
         match input {
             Input::Heartbeat(heartbeat) => self.handle_heartbeat(now, heartbeat, out),
+            Input::RegistrationFound(heartbeat) => self.handle_registration(now, heartbeat, out),
             Input::WorkerLeft(instance) => self.handle_worker_left(now, &instance, out),
             Input::LinkUp {
                 link,
@@ -196,11 +200,9 @@
                 out,
             );
         }
+        self.update_registration(&heartbeat, first_heartbeat, out);
         if first_heartbeat {
-            out.push(Action::UseWorker {
-                address: heartbeat.address.clone(),
-                instance: heartbeat.instance.clone(),
-            });
+            self.use_worker(&heartbeat, out);
             let fields = vec![
                 ("worker", heartbeat.instance.to_string()),
                 ("service", heartbeat.service.to_string()),
@@ -215,6 +217,19 @@
             log(out, 402, "worker is draining", false, fields);
             self.decline_waiting(now);
         }
+        self.describe_worker(heartbeat);
+    }
+
+    /// Directs calls to the worker that a heartbeat describes.
+    pub(super) fn use_worker(&self, heartbeat: &Heartbeat, out: &mut Vec<Action>) {
+        out.push(Action::UseWorker {
+            address: heartbeat.address.clone(),
+            instance: heartbeat.instance.clone(),
+        });
+    }
+
+    /// Takes over a description of the worker.
+    pub(super) fn describe_worker(&mut self, heartbeat: Heartbeat) {
         self.profile = wire::WorkerProfile {
             instance: heartbeat.instance.to_string(),
             service: heartbeat.service.to_string(),
@@ -229,6 +244,7 @@
             self.reset_worker(now, None, "the worker has left", out);
             self.worker.leaving = true;
             self.worker_left = true;
+            self.withdraw_registration(out);
         }
     }
 
--- a/crates/core/src/executor/mod.rs
+++ b/crates/core/src/executor/mod.rs
@@ -15,6 +15,7 @@
 mod metrics;
 mod owners;
 mod pending_calls;
+mod registration;
 mod run_lists;
 mod runs;
 mod starts;
--- a/crates/core/src/executor/run_lists.rs
+++ b/crates/core/src/executor/run_lists.rs
@@ -103,6 +103,7 @@
                 false,
                 fields,
             );
+            self.resume_from_registration(now, out);
         }
     }
 
--- a/crates/core/src/executor/timeouts.rs
+++ b/crates/core/src/executor/timeouts.rs
@@ -24,6 +24,7 @@
         self.stop_stalled_runs(now, out);
         self.expire_starts(now, out);
         self.expire_waiting(now);
+        self.expire_registration(now);
         let expired = self.worker.has_lease_expired(now.mono, self.settings.lease);
         if expired && !self.runs.is_idle() {
             self.worker.raise_fence();
--- a/crates/core/tests/jobs/calls.rs
+++ b/crates/core/tests/jobs/calls.rs
@@ -84,6 +84,10 @@
                     };
                     (call, call_made)
                 }
+                executor::Action::StoreRegistration(registration) => {
+                    self.hosts[at].registration = registration;
+                    continue;
+                }
                 executor::Action::Log(event) => {
                     self.trace(&format!("agent-{at}"), &event);
                     self.events.push(event.number);
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -38,6 +38,8 @@
     pub beats: u64,
     pub draining: bool,
     pub frozen: bool,
+    /// Description of the worker in the store.
+    pub registration: Option<executor::Heartbeat>,
     /// Lifetime of the worker that calls are meant for.
     pub life: SmolStr,
     /// What arrived while the agent stood still; it reads this first.
@@ -101,6 +103,7 @@
             beats: 0,
             draining: false,
             frozen: false,
+            registration: None,
             life: SmolStr::default(),
             backlog: Vec::new(),
         });
@@ -223,6 +226,9 @@
         self.hosts[at].agent = Some(machine);
         self.hosts[at].instance = instance;
         self.hosts[at].next_beat_ms = self.now_ms + 100;
+        if let Some(registration) = self.hosts[at].registration.clone() {
+            self.agent_input(at, executor::Input::RegistrationFound(registration));
+        }
     }
 
     /// Ends an agent at once. Orders on their way to the worker are carried out.
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -20,6 +20,7 @@
 mod planned_stops;
 mod random_faults;
 mod refusal_log_values;
+mod registrations;
 mod silent_owners;
 mod slow_answers;
 mod worker_lives;
--- a/crates/event-loop/src/agent.rs
+++ b/crates/event-loop/src/agent.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use knapweedwall_core::executor::{Action, CallKey, Input, Machine, StartRequest};
+use knapweedwall_core::executor::{Action, CallKey, Heartbeat, Input, Machine, StartRequest};
 use knapweedwall_core::job::RunId;
 use knapweedwall_runtime::links::{LinkEvent, LinksHandle};
 use knapweedwall_runtime::log;
@@ -40,6 +40,13 @@
     fn renew_lease(&self, call: CallKey, request: RenewalRequest);
 }
 
+/// Keeps the description of the worker for the next run of the agent. When the process starts, the
+/// implementation enqueues the description that an earlier run has stored, if any.
+pub trait RegistrationAdapter {
+    /// Stores the description in place of the earlier one, or withdraws it if it is `None`.
+    fn store_registration(&self, registration: Option<&Heartbeat>);
+}
+
 /// Parameters of a call that renews the lease of a worker's runs.
 #[derive(Debug, Clone, Copy)]
 pub struct RenewalRequest {
@@ -66,6 +73,8 @@
     pub links: LinksHandle,
     /// Worker on the same host.
     pub worker: Box<dyn WorkerAdapter>,
+    /// Keeps the description of the worker.
+    pub registrations: Box<dyn RegistrationAdapter>,
     /// Logger for events of the state machine.
     pub log: Logger,
 }
@@ -157,6 +166,9 @@
                     };
                     self.worker.renew_lease(call, request);
                 }
+                Action::StoreRegistration(registration) => {
+                    self.registrations.store_registration(registration.as_ref());
+                }
                 Action::Log(event) => log::event(&self.log, &event),
                 Action::Exit => exit = true,
             }
--- a/crates/event-loop/src/lib.rs
+++ b/crates/event-loop/src/lib.rs
@@ -10,7 +10,7 @@
 mod entry;
 mod input_queue;
 
-pub use agent::{AgentLoop, RenewalRequest, WorkerAdapter};
+pub use agent::{AgentLoop, RegistrationAdapter, RenewalRequest, WorkerAdapter};
 pub use clock::Clock;
 pub use entry::{EntryAdapter, EntryLoop};
 pub use input_queue::{InputSender, LinkEventSink, input_queue};
