feat(scheduler): new requests first after an outage, and a schedule for refused callers

All refused callers were told to come back after 1 s. During a rolling stop, 18 requests on connections that were still open were refused as "stopping" although they could have ended before the process. Ruled out: processor time of the entry process (0.02 of 0.25 cores), links (up within 0.2 s), failed tasks (no job ended as failed). Change: module scheduler/admission. caller_limits learns how long callers of new requests wait at least, by queue, keeps it in the store for the next run, and counts the objective of an old request from when its caller first sent it. It refuses only while capacity is scarce. retry_schedule gives each refused caller the time at which capacity becomes free behind those refused before it. In a graceful stop a job is taken if it ends before the process.

--- a/crates/core/src/scheduler/durable_jobs.rs
+++ b/crates/core/src/scheduler/durable_jobs.rs
@@ -67,7 +67,7 @@
         }
         let queue_config = queue_config.clone();
         let objective = self.objective(&queue_config, &request);
-        self.log_received(&request, objective, out);
+        self.log_received(&request, objective, Duration::ZERO, out);
         let mut job = Job::new(now.mono, None, request, queue_config, objective);
         let mut durable = DurableState::new(shard, now.wall_ms);
         durable.submit_calls.push(call);
--- a/crates/core/src/scheduler/io.rs
+++ b/crates/core/src/scheduler/io.rs
@@ -126,6 +126,8 @@
     },
     /// Names and addresses of discovered entry processes.
     EntriesFound(Vec<(SmolStr, SmolStr)>),
+    /// Limits that entry processes have stored earlier, see [`Action::StoreCallerLimits`].
+    CallerLimitsFound(Vec<(SmolStr, Duration)>),
     /// Outcome of a call to the store.
     StoreResult(StoreKey, StoreOutcome),
     /// A graceful shutdown was requested.
@@ -145,6 +147,9 @@
     Close(LinkKey, &'static str),
     /// Calls the store; exactly one [`Input::StoreResult`] must follow.
     Store(StoreKey, StoreCall),
+    /// Stores how long the callers of each queue wait at least, in place of the limits that this
+    /// process has stored earlier. Entry processes read all stored limits when they start.
+    StoreCallerLimits(Vec<(SmolStr, Duration)>),
     /// Connects to the entry process at this address, unless already connected.
     Connect(SmolStr),
     /// Passes on a configuration document received from another entry process.
--- a/crates/core/src/scheduler/jobs.rs
+++ b/crates/core/src/scheduler/jobs.rs
@@ -71,7 +71,11 @@
     pub(super) queue_config: QueueConfig,
     pub(super) calls: SmallVec<[CallKey; 1]>,
     pub(super) progress: Progress,
+    /// When this process received the submission.
     pub(super) submitted_at: Duration,
+    /// When the caller first sent the submission, as far as that is known. The objective counts
+    /// from then.
+    pub(super) requested_at: Duration,
     /// Time at which the first task was placed.
     pub(super) first_placed_at: Option<Duration>,
     /// Response time to aim for: target + stretch * expected run time, where target and stretch are
@@ -127,6 +131,7 @@
             calls: call.into_iter().collect(),
             progress: Progress::Queued,
             submitted_at: now,
+            requested_at: now,
             first_placed_at: None,
             objective,
             phases,
--- a/crates/core/src/scheduler/machine.rs
+++ b/crates/core/src/scheduler/machine.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use smol_str::SmolStr;
 
+use super::admission::{CallerLimits, RetrySchedule};
 use super::durable_jobs::HeldQuery;
 use super::forwarding::Forwarding;
 use super::io::{Action, Input, Settings};
@@ -53,6 +54,8 @@
     /// Addresses of the known entry processes, by name.
     pub(super) entry_addresses: DeterministicMap<SmolStr, SmolStr>,
     pub(super) run_times: RunTimeModel,
+    pub(super) caller_limits: CallerLimits,
+    pub(super) retry_schedule: RetrySchedule,
     pub(super) metrics: Metrics,
     /// Start of the graceful shutdown, if one is in progress.
     pub(super) stop_requested_at: Option<Duration>,
@@ -85,6 +88,8 @@
             last_purge: Duration::ZERO,
             entry_addresses: DeterministicMap::default(),
             run_times: RunTimeModel::default(),
+            caller_limits: CallerLimits::default(),
+            retry_schedule: RetrySchedule::default(),
             metrics,
             stop_requested_at: None,
             placement_allowed_at: Duration::ZERO,
@@ -110,6 +115,7 @@
             Input::Frame(link, body) => self.handle_frame(now, link, body, out),
             Input::Configure { catalog, document } => self.configure(catalog, document, out),
             Input::EntriesFound(entries) => self.add_entries(entries, out),
+            Input::CallerLimitsFound(limits) => self.caller_limits.load(limits),
             Input::StoreResult(key, outcome) => self.handle_store_outcome(now, key, outcome, out),
             Input::Stop => self.begin_stop(now, out),
             Input::Tick => {}
@@ -131,6 +137,9 @@
             self.update_shards(now, out);
             self.purge_ended_jobs(now);
             self.update_ready(out);
+            if let Some(limits) = self.caller_limits.take_changed(now.mono) {
+                out.push(Action::StoreCallerLimits(limits));
+            }
             self.placement_pending = true;
         }
         if self.placement_pending && now.mono >= self.placement_allowed_at {
@@ -229,20 +238,27 @@
         }
     }
 
-    /// Returns whether new jobs are refused: `shutdown_accept_time` has passed since the start of a
-    /// graceful shutdown.
-    pub(super) fn refuses_submissions(&self, now: Now) -> bool {
+    /// Returns whether callers are no longer routed to this process: `shutdown_accept_time` has
+    /// passed since the start of a graceful shutdown.
+    fn is_out_of_rotation(&self, now: Now) -> bool {
         let since = self.stop_requested_at;
         since.is_some_and(|since| now.since(since) >= self.settings.shutdown_accept_time)
     }
 
+    /// Returns whether a job of this expected duration would not end before the process does,
+    /// because a graceful shutdown is in progress.
+    pub(super) fn ends_before(&self, now: Now, duration: Duration) -> bool {
+        let since = self.stop_requested_at;
+        since.is_some_and(|since| now.mono + duration >= since + self.settings.stop_limit)
+    }
+
     /// Ends the process when a graceful shutdown is complete or has reached its time limit.
     fn try_exit(&mut self, now: Now, out: &mut Vec<Action>) {
         let Some(since) = self.stop_requested_at else {
             return;
         };
         let calls_open = self.jobs.has_callers() || self.forwarding.has_pending();
-        let idle = self.refuses_submissions(now) && !calls_open && !self.holds_any_shard();
+        let idle = self.is_out_of_rotation(now) && !calls_open && !self.holds_any_shard();
         if (idle || now.since(since) >= self.settings.stop_limit) && !self.exited {
             self.exited = true;
             let fields = vec![("open_jobs", self.jobs.open_len().to_string())];
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -7,6 +7,7 @@
 //! heartbeats. Loss of a process is therefore handled by a timeout: [`LOST_AFTER`] after the last
 //! report of an agent, none of the runs that it started for this process is still active.
 
+mod admission;
 mod durable_jobs;
 mod forwarding;
 mod io;
--- a/crates/core/src/scheduler/placement.rs
+++ b/crates/core/src/scheduler/placement.rs
@@ -79,6 +79,8 @@
     fastest_speed: f64,
     /// Whether free CPU is below [`SCARCE_CPU_SHARE`].
     pub(super) scarce: bool,
+    /// Total CPU of the usable workers, in cores.
+    pub(super) cores: f64,
 }
 
 impl Machine {
@@ -117,6 +119,7 @@
         FleetView {
             fastest_speed: if fastest > 0.0 { fastest } else { 1.0 },
             scarce: free < capacity * SCARCE_CPU_SHARE,
+            cores: capacity / 1_000.0,
         }
     }
 
@@ -131,25 +134,27 @@
     /// Computes the priority of a job.
     pub(super) fn priority(&self, now: Now, job: &Job, fleet: FleetView) -> Priority {
         let run = self.padded_run_time(job).div_f64(fleet.fastest_speed);
-        let unstarted = job.is_unstarted();
-        let due_at = job.submitted_at + job.objective;
-        if now.mono + run <= due_at {
-            return Priority {
-                tier: Tier::InTime,
-                unstarted,
-                sort_key: run,
-            };
+        let tier = self.tier(now, job, fleet, job.requested_at);
+        let sort_key = match tier {
+            Tier::InTime => run,
+            Tier::Late | Tier::Expired => job.requested_at + run,
+        };
+        Priority {
+            tier,
+            unstarted: job.is_unstarted(),
+            sort_key,
         }
-        let expires_at = job.submitted_at + job.objective * EXPIRY_FACTOR;
-        let tier = if now.mono + run <= expires_at {
+    }
+
+    /// Returns whether a job can meet its objective if that counts from `since`.
+    pub(super) fn tier(&self, now: Now, job: &Job, fleet: FleetView, since: Duration) -> Tier {
+        let ends_at = now.mono + self.padded_run_time(job).div_f64(fleet.fastest_speed);
+        if ends_at <= since + job.objective {
+            Tier::InTime
+        } else if ends_at <= since + job.objective * EXPIRY_FACTOR {
             Tier::Late
         } else {
             Tier::Expired
-        };
-        Priority {
-            tier,
-            unstarted,
-            sort_key: job.submitted_at + run,
         }
     }
 
@@ -193,7 +198,7 @@
         let expected = self
             .run_times
             .expected_run_time(&job.queue_config.name, spec.estimate);
-        let left = (job.submitted_at + job.objective).saturating_sub(now.mono);
+        let left = (job.requested_at + job.objective).saturating_sub(now.mono);
         for (worker_key, worker) in self.workers.iter() {
             let usable = worker.is_usable(now.mono) && worker.service == job.queue_config.service;
             if !usable || !meets_constraints(job, spec, phase, worker_key, worker) {
@@ -228,7 +233,7 @@
         let expected = self
             .run_times
             .expected_run_time(&job.queue_config.name, spec.estimate);
-        let left = (job.submitted_at + job.objective).saturating_sub(now.mono);
+        let left = (job.requested_at + job.objective).saturating_sub(now.mono);
         let left_ms = left.as_secs_f64() * 1_000.0;
         let late = priority.tier != Tier::InTime;
         let mut best: Option<([bool; 3], f64, WorkerKey)> = None;
--- a/crates/core/src/scheduler/requests.rs
+++ b/crates/core/src/scheduler/requests.rs
@@ -26,7 +26,7 @@
 /// Number of open jobs at which non-durable submissions are refused.
 const MAX_OPEN_JOBS: usize = 5_000;
 
-/// Time after which a refused submission may be retried.
+/// Time after which a submission may be retried that was refused for another reason than load.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 impl Machine {
@@ -52,14 +52,16 @@
         if request.durable {
             return self.route_to_owner(now, call, DurableRequest::Submit(Box::new(request)), out);
         }
-        if self.refuses_submissions(now) {
+        // Callers may use their connections for one more request after they are routed elsewhere.
+        if self.ends_before(now, self.objective(&queue_config, &request)) {
             return self.refuse(call, &request.id, "stopping", out);
         }
         if let Some(key) = self.jobs.find(&request.id) {
             return self.resubmit(key, call, request, out);
         }
         if self.jobs.open_len() >= MAX_OPEN_JOBS {
-            return self.refuse(call, &request.id, "too many open jobs", out);
+            let retry = self.schedule_retry(now, &request);
+            return self.refuse_until(call, &request.id, "too many open jobs", retry, out);
         }
         self.admit(now, call, request, queue_config, out);
     }
@@ -74,8 +76,13 @@
         out: &mut Vec<Action>,
     ) {
         let objective = self.objective(&queue_config, &request);
-        self.log_received(&request, objective, out);
-        let job = Job::new(now.mono, Some(call), request, queue_config, objective);
+        let queue = &request.queue;
+        let waited = request.wait.map_or(Duration::ZERO, |wait| {
+            self.caller_limits.observe(now.mono, queue, wait)
+        });
+        self.log_received(&request, objective, waited, out);
+        let mut job = Job::new(now.mono, Some(call), request, queue_config, objective);
+        job.requested_at = now.mono.saturating_sub(waited);
         self.jobs.insert(job);
         self.placement_pending = true;
     }
@@ -93,6 +100,7 @@
         &self,
         request: &JobRequest,
         objective: Duration,
+        waited: Duration,
         out: &mut Vec<Action>,
     ) {
         let fields = vec![
@@ -100,6 +108,8 @@
             ("queue", request.queue.to_string()),
             ("tasks", request.tasks().to_string()),
             ("objective_ms", ms(objective)),
+            ("wait_ms", request.wait.map(ms).unwrap_or_default()),
+            ("waited_ms", ms(waited)),
             (
                 "config",
                 self.catalog.as_ref().map_or(0, |c| c.version).to_string(),
@@ -136,17 +146,49 @@
         id: &SmolStr,
         reason: &str,
         out: &mut Vec<Action>,
+    ) {
+        self.refuse_until(call, id, reason, RETRY_AFTER, out);
+    }
+
+    /// Refuses a submission of which no task was started. Its caller may retry it after `retry`.
+    fn refuse_until(
+        &mut self,
+        call: CallKey,
+        id: &SmolStr,
+        reason: &str,
+        retry: Duration,
+        out: &mut Vec<Action>,
     ) {
         self.metrics.refused.inc();
-        let fields = vec![("job", id.to_string()), ("reason", reason.to_owned())];
+        let fields = vec![
+            ("job", id.to_string()),
+            ("reason", reason.to_owned()),
+            ("retry_ms", ms(retry)),
+        ];
         log(out, 303, "submission refused", false, fields);
         let answer = Answer::NotRun {
             reason: reason.into(),
-            retry: RETRY_AFTER,
+            retry,
         };
         self.reply(call, answer, out);
     }
 
+    /// Reserves capacity for a job that is refused, and returns the time after which its caller may
+    /// come back.
+    fn schedule_retry(&mut self, now: Now, request: &JobRequest) -> Duration {
+        let mut work = 0.0;
+        for phase in &request.phases {
+            let run_time = self
+                .run_times
+                .expected_run_time(&request.queue, phase.estimate);
+            let cores = f64::from(phase.resources.cpu) * f64::from(phase.count) / 1_000.0;
+            work += cores * run_time.as_secs_f64();
+        }
+        let processes = self.peers.links().count() + 1;
+        let cores = self.fleet_view(now).cores / processes as f64;
+        self.retry_schedule.reserve(now.mono, work, cores)
+    }
+
     /// Answers a caller, directly or through the process that forwarded its request.
     pub(super) fn reply(&mut self, call: CallKey, answer: Answer, out: &mut Vec<Action>) {
         match self.forwarding.take_remote(call) {
@@ -232,9 +274,12 @@
                 expired.push((key, "caller's time limit"));
                 continue;
             }
+            let late = |since| self.tier(now, job, fleet, since) != Tier::InTime;
+            // That the caller has waited before the submission is an estimate, for which a job is
+            // refused only while capacity is scarce.
             let left = (job.objective * EXPIRY_FACTOR).saturating_sub(age);
-            let late = self.priority(now, job, fleet).tier != Tier::InTime;
-            if job.is_unstarted() && late && (left < MIN_TIME_FOR_LATE_START || fleet.scarce) {
+            let too_late = left < MIN_TIME_FOR_LATE_START && late(job.submitted_at);
+            if job.is_unstarted() && (too_late || fleet.scarce && late(job.requested_at)) {
                 // The cause means: not enough free capacity before the job expires.
                 expired.push((key, "no room in time"));
             }
@@ -246,14 +291,13 @@
 
     /// Abandons a job. The answer tells whether tasks of it may have run.
     fn abandon_job(&mut self, now: Now, key: JobKey, cause: &'static str, out: &mut Vec<Action>) {
-        let unstarted = self.jobs.get(key).is_some_and(Job::is_unstarted);
-        let answer = if unstarted {
-            Answer::NotRun {
+        let job = self.jobs.get(key).filter(|job| job.is_unstarted());
+        let answer = match job.map(|job| job.request.clone()) {
+            Some(request) => Answer::NotRun {
                 reason: cause.into(),
-                retry: RETRY_AFTER,
-            }
-        } else {
-            Answer::OutcomeUnknown
+                retry: self.schedule_retry(now, &request),
+            },
+            None => Answer::OutcomeUnknown,
         };
         self.close_job(now, key, answer, cause, out);
     }
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -85,6 +85,8 @@
     pub late_percent: u32,
     /// Time that each call to a worker takes longer than usual.
     pub slow_ms: u64,
+    /// Limits of callers in the store.
+    pub caller_limits: Vec<(SmolStr, Duration)>,
     pub faults: Vec<String>,
     pub events: Vec<u16>,
     /// Calls that were made to workers.
@@ -121,6 +123,7 @@
             late_answers: Vec::new(),
             late_percent: 0,
             slow_ms: 0,
+            caller_limits: Vec::new(),
             faults: Vec::new(),
             events: Vec::new(),
             calls: 0,
@@ -189,6 +192,8 @@
         let document = Bytes::from_static(b"{}");
         let input = scheduler::Input::Configure { catalog, document };
         machine.step(self.now(), input, &mut Vec::new());
+        let limits = scheduler::Input::CallerLimitsFound(self.caller_limits.clone());
+        machine.step(self.now(), limits, &mut Vec::new());
         self.entries[at] = Entry {
             machine: Some(machine),
             instance,
@@ -416,6 +421,7 @@
                     let instance = self.entries[at].instance;
                     self.store.call(self.now_ms, (at, instance), key, call);
                 }
+                scheduler::Action::StoreCallerLimits(limits) => self.caller_limits = limits,
                 scheduler::Action::Close(key, _) => {
                     if self.close_peer(key) {
                         continue;
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::print_stdout, reason = "the log of a run that is looked into")]
 
 mod callers;
+mod callers_back;
 mod calls;
 mod fleet;
 mod peers;
--- a/crates/event-loop/src/entry.rs
+++ b/crates/event-loop/src/entry.rs
@@ -8,6 +8,7 @@
 use knapweedwall_runtime::links::{LinkEvent, LinksHandle};
 use knapweedwall_runtime::log;
 use slog::Logger;
+use smol_str::SmolStr;
 use tokio::sync::mpsc::Receiver;
 use tokio::time::timeout;
 
@@ -28,6 +29,10 @@
     /// Starts a call to the store. The implementation enqueues exactly one input with the outcome.
     fn call_store(&self, key: StoreKey, call: StoreCall);
 
+    /// Stores the limits of callers for later runs of entry processes. When the process starts, the
+    /// implementation enqueues the limits that all entry processes have stored.
+    fn store_caller_limits(&self, limits: &[(SmolStr, Duration)]);
+
     /// Handles a configuration document received from another entry process.
     fn receive_configuration(&self, document: Bytes);
 
@@ -100,6 +105,7 @@
                 Action::Close(link, code) => self.links.close(link, code),
                 Action::Connect(address) => self.links.connect(address),
                 Action::ConfigDocument(document) => self.adapter.receive_configuration(document),
+                Action::StoreCallerLimits(limits) => self.adapter.store_caller_limits(&limits),
                 Action::Store(key, call) => self.adapter.call_store(key, call),
                 Action::Ready(ready) => {
                     self.ready.set(ready);
