--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -38,6 +38,8 @@
     pub beats: u64,
     pub draining: bool,
     pub frozen: bool,
+    /// Description of the worker in the store.
+    pub registration: Option<executor::Heartbeat>,
     /// Lifetime of the worker that calls are meant for.
     pub life: SmolStr,
     /// What arrived while the agent stood still; it reads this first.
@@ -83,6 +85,8 @@
     pub late_percent: u32,
     /// Time that each call to a worker takes longer than usual.
     pub slow_ms: u64,
+    /// Limits of callers in the store.
+    pub caller_limits: Vec<(SmolStr, Duration)>,
     pub faults: Vec<String>,
     pub events: Vec<u16>,
     /// Calls that were made to workers.
@@ -101,6 +105,7 @@
             beats: 0,
             draining: false,
             frozen: false,
+            registration: None,
             life: SmolStr::default(),
             backlog: Vec::new(),
         });
@@ -118,6 +123,7 @@
             late_answers: Vec::new(),
             late_percent: 0,
             slow_ms: 0,
+            caller_limits: Vec::new(),
             faults: Vec::new(),
             events: Vec::new(),
             calls: 0,
@@ -186,6 +192,8 @@
         let document = Bytes::from_static(b"{}");
         let input = scheduler::Input::Configure { catalog, document };
         machine.step(self.now(), input, &mut Vec::new());
+        let limits = scheduler::Input::CallerLimitsFound(self.caller_limits.clone());
+        machine.step(self.now(), limits, &mut Vec::new());
         self.entries[at] = Entry {
             machine: Some(machine),
             instance,
@@ -223,6 +231,9 @@
         self.hosts[at].agent = Some(machine);
         self.hosts[at].instance = instance;
         self.hosts[at].next_beat_ms = self.now_ms + 100;
+        if let Some(registration) = self.hosts[at].registration.clone() {
+            self.agent_input(at, executor::Input::RegistrationFound(registration));
+        }
     }
 
     /// Ends an agent at once. Orders on their way to the worker are carried out.
@@ -410,6 +421,7 @@
                     let instance = self.entries[at].instance;
                     self.store.call(self.now_ms, (at, instance), key, call);
                 }
+                scheduler::Action::StoreCallerLimits(limits) => self.caller_limits = limits,
                 scheduler::Action::Close(key, _) => {
                     if self.close_peer(key) {
                         continue;
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::print_stdout, reason = "the log of a run that is looked into")]
 
 mod callers;
+mod callers_back;
 mod calls;
 mod fleet;
 mod peers;
@@ -20,6 +21,7 @@
 mod planned_stops;
 mod random_faults;
 mod refusal_log_values;
+mod registrations;
 mod silent_owners;
 mod slow_answers;
 mod worker_lives;
