perf(scheduler): tasks stay in their zone and are spread over the workers that are fast enough

Every process chooses the fastest worker, or the slowest when capacity is scarce, from a view that is older than a short task, so all choose the same one. Change: a process prefers workers of its zone, workers with room for three more tasks, and workers of its own choice, by at most 10 ms of run time for each process, 120 ms in all. Agents report changes to other zones less often the more processes there are there, and send them heartbeats each 400 ms while they have no runs; entry processes send theirs each 800 ms, and orders acknowledge reports.

--- a/crates/core/src/executor/io.rs
+++ b/crates/core/src/executor/io.rs
@@ -19,6 +19,8 @@
 pub struct Settings {
     /// Address of the worker, if it is known before the first heartbeat.
     pub worker: Option<SmolStr>,
+    /// Zone of the host.
+    pub zone: SmolStr,
     /// Duration of the lease; the maximum that the worker grants.
     pub lease: Duration,
     /// Maximum time that a graceful shutdown of the agent takes.
--- a/crates/core/src/executor/machine.rs
+++ b/crates/core/src/executor/machine.rs
@@ -122,7 +122,10 @@
                 peer,
                 entries,
             } => {
-                for previous in self.owners.link_up(now.mono, link, &peer) {
+                for previous in self
+                    .owners
+                    .link_up(now.mono, &self.settings.zone, link, &peer)
+                {
                     self.stop_runs_of_owner(now, previous);
                 }
                 let unclaimed = self.unclaimed_reports.iter().map(|(report, _)| report);
@@ -477,7 +480,9 @@
             None
         };
         let worker = (&self.profile, &state);
-        self.owners.send_messages(now.mono, worker, open, out);
+        let with_runs = runs.owners();
+        self.owners
+            .send_messages(now.mono, &with_runs, worker, open, out);
     }
 
     /// Returns the resources available to new runs; none while the usage of a run is unknown.
--- a/crates/core/src/executor/owners.rs
+++ b/crates/core/src/executor/owners.rs
@@ -9,7 +9,7 @@
 use smol_str::SmolStr;
 
 use super::io::Action;
-use crate::deterministic::DeterministicMap;
+use crate::deterministic::{DeterministicMap, DeterministicSet};
 use crate::ids::Instance;
 use crate::peer::{LinkKey, PeerInfo};
 
@@ -17,17 +17,30 @@
 /// resubmits its job after 1,300 ms to any entry process; the first run must have ended by then.
 pub const OWNER_SILENCE_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Maximum interval between `RunReports` messages to an entry process.
+/// Maximum interval between `RunReports` messages to an entry process in the same zone, or with open
+/// runs on the worker.
 const MAX_MESSAGE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Maximum interval between messages to an entry process in another zone without open runs on the
+/// worker. Entry processes place tasks in other zones only when their own is short of resources. An
+/// order that acknowledges a message of this age still arrives within [`OWNER_SILENCE_TIMEOUT`].
+const MAX_REMOTE_MESSAGE_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Time without contact to an entry process in another zone without open runs after which the link
+/// is closed. Such a process sends heartbeats less often.
+const IDLE_REMOTE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Minimum interval between messages to an entry process that report only a change in free resources.
 const MIN_RESOURCE_UPDATE_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Limits the total rate of messages that report only a change in free resources to one every 3 ms:
-/// with n connected entry processes, the minimum interval for each of them is n * 3 ms if this is
-/// longer than [`MIN_RESOURCE_UPDATE_INTERVAL`].
+/// Limits the total rate of messages to entry processes of the zone that report only a change in free
+/// resources to one every 3 ms: with n of them connected, the minimum interval for each is n * 3 ms
+/// if this is longer than [`MIN_RESOURCE_UPDATE_INTERVAL`].
 const RESOURCE_UPDATE_INTERVAL_PER_OWNER: Duration = Duration::from_millis(3);
 
+/// The same for entry processes in other zones, up to [`MAX_REMOTE_MESSAGE_INTERVAL`].
+const REMOTE_UPDATE_INTERVAL_PER_OWNER: Duration = Duration::from_millis(12);
+
 /// Maximum number of unacknowledged messages whose send times are kept. At one message every 2 ms,
 /// 400 are sent within [`OWNER_SILENCE_TIMEOUT`].
 const MAX_SENT_MESSAGES: usize = 512;
@@ -41,6 +54,8 @@
 #[derive(Debug)]
 pub(super) struct Owner {
     name: SmolStr,
+    /// Whether the entry process is in the zone of the agent.
+    in_zone: bool,
     link: Option<LinkKey>,
     /// Send time of the last message that the owner has acknowledged, or time of the connection.
     last_contact: Duration,
@@ -61,6 +76,15 @@
     profile: Option<wire::WorkerProfile>,
 }
 
+/// Minimum intervals between messages that report only a change in free resources.
+#[derive(Debug, Clone, Copy)]
+struct MessageIntervals {
+    /// To entry processes in the zone of the agent.
+    in_zone: Duration,
+    /// To all others.
+    remote: Duration,
+}
+
 /// All entry processes that are connected, or were within [`OWNER_SILENCE_TIMEOUT`].
 #[derive(Debug, Default)]
 pub(super) struct Owners {
@@ -73,6 +97,7 @@
     pub(super) fn link_up(
         &mut self,
         now: Duration,
+        zone: &str,
         link: LinkKey,
         peer: &PeerInfo,
     ) -> Vec<Instance> {
@@ -85,6 +110,7 @@
         }
         let owner = self.map.entry(peer.instance).or_insert_with(|| Owner {
             name: peer.name.clone(),
+            in_zone: peer.zone == zone,
             link: None,
             last_contact: now,
             sent_messages: VecDeque::new(),
@@ -155,11 +181,24 @@
     }
 
     /// Returns the links of unresponsive owners, which may be half-open and are to be closed.
-    pub(super) fn unresponsive_links(&self, now: Duration) -> Vec<LinkKey> {
-        let silent = self.map.values();
-        let silent =
-            silent.filter(|owner| now.saturating_sub(owner.last_contact) >= OWNER_SILENCE_TIMEOUT);
-        silent.filter_map(|owner| owner.link).collect()
+    /// `with_runs` are the owners of open runs.
+    pub(super) fn unresponsive_links(
+        &self,
+        now: Duration,
+        with_runs: &DeterministicSet<Instance>,
+    ) -> Vec<LinkKey> {
+        let mut links = Vec::new();
+        for (key, owner) in &self.map {
+            let timeout = if owner.in_zone || with_runs.contains(key) {
+                OWNER_SILENCE_TIMEOUT
+            } else {
+                IDLE_REMOTE_TIMEOUT
+            };
+            if now.saturating_sub(owner.last_contact) >= timeout {
+                links.extend(owner.link);
+            }
+        }
+        links
     }
 
     /// Removes unresponsive owners that are not connected.
@@ -187,31 +226,58 @@
         }
     }
 
+    /// Returns the minimum intervals between messages that report only a change in free resources.
+    fn message_intervals(&self) -> MessageIntervals {
+        let (mut in_zone, mut remote) = (0, 0);
+        for owner in self.map.values().filter(|owner| owner.link.is_some()) {
+            let count = if owner.in_zone {
+                &mut in_zone
+            } else {
+                &mut remote
+            };
+            *count += 1;
+        }
+        let in_zone = RESOURCE_UPDATE_INTERVAL_PER_OWNER * in_zone;
+        let remote = REMOTE_UPDATE_INTERVAL_PER_OWNER * remote;
+        MessageIntervals {
+            in_zone: in_zone.max(MIN_RESOURCE_UPDATE_INTERVAL),
+            remote: remote.clamp(MIN_RESOURCE_UPDATE_INTERVAL, MAX_REMOTE_MESSAGE_INTERVAL),
+        }
+    }
+
     /// Sends the `RunReports` messages that are due. `open` returns all open runs; it is `None` until
-    /// the worker's run lists are known.
+    /// the worker's run lists are known. `with_runs` are the owners of open runs.
     pub(super) fn send_messages(
         &mut self,
         now: Duration,
+        with_runs: &DeterministicSet<Instance>,
         (profile, state): (&wire::WorkerProfile, &wire::WorkerState),
         open: Option<&dyn Fn() -> Vec<wire::RunRef>>,
         out: &mut Vec<Action>,
     ) {
-        let linked = self.map.values().filter(|owner| owner.link.is_some());
-        let linked = u32::try_from(linked.count()).unwrap_or(u32::MAX);
-        let resource_interval = MIN_RESOURCE_UPDATE_INTERVAL
-            .max(RESOURCE_UPDATE_INTERVAL_PER_OWNER.saturating_mul(linked));
-        for owner in self.map.values_mut() {
+        let intervals = self.message_intervals();
+        for (key, owner) in &mut self.map {
             let Some(link) = owner.link else {
                 continue;
             };
             let send_listing = !owner.listing_sent && open.is_some();
             let elapsed = now.saturating_sub(owner.last_message_at);
+            let resource_interval = if owner.in_zone {
+                intervals.in_zone
+            } else {
+                intervals.remote
+            };
+            let max_interval = if owner.in_zone || with_runs.contains(key) {
+                MAX_MESSAGE_INTERVAL
+            } else {
+                MAX_REMOTE_MESSAGE_INTERVAL
+            };
             let resources_changed = state.free != owner.free && elapsed >= resource_interval;
             let due = send_listing
                 || !owner.queued_run_reports.is_empty()
                 || resources_changed
-                || elapsed >= MAX_MESSAGE_INTERVAL;
-            if !due || (!owner.listing_sent && !send_listing && elapsed < MAX_MESSAGE_INTERVAL) {
+                || elapsed >= max_interval;
+            if !due || (!owner.listing_sent && !send_listing && elapsed < max_interval) {
                 continue;
             }
             owner.last_message_number += 1;
--- a/crates/core/src/executor/runs.rs
+++ b/crates/core/src/executor/runs.rs
@@ -6,7 +6,7 @@
 use knapweedwall_wire as wire;
 use smol_str::SmolStr;
 
-use crate::deterministic::DeterministicMap;
+use crate::deterministic::{DeterministicMap, DeterministicSet};
 use crate::ids::Instance;
 use crate::job::{Resources, RunId};
 
@@ -154,6 +154,11 @@
         self.map.is_empty()
     }
 
+    /// Returns the owners of all open runs.
+    pub(super) fn owners(&self) -> DeterministicSet<Instance> {
+        self.iter().filter_map(|(_, run)| run.owner).collect()
+    }
+
     /// Returns whether a run is waiting for resources.
     pub(super) fn has_waiting(&self) -> bool {
         self.waiting_count > 0
--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -29,6 +29,8 @@
         out: &mut Vec<Action>,
     ) {
         self.owners.record_orders_number(owner, orders.number);
+        self.owners
+            .record_acknowledgement(owner, orders.reports_seen);
         for claim in orders.claims {
             let Some(run) = claim.run else {
                 continue;
--- a/crates/core/src/executor/timeouts.rs
+++ b/crates/core/src/executor/timeouts.rs
@@ -43,7 +43,8 @@
         let retention = OWNER_SILENCE_TIMEOUT;
         self.unclaimed_reports
             .retain(|(_, at)| now.since(*at) < retention);
-        for link in self.owners.unresponsive_links(now.mono) {
+        let with_runs = self.runs.owners();
+        for link in self.owners.unresponsive_links(now.mono, &with_runs) {
             out.push(Action::Close(link, "silent"));
         }
         self.owners.remove_unresponsive(now.mono);
--- a/crates/core/src/scheduler/links.rs
+++ b/crates/core/src/scheduler/links.rs
@@ -25,11 +25,15 @@
     Duration::from_millis(OWNER_SILENCE_TIMEOUT.as_millis() as u64 + 1_020 + 180);
 
 /// Time without a report after which a connection is closed, so that the agent reconnects.
-const LINK_TIMEOUT: Duration = Duration::from_millis(900);
+const LINK_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Interval of heartbeats to an agent.
+/// Interval of heartbeats to an agent of the same zone, or with open runs of this process.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Interval of heartbeats to an agent in another zone without open runs of this process. Orders
+/// acknowledge reports as well, so such an agent accepts an order at any time.
+const REMOTE_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(800);
+
 /// Time after which a disconnected agent without runs is removed.
 const AGENT_RETENTION: Duration = Duration::from_secs(60);
 
@@ -53,7 +57,7 @@
             }
             return self.add_entries(vec![(peer.name, peer.address)], out);
         }
-        let key = self.workers.link_up(now.mono, link, peer);
+        let key = self.workers.link_up(now.mono, &self.settings, link, peer);
         out.push(Action::Send(link, self.heartbeat_with_addresses(0)));
         self.send_owned_shards(key, out);
     }
@@ -274,7 +278,12 @@
             let Some(link) = worker.link else {
                 continue;
             };
-            if now.since(worker.last_beat) < HEARTBEAT_INTERVAL {
+            let interval = if worker.in_zone || !worker.runs.is_empty() {
+                HEARTBEAT_INTERVAL
+            } else {
+                REMOTE_HEARTBEAT_INTERVAL
+            };
+            if now.since(worker.last_beat) < interval {
                 continue;
             }
             worker.last_beat = now.mono;
--- a/crates/core/src/scheduler/placement.rs
+++ b/crates/core/src/scheduler/placement.rs
@@ -5,8 +5,10 @@
 //! first, since it needs the least capacity per answer.
 //!
 //! A task is placed on a worker on which its job can meet the objective. While capacity is
-//! plentiful that is the fastest such worker, otherwise the slowest, which keeps the fast workers
-//! for jobs that have waited. While capacity is scarce, a job starts only if its tasks fit at the
+//! plentiful fast workers come first, otherwise slow ones, which keeps the fast workers for jobs
+//! that have waited. Each entry process prefers workers of its zone, workers with uncontended room,
+//! and, among equals, workers of its own choice, so that processes do not all place the next task on
+//! the same worker. While capacity is scarce, a job starts only if its tasks fit at the
 //! same time, because it ends no earlier than its last task; the longer it waits, the fewer tasks
 //! have to fit. Late jobs use the remaining capacity.
 
@@ -27,13 +29,23 @@
 /// Slowdown of a task whose data is on another rack.
 const REMOTE_DATA_FACTOR: f64 = 1.5;
 
-/// Cost of a worker in another zone, in milliseconds of expected run time. Equals a network round
-/// trip.
-const CROSS_ZONE_COST_MS: f64 = 3.0;
+/// Network round trip to another zone, in milliseconds.
+const CROSS_ZONE_MS: f64 = 3.0;
 
-/// Cost of a fully used worker compared to an idle one, in milliseconds of expected run time. Other
-/// entry processes may take the last capacity of a busy worker at the same time.
-const UTILIZATION_COST_MS: f64 = 8.0;
+/// Number of further tasks that fit on a worker from which on its room is not contended: that many
+/// entry processes may choose it at the same time.
+const UNCONTENDED_TASKS: f64 = 3.0;
+
+/// Affinity to a worker in another zone, relative to one in the zone of the process.
+const OTHER_ZONE_AFFINITY: f64 = 0.4;
+
+/// Expected run time that full affinity to a worker outweighs, for each entry process, in
+/// milliseconds. The more processes there are, the older is their view of a worker, and the more of
+/// them choose it at the same time.
+const AFFINITY_MS_PER_PROCESS: f64 = 10.0;
+
+/// Upper bound of the expected run time that full affinity outweighs, in milliseconds.
+const MAX_AFFINITY_MS: f64 = 120.0;
 
 /// Placement ends for this turn after this number of jobs that could not be placed completely.
 const MAX_INCOMPLETE_PLACEMENTS: u32 = 2;
@@ -81,6 +93,8 @@
     pub(super) scarce: bool,
     /// Total CPU of the usable workers, in cores.
     pub(super) cores: f64,
+    /// Expected run time that full affinity to a worker outweighs, in milliseconds.
+    affinity_ms: f64,
 }
 
 impl Machine {
@@ -108,6 +122,7 @@
 
     /// Computes the state of the fleet from the usable workers.
     pub(super) fn fleet_view(&self, now: Now) -> FleetView {
+        let processes = self.peers.links().count() + 1;
         let (mut fastest, mut free, mut capacity) = (0.0_f64, 0.0, 0.0);
         for (_, worker) in self.workers.iter() {
             if worker.is_usable(now.mono) {
@@ -120,6 +135,7 @@
             fastest_speed: if fastest > 0.0 { fastest } else { 1.0 },
             scarce: free < capacity * SCARCE_CPU_SHARE,
             cores: capacity / 1_000.0,
+            affinity_ms: (processes as f64 * AFFINITY_MS_PER_PROCESS).min(MAX_AFFINITY_MS),
         }
     }
 
@@ -204,7 +220,7 @@
             if !usable || !meets_constraints(job, spec, phase, worker_key, worker) {
                 continue;
             }
-            let run_ms = self.run_cost_ms(spec, worker, expected) * RUN_TIME_MARGIN;
+            let run_ms = self.run_ms(spec, worker, expected) * RUN_TIME_MARGIN;
             if tier == Tier::InTime && run_ms > left.as_secs_f64() * 1_000.0 {
                 continue;
             }
@@ -251,18 +267,20 @@
             if late && priority.unstarted && worker.free_share() < LATE_JOB_CPU_RESERVE {
                 continue;
             }
-            let cost = self.run_cost_ms(spec, worker, expected);
-            let too_slow = !late && cost * RUN_TIME_MARGIN > left_ms;
+            let run_ms = self.run_ms(spec, worker, expected);
+            let too_slow = !late && run_ms * RUN_TIME_MARGIN > left_ms;
             if too_slow && priority.unstarted && fleet.scarce {
                 continue;
             }
             let avoided = task.avoided_workers.contains(&worker_key);
             let rank = [avoided, !has_room, too_slow];
-            let cost = if fleet.scarce && !too_slow {
-                -cost
+            let affinity = self.affinity(spec, worker);
+            let speed_ms = if fleet.scarce && !too_slow {
+                -run_ms
             } else {
-                cost
+                run_ms
             };
+            let cost = speed_ms - fleet.affinity_ms * affinity;
             if best.is_none_or(|best| (rank, cost) < (best.0, best.1)) {
                 best = Some((rank, cost, worker_key));
             }
@@ -270,19 +288,33 @@
         best.map(|(rank, _, worker)| (worker, rank[1]))
     }
 
-    /// Returns the cost of a run on a worker: the expected run time plus penalties for another zone
-    /// and for a busy worker, in milliseconds.
-    fn run_cost_ms(&self, spec: &PhaseSpec, worker: &Worker, expected: Duration) -> f64 {
+    /// Returns the expected time until the end of a run on a worker is known here, in milliseconds.
+    fn run_ms(&self, spec: &PhaseSpec, worker: &Worker, expected: Duration) -> f64 {
         let mut run_ms = expected.as_secs_f64() * 1_000.0 / worker.speed.factor();
         if let Some(near) = &spec.near
             && !worker.labels.contains(near)
         {
             run_ms *= REMOTE_DATA_FACTOR;
         }
-        if worker.zone != self.settings.zone {
-            run_ms += CROSS_ZONE_COST_MS;
+        if !worker.in_zone {
+            run_ms += CROSS_ZONE_MS;
         }
-        run_ms + UTILIZATION_COST_MS * (1.0 - worker.free_share())
+        run_ms
+    }
+
+    /// Returns how suitable a worker is apart from its speed, from 0 to 1. Spreads the tasks of many
+    /// entry processes, whose views of the workers are older than a short task, and keeps them in
+    /// the zone: without it, all processes send the next task to the same few workers.
+    fn affinity(&self, spec: &PhaseSpec, worker: &Worker) -> f64 {
+        let needed = f64::from(spec.resources.cpu.max(1));
+        let fitting = f64::from(worker.free().cpu) / needed;
+        let uncontended = (fitting / UNCONTENDED_TASKS).min(1.0);
+        let zone = if worker.in_zone {
+            1.0
+        } else {
+            OTHER_ZONE_AFFINITY
+        };
+        (1.0 - worker.preference) * uncontended * zone
     }
 
     /// Places a task on a worker and adds it to the worker's next frame.
--- a/crates/core/src/scheduler/workers.rs
+++ b/crates/core/src/scheduler/workers.rs
@@ -6,7 +6,9 @@
 use knapweedwall_wire as wire;
 use slotmap::{SlotMap, new_key_type};
 use smol_str::SmolStr;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use super::io::Settings;
 use super::run_time_model::{self, Speed};
 use crate::deterministic::{DeterministicMap, DeterministicSet};
 use crate::ids::Instance;
@@ -18,10 +20,13 @@
     pub(super) struct WorkerKey;
 }
 
-/// Time without a report from an agent after which its worker gets no new tasks. Corresponds to two
-/// missed reports.
+/// Time without a report from an agent of the same zone after which its worker gets no new tasks.
+/// Corresponds to two missed reports.
 const SILENCE_LIMIT: Duration = Duration::from_millis(600);
 
+/// The same for an agent in another zone, which reports less often.
+const REMOTE_SILENCE_LIMIT: Duration = Duration::from_millis(900);
+
 /// Failure score at which a worker is held back, that is, gets no new tasks for some time. A failed
 /// run adds 1, a stalled run 1.5.
 const FAILURE_SCORE_LIMIT: f64 = 2.5;
@@ -53,8 +58,12 @@
 pub(super) struct Worker {
     pub(super) name: SmolStr,
     pub(super) agent: Instance,
-    pub(super) zone: SmolStr,
     pub(super) link: Option<LinkKey>,
+    /// Whether the agent is in the zone of this entry process.
+    pub(super) in_zone: bool,
+    /// Preference of this entry process for the worker, from 0 (most preferred) to 1. Differs
+    /// between entry processes.
+    pub(super) preference: f64,
     /// Time of the last report or, before the first one, of the connection.
     pub(super) last_heard: Duration,
     /// Whether the agent has listed its open runs on this connection.
@@ -145,7 +154,12 @@
 
     /// Returns whether new tasks may be placed on the worker.
     pub(super) fn is_usable(&self, now: Duration) -> bool {
-        let reporting = now.saturating_sub(self.last_heard) < SILENCE_LIMIT;
+        let limit = if self.in_zone {
+            SILENCE_LIMIT
+        } else {
+            REMOTE_SILENCE_LIMIT
+        };
+        let reporting = now.saturating_sub(self.last_heard) < limit;
         let held_back = now < self.held_back_until
             || (self.failure_score >= FAILURE_SCORE_LIMIT && !self.runs.is_empty());
         self.link.is_some() && self.listed && self.usable && reporting && !held_back
@@ -185,6 +199,7 @@
         let link = self.link?;
         self.last_order += 1;
         orders.number = self.last_order;
+        orders.reports_seen = self.reports_seen;
         Some((link, orders))
     }
 
@@ -233,7 +248,13 @@
 
 impl Workers {
     /// Adds a connection to an agent. It replaces an earlier connection to the agent of this name.
-    pub(super) fn link_up(&mut self, now: Duration, link: LinkKey, peer: PeerInfo) -> WorkerKey {
+    pub(super) fn link_up(
+        &mut self,
+        now: Duration,
+        process: &Settings,
+        link: LinkKey,
+        peer: PeerInfo,
+    ) -> WorkerKey {
         let known = self
             .arena
             .iter()
@@ -242,8 +263,9 @@
             self.arena.insert(Worker {
                 name: peer.name.clone(),
                 agent: peer.instance,
-                zone: peer.zone.clone(),
                 link: None,
+                in_zone: false,
+                preference: preference(&process.name, &peer.name),
                 last_heard: now,
                 listed: false,
                 reports_seen: 0,
@@ -272,7 +294,7 @@
             self.by_link.remove(&old);
         }
         worker.agent = peer.instance;
-        worker.zone = peer.zone;
+        worker.in_zone = peer.zone == process.zone;
         worker.last_heard = now;
         worker.reset_connection();
         self.by_link.insert(link, key);
@@ -330,3 +352,10 @@
         run_time_model::mean_speed(others().map(|(_, other)| other.speed))
     }
 }
+
+/// Returns the preference of an entry process for the worker of an agent, see
+/// [`Worker::preference`].
+fn preference(process: &str, agent: &str) -> f64 {
+    let hash = xxh3_64_with_seed(agent.as_bytes(), xxh3_64(process.as_bytes()));
+    hash as f64 / u64::MAX as f64
+}
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -222,6 +222,7 @@
         let instance = self.key();
         let settings = executor::Settings {
             worker: Some(format!("127.0.0.1:{at}").into()),
+            zone: "a".into(),
             lease: Duration::from_millis(LEASE_MS),
             stop_limit: Duration::from_secs(5),
         };
