--- a/crates/core/src/executor/worker.rs
+++ b/crates/core/src/executor/worker.rs
@@ -131,7 +131,8 @@
         }
         self.last_extension = now;
         let end = now.saturating_sub(read_at) + lease;
-        Some(clock_ms + u64::try_from(end.as_millis()).unwrap_or(u64::MAX / 2))
+        let end_ms = u64::try_from(end.as_millis()).unwrap_or(u64::MAX);
+        Some(clock_ms.saturating_add(end_ms))
     }
 
     /// Returns whether the lease has certainly expired, so that nothing runs on the worker.
--- a/crates/core/src/job/request.rs
+++ b/crates/core/src/job/request.rs
@@ -43,7 +43,7 @@
                 .iter()
                 .filter_map(|&index| ends.get(index as usize));
             let start = dependency_ends.max().copied().unwrap_or_default();
-            ends.push(start + phase.estimate);
+            ends.push(start.saturating_add(phase.estimate));
         }
         ends.into_iter().max().unwrap_or_default()
     }
--- a/crates/core/src/scheduler/run_time_model.rs
+++ b/crates/core/src/scheduler/run_time_model.rs
@@ -20,6 +20,9 @@
 /// runs.
 const MAX_DEVIATION: f64 = 1.5;
 
+/// Upper limit of expected run times. Larger estimates are errors of the caller.
+const MAX_RUN_TIME: Duration = Duration::from_secs(7 * 24 * 60 * 60);
+
 /// Lower limit of estimates and run times, in seconds.
 const MIN_TIME_S: f64 = 0.001;
 
@@ -45,7 +48,9 @@
     /// Returns the expected run time on a worker of speed factor 1.
     pub(super) fn expected_run_time(&self, queue: &str, estimate: Duration) -> Duration {
         let term = self.queue_terms.get(queue).copied().unwrap_or_default();
-        estimate.mul_f64(term.exp())
+        let expected_s = estimate.as_secs_f64() * term.exp();
+        let expected = Duration::try_from_secs_f64(expected_s).unwrap_or(MAX_RUN_TIME);
+        expected.min(MAX_RUN_TIME)
     }
 
     /// Updates the queue's term and the worker's speed with the run time of a successful run.
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -17,6 +17,7 @@
 mod durable_jobs;
 mod lost_agents;
 mod lost_starts;
+mod malformed_messages;
 mod many_entries;
 mod overload;
 mod planned_stops;
--- a/crates/core/tests/jobs/peers.rs
+++ b/crates/core/tests/jobs/peers.rs
@@ -18,7 +18,7 @@
 #[derive(Debug, Default)]
 pub struct PeerLink {
     ends: (usize, usize),
-    key: Option<LinkKey>,
+    pub key: Option<LinkKey>,
     /// Frames to the second and to the first process, with the time of arrival.
     down: VecDeque<(u64, Body)>,
     up: VecDeque<(u64, Body)>,
