test(scheduler): random faults across availability zones

Cause: entry processes and agents of different zones report less often to each other since tasks are spread, and the model of the fleet knew one zone only. Change: the model places processes in zones; random faults are played in one and in three. A method that was named for the opposite of what it returns is renamed.

--- a/crates/core/src/scheduler/machine.rs
+++ b/crates/core/src/scheduler/machine.rs
@@ -245,9 +245,9 @@
         since.is_some_and(|since| now.since(since) >= self.settings.shutdown_accept_time)
     }
 
-    /// Returns whether a job of this expected duration would not end before the process does,
-    /// because a graceful shutdown is in progress.
-    pub(super) fn ends_before(&self, now: Now, duration: Duration) -> bool {
+    /// Returns whether a graceful shutdown is in progress that would end the process before a job of
+    /// this expected duration.
+    pub(super) fn outlives_process(&self, now: Now, duration: Duration) -> bool {
         let since = self.stop_requested_at;
         since.is_some_and(|since| now.mono + duration >= since + self.settings.stop_limit)
     }
--- a/crates/core/src/scheduler/requests.rs
+++ b/crates/core/src/scheduler/requests.rs
@@ -53,7 +53,7 @@
             return self.route_to_owner(now, call, DurableRequest::Submit(Box::new(request)), out);
         }
         // Callers may use their connections for one more request after they are routed elsewhere.
-        if self.ends_before(now, self.objective(&queue_config, &request)) {
+        if self.outlives_process(now, self.objective(&queue_config, &request)) {
             return self.refuse(call, &request.id, "stopping", out);
         }
         if let Some(key) = self.jobs.find(&request.id) {
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -68,6 +68,7 @@
 
 /// The whole fleet.
 pub struct Fleet {
+    zones: usize,
     pub now_ms: u64,
     pub entries: Vec<Entry>,
     pub hosts: Vec<Host>,
@@ -96,6 +97,11 @@
 impl Fleet {
     /// A fleet of workers with this processor and these speeds.
     pub fn new(entries: usize, workers: &[(u32, f64)], seed: u64) -> Self {
+        Self::in_zones(1, entries, workers, seed)
+    }
+
+    /// The same with entry processes and workers spread evenly over availability zones.
+    pub fn in_zones(zones: usize, entries: usize, workers: &[(u32, f64)], seed: u64) -> Self {
         let hosts = workers.iter().enumerate().map(|(at, (cpu, speed))| Host {
             agent: None,
             instance: 0,
@@ -110,6 +116,7 @@
             backlog: Vec::new(),
         });
         let mut fleet = Self {
+            zones,
             now_ms: START_MS,
             entries: Vec::new(),
             hosts: hosts.collect(),
@@ -150,6 +157,11 @@
         fleet
     }
 
+    /// Zone of the entry process or host with this number.
+    fn zone(&self, at: usize) -> SmolStr {
+        format!("z{}", at % self.zones).into()
+    }
+
     pub fn key(&mut self) -> u64 {
         self.next_key += 1;
         self.next_key
@@ -172,7 +184,7 @@
         let name = format!("entry-{at}");
         let settings = scheduler::Settings {
             name: name.into(),
-            zone: "a".into(),
+            zone: self.zone(at),
             instance: Instance(instance),
             shutdown_accept_time: Duration::from_secs(2),
             stop_limit: Duration::from_secs(5),
@@ -222,7 +234,7 @@
         let instance = self.key();
         let settings = executor::Settings {
             worker: Some(format!("127.0.0.1:{at}").into()),
-            zone: "a".into(),
+            zone: self.zone(at),
             lease: Duration::from_millis(LEASE_MS),
             stop_limit: Duration::from_secs(5),
         };
@@ -342,10 +354,10 @@
                 continue;
             }
             let key = LinkKey(self.key());
-            let peer = |role, name: String, instance| PeerInfo {
+            let peer = |role, name: String, zone, instance| PeerInfo {
                 role,
                 name: name.into(),
-                zone: "a".into(),
+                zone,
                 instance: Instance(instance),
                 address: "127.0.0.1:1".into(),
                 slots: 0,
@@ -353,11 +365,13 @@
             let to_agent = peer(
                 Role::Entry,
                 format!("entry-{entry}"),
+                self.zone(entry),
                 self.entries[entry].instance,
             );
             let to_entry = peer(
                 Role::Agent,
                 format!("agent-{host}"),
+                self.zone(host),
                 self.hosts[host].instance,
             );
             self.links.get_mut(&(entry, host)).unwrap().key = Some(key);
--- a/crates/core/tests/jobs/random_faults.rs
+++ b/crates/core/tests/jobs/random_faults.rs
@@ -93,9 +93,9 @@
     }
 }
 
-fn play(seed: u64) {
+fn play(seed: u64, zones: usize) {
     let workers = [(8_000, 0.7), (8_000, 0.7), (12_000, 1.7), (8_000, 1.0)];
-    let mut fleet = Fleet::new(3, &workers, seed);
+    let mut fleet = Fleet::in_zones(zones, 3, &workers, seed);
     for _ in 0..FAULTY_ROUNDS {
         if fleet.random(4) == 0 {
             fault(&mut fleet);
@@ -127,9 +127,9 @@
 }
 
 /// Plays durable jobs; each one that was accepted must be done at the end.
-fn play_durable(seed: u64) {
+fn play_durable(seed: u64, zones: usize) {
     let workers = [(8_000, 0.7), (8_000, 0.7), (12_000, 1.7), (8_000, 1.0)];
-    let mut fleet = Fleet::new(3, &workers, seed);
+    let mut fleet = Fleet::in_zones(zones, 3, &workers, seed);
     fleet.run(3_000);
     for _ in 0..FAULTY_ROUNDS {
         match fleet.random(8) {
@@ -169,17 +169,21 @@
 /// Guards against accepted jobs that are lost, and tasks that run again after their end was taken
 /// note of, whatever faults come together.
 #[rstest]
-fn durable_jobs_survive_random_faults() {
-    for seed in seeds("0..12") {
-        play_durable(seed);
+#[case::one_zone("0..12", 1)]
+#[case::three_zones("0..6", 3)]
+fn durable_jobs_survive_random_faults(#[case] range: &str, #[case] zones: usize) {
+    for seed in seeds(range) {
+        play_durable(seed, zones);
     }
 }
 
 /// Guards against a task that runs twice at the same time, a worker beyond its room, and a fleet
 /// that does not recover, whatever faults come together.
 #[rstest]
-fn rules_hold_under_random_faults() {
-    for seed in seeds("0..24") {
-        play(seed);
+#[case::one_zone("0..24", 1)]
+#[case::three_zones("0..12", 3)]
+fn rules_hold_under_random_faults(#[case] range: &str, #[case] zones: usize) {
+    for seed in seeds(range) {
+        play(seed, zones);
     }
 }
