fix(scheduler): spreading tasks does not outweigh the speed of workers

An affinity of 120 ms while capacity is scarce puts short tasks on workers that leave them no time for a second attempt. Change: full affinity outweighs 15 ms of run time, at any load and number of processes.

--- a/crates/core/src/scheduler/placement.rs
+++ b/crates/core/src/scheduler/placement.rs
@@ -40,17 +40,9 @@
 /// Affinity to a worker in another zone, relative to one in the zone of the process.
 const OTHER_ZONE_AFFINITY: f64 = 0.4;
 
-/// Expected run time that full affinity to a worker outweighs, for each entry process, in
-/// milliseconds. The more processes there are, the older is their view of a worker, and the more of
-/// them choose it at the same time.
-const AFFINITY_MS_PER_PROCESS: f64 = 10.0;
-
-/// Upper bound of the expected run time that full affinity outweighs, in milliseconds, while fast
-/// workers come first.
-const MAX_PLENTIFUL_AFFINITY_MS: f64 = 40.0;
-
-/// The same while capacity is scarce and any worker that is fast enough will do.
-const MAX_SCARCE_AFFINITY_MS: f64 = 120.0;
+/// Expected run time that full affinity to a worker outweighs, in milliseconds. Larger values spread
+/// tasks better, but leave jobs on slower workers less time for a second attempt.
+const AFFINITY_MS: f64 = 15.0;
 
 /// Placement ends for this turn after this number of jobs that could not be placed completely.
 const MAX_INCOMPLETE_PLACEMENTS: u32 = 2;
@@ -129,8 +121,6 @@
     pub(super) scarce: bool,
     /// Total CPU of the usable workers, in cores.
     pub(super) cores: f64,
-    /// Expected run time that full affinity to a worker outweighs, in milliseconds.
-    affinity_ms: f64,
 }
 
 impl Machine {
@@ -158,7 +148,6 @@
 
     /// Computes the state of the fleet from the usable workers.
     pub(super) fn fleet_view(&self, now: Now) -> FleetView {
-        let processes = self.peers.links().count() + 1;
         let (mut fastest, mut free, mut capacity) = (0.0_f64, 0.0, 0.0);
         for (_, worker) in self.workers.iter() {
             if worker.is_usable(now.mono) {
@@ -167,17 +156,10 @@
                 capacity += f64::from(worker.capacity.cpu);
             }
         }
-        let scarce = free < capacity * SCARCE_CPU_SHARE;
-        let max_affinity_ms = if scarce {
-            MAX_SCARCE_AFFINITY_MS
-        } else {
-            MAX_PLENTIFUL_AFFINITY_MS
-        };
         FleetView {
             fastest_speed: if fastest > 0.0 { fastest } else { 1.0 },
-            scarce,
+            scarce: free < capacity * SCARCE_CPU_SHARE,
             cores: capacity / 1_000.0,
-            affinity_ms: (processes as f64 * AFFINITY_MS_PER_PROCESS).min(max_affinity_ms),
         }
     }
 
@@ -322,7 +304,7 @@
             } else {
                 run_ms
             };
-            let cost = speed_ms - fleet.affinity_ms * affinity;
+            let cost = speed_ms - AFFINITY_MS * affinity;
             if best.is_none_or(|best| (rank, cost) < (best.0, best.1)) {
                 best = Some((rank, cost, worker_key));
             }
