feat(scheduler): logs and metrics tell by which configuration a request was handled, and how old it was

Cause: no line told on which way a version had arrived, when the store had last confirmed it, or by which version a request without a route was answered, so the hypotheses of the configuration incident could not be told apart. Ruled out: a line for each response of the store: 14 a second and process with nothing to tell. Change: scheduler/configuration holds the configuration in use and the time of its last confirmation; events 306 (source, delay_ms, config_age_ms), 301 (config_age_ms), 329 (unknown queue, at most 20 a second), 330 and 331 (not confirmed for 2 s, confirmed again); metric config_confirmed. Which queue is unknown is answered by the state machine.

--- /dev/null
+++ b/crates/core/src/scheduler/configuration.rs
@@ -0,0 +1,181 @@
+//! The configuration in use, and how recently the store confirmed that it is the newest.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use knapweedwall_wire as wire;
+use knapweedwall_wire::frame::Body;
+
+use super::io::{Action, Answer, CallKey, ConfigSource};
+use super::machine::{Machine, log, ms};
+use crate::clock::Now;
+use crate::job::QueueCatalog;
+
+/// Time since the last confirmation after which the configuration is reported as unconfirmed.
+const UNCONFIRMED_AFTER: Duration = Duration::from_secs(2);
+
+/// Interval in which at most [`MAX_LOGGED_MISSES`] requests for unknown queues are logged.
+const MISS_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Maximum number of requests for unknown queues that are logged in an interval.
+const MAX_LOGGED_MISSES: u32 = 20;
+
+/// The configuration in use.
+#[derive(Debug, Default)]
+pub(super) struct Configuration {
+    pub(super) catalog: Option<QueueCatalog>,
+    document: Bytes,
+    /// When the last request to the store was sent whose response showed no newer version.
+    confirmed_at: Option<Duration>,
+    /// Whether the configuration has been reported as unconfirmed.
+    unconfirmed: bool,
+    /// Start of the current interval for logging requests for unknown queues, and their number.
+    logged_misses: (Duration, u32),
+}
+
+impl Configuration {
+    /// Returns the version in use, or 0 if there is none.
+    pub(super) fn version(&self) -> u64 {
+        self.catalog.as_ref().map_or(0, |catalog| catalog.version)
+    }
+
+    /// Returns the time since the store last confirmed the configuration, if it ever has.
+    pub(super) fn age(&self, now: Now) -> Option<Duration> {
+        self.confirmed_at.map(|at| now.since(at))
+    }
+
+    /// Returns a frame with the configuration in use, if there is one.
+    pub(super) fn update_frame(&self) -> Option<Body> {
+        let update = wire::ConfigUpdate {
+            version: self.version(),
+            document: self.document.clone(),
+        };
+        (!self.document.is_empty()).then_some(Body::ConfigUpdate(update))
+    }
+}
+
+impl Machine {
+    /// Applies a newer configuration and sends it to other entry processes.
+    pub(super) fn configure(
+        &mut self,
+        now: Now,
+        catalog: QueueCatalog,
+        document: Bytes,
+        source: ConfigSource,
+        out: &mut Vec<Action>,
+    ) {
+        let before = self.configuration.version();
+        if self.configuration.catalog.is_some() && before >= catalog.version {
+            return;
+        }
+        let (source, delay) = match source {
+            ConfigSource::Store(requested_at) => ("store", now.since(requested_at)),
+            ConfigSource::Peer => ("peer", Duration::ZERO),
+        };
+        // `before` is the version that was in use until now.
+        let fields = vec![
+            ("version", catalog.version.to_string()),
+            ("before", before.to_string()),
+            ("queues", catalog.queues.len().to_string()),
+            ("source", source.to_owned()),
+            ("delay_ms", ms(delay)),
+            ("config_age_ms", self.config_age_ms(now)),
+        ];
+        log(out, 306, "configuration applied", false, fields);
+        let version = i64::try_from(catalog.version).unwrap_or(i64::MAX);
+        self.metrics.config_version.set(version);
+        self.update_queue_configs(&catalog);
+        self.configuration.catalog = Some(catalog);
+        self.configuration.document = document;
+        self.broadcast_config(out);
+        self.update_ready(out);
+    }
+
+    /// Records that the store's response to a request sent at `requested_at` showed no version newer
+    /// than the one in use.
+    pub(super) fn confirm_configuration(
+        &mut self,
+        now: Now,
+        requested_at: Duration,
+        out: &mut Vec<Action>,
+    ) {
+        let age = self.config_age_ms(now);
+        let confirmed_at = self.configuration.confirmed_at;
+        self.configuration.confirmed_at = confirmed_at.max(Some(requested_at));
+        let wall_s = i64::try_from(now.wall_ms / 1_000).unwrap_or(i64::MAX);
+        self.metrics.config_confirmed.set(wall_s);
+        if self.configuration.unconfirmed {
+            self.configuration.unconfirmed = false;
+            let fields = vec![
+                ("config", self.configuration.version().to_string()),
+                ("config_age_ms", age),
+            ];
+            log(out, 331, "configuration confirmed again", false, fields);
+        }
+    }
+
+    /// Reports a configuration that the store has not confirmed for some time.
+    pub(super) fn check_configuration_age(&mut self, now: Now, out: &mut Vec<Action>) {
+        let age = self.configuration.age(now);
+        if self.configuration.unconfirmed || age.is_none_or(|age| age < UNCONFIRMED_AFTER) {
+            return;
+        }
+        self.configuration.unconfirmed = true;
+        let fields = vec![
+            ("config", self.configuration.version().to_string()),
+            ("config_age_ms", self.config_age_ms(now)),
+        ];
+        log(out, 330, "configuration not confirmed", true, fields);
+    }
+
+    /// Answers a request for a queue that the configuration in use does not have.
+    pub(super) fn reject_unknown_queue(&mut self, now: Now, call: CallKey, out: &mut Vec<Action>) {
+        self.log_unknown_queue(now, out);
+        self.reply(call, Answer::NoQueue, out);
+    }
+
+    fn log_unknown_queue(&mut self, now: Now, out: &mut Vec<Action>) {
+        let (since, count) = &mut self.configuration.logged_misses;
+        if now.since(*since) >= MISS_LOG_INTERVAL {
+            (*since, *count) = (now.mono, 0);
+        }
+        *count += 1;
+        if *count > MAX_LOGGED_MISSES {
+            return;
+        }
+        let fields = vec![
+            ("config", self.configuration.version().to_string()),
+            ("config_age_ms", self.config_age_ms(now)),
+        ];
+        log(out, 329, "request for an unknown queue", false, fields);
+    }
+
+    /// Returns the age of the configuration for log events; empty if the store has never confirmed
+    /// it.
+    pub(super) fn config_age_ms(&self, now: Now) -> String {
+        self.configuration.age(now).map(ms).unwrap_or_default()
+    }
+
+    /// Sends the configuration in use to all connected entry processes.
+    fn broadcast_config(&self, out: &mut Vec<Action>) {
+        for link in self.peers.links() {
+            let update = self.configuration.update_frame();
+            out.extend(update.map(|update| Action::Send(link, update)));
+        }
+    }
+
+    /// Updates the queue configurations of open durable jobs.
+    fn update_queue_configs(&mut self, catalog: &QueueCatalog) {
+        let open = self
+            .jobs
+            .iter_open()
+            .filter(|(_, job)| job.durable.is_some());
+        for key in open.map(|(key, _)| key).collect::<Vec<_>>() {
+            if let Some(job) = self.jobs.get_mut(key)
+                && let Some(queue_config) = catalog.queue(&job.request.queue)
+            {
+                job.queue_config = queue_config.clone();
+            }
+        }
+    }
+}
--- a/crates/core/src/scheduler/durable_jobs.rs
+++ b/crates/core/src/scheduler/durable_jobs.rs
@@ -58,7 +58,7 @@
         if let Some(key) = self.jobs.find(&request.id) {
             return self.resubmit_durable(key, call, &request, out);
         }
-        let catalog = self.catalog.as_ref();
+        let catalog = self.configuration.catalog.as_ref();
         let Some(queue_config) = catalog.and_then(|catalog| catalog.queue(&request.queue)) else {
             return self.refuse(call, &request.id, "queue not known yet", out);
         };
@@ -67,7 +67,7 @@
         }
         let queue_config = queue_config.clone();
         let objective = self.objective(&queue_config, &request);
-        self.log_received(&request, objective, Duration::ZERO, out);
+        self.log_received(now, &request, objective, Duration::ZERO, out);
         let mut job = Job::new(now.mono, None, request, queue_config, objective);
         let mut durable = DurableState::new(shard, now.wall_ms);
         durable.submit_calls.push(call);
--- a/crates/core/src/scheduler/io.rs
+++ b/crates/core/src/scheduler/io.rs
@@ -73,6 +73,15 @@
     Pending(u32),
 }
 
+/// Origin of a configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConfigSource {
+    /// The store, in response to a request sent at this time.
+    Store(Duration),
+    /// Another entry process.
+    Peer,
+}
+
 /// An input of the state machine.
 #[derive(Debug)]
 pub enum Input {
@@ -117,13 +126,20 @@
     LinkDown(LinkKey),
     /// A frame was received.
     Frame(LinkKey, Body),
+    /// A caller's request is for a queue that the configuration in use does not have.
+    UnknownQueue(CallKey),
     /// A version of the configuration. Ignored unless newer than the one in use.
     Configure {
         /// The queues.
         catalog: QueueCatalog,
         /// The document as the operator wrote it, forwarded to other entry processes.
         document: Bytes,
+        /// Where the document comes from.
+        source: ConfigSource,
     },
+    /// The store had no version newer than the one in use when it received a request sent at this
+    /// time.
+    ConfigConfirmed(Duration),
     /// Names and addresses of discovered entry processes.
     EntriesFound(Vec<(SmolStr, SmolStr)>),
     /// Limits that entry processes have stored earlier, see [`Action::StoreCallerLimits`].
--- a/crates/core/src/scheduler/links.rs
+++ b/crates/core/src/scheduler/links.rs
@@ -52,9 +52,8 @@
                 ("instance", peer.instance.to_string()),
             ];
             log(out, 327, "entry process connected", false, fields);
-            if !self.config_document.is_empty() {
-                out.push(Action::Send(link, self.config_update()));
-            }
+            let update = self.configuration.update_frame();
+            out.extend(update.map(|update| Action::Send(link, update)));
             return self.add_entries(vec![(peer.name, peer.address)], out);
         }
         let key = self.workers.link_up(now.mono, &self.settings, link, peer);
@@ -334,20 +333,6 @@
         }
     }
 
-    fn config_update(&self) -> Body {
-        Body::ConfigUpdate(wire::ConfigUpdate {
-            version: self.catalog.as_ref().map_or(0, |catalog| catalog.version),
-            document: self.config_document.clone(),
-        })
-    }
-
-    /// Sends the configuration in use to all connected entry processes.
-    pub(super) fn broadcast_config(&self, out: &mut Vec<Action>) {
-        for link in self.peers.links() {
-            out.push(Action::Send(link, self.config_update()));
-        }
-    }
-
     /// Asks all connected entry processes to cancel a non-durable job that is not known here.
     pub(super) fn broadcast_cancel(&self, id: &str, out: &mut Vec<Action>) {
         for link in self.peers.links() {
--- a/crates/core/src/scheduler/machine.rs
+++ b/crates/core/src/scheduler/machine.rs
@@ -1,16 +1,16 @@
 //! The state machine of an entry process.
 //!
 //! `requests` implements the transitions for caller requests, `placement` those that assign tasks
-//! to workers, `run_reports` those for ended runs, and `links` those for connections to agents and
-//! other entry processes.
+//! to workers, `run_reports` those for ended runs, `links` those for connections to agents and other
+//! entry processes, and `configuration` those for changes of the configuration.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use bytes::Bytes;
 use smol_str::SmolStr;
 
 use super::admission::{CallerLimits, RetrySchedule};
+use super::configuration::Configuration;
 use super::durable_jobs::HeldQuery;
 use super::forwarding::Forwarding;
 use super::io::{Action, Input, Settings};
@@ -23,7 +23,6 @@
 use crate::clock::Now;
 use crate::deterministic::DeterministicMap;
 use crate::event::Event;
-use crate::job::QueueCatalog;
 
 /// Time without any call of the state machine after which the process is assumed to have been frozen
 /// or suspended.
@@ -40,8 +39,7 @@
 #[derive(Debug)]
 pub struct Machine {
     pub(super) settings: Settings,
-    pub(super) catalog: Option<QueueCatalog>,
-    pub(super) config_document: Bytes,
+    pub(super) configuration: Configuration,
     pub(super) jobs: Jobs,
     pub(super) workers: Workers,
     pub(super) peers: Peers,
@@ -77,8 +75,7 @@
     pub fn new(settings: Settings, metrics: Metrics) -> Self {
         Self {
             settings,
-            catalog: None,
-            config_document: Bytes::new(),
+            configuration: Configuration::default(),
             jobs: Jobs::default(),
             workers: Workers::default(),
             peers: Peers::default(),
@@ -113,7 +110,15 @@
             Input::LinkUp { link, peer } => self.link_up(now, link, peer, out),
             Input::LinkDown(link) => self.link_down(now, link, out),
             Input::Frame(link, body) => self.handle_frame(now, link, body, out),
-            Input::Configure { catalog, document } => self.configure(catalog, document, out),
+            Input::UnknownQueue(call) => self.reject_unknown_queue(now, call, out),
+            Input::Configure {
+                catalog,
+                document,
+                source,
+            } => self.configure(now, catalog, document, source, out),
+            Input::ConfigConfirmed(requested_at) => {
+                self.confirm_configuration(now, requested_at, out);
+            }
             Input::EntriesFound(entries) => self.add_entries(entries, out),
             Input::CallerLimitsFound(limits) => self.caller_limits.load(limits),
             Input::StoreResult(key, outcome) => self.handle_store_outcome(now, key, outcome, out),
@@ -137,6 +142,7 @@
             self.update_shards(now, out);
             self.purge_ended_jobs(now);
             self.update_ready(out);
+            self.check_configuration_age(now, out);
             if let Some(limits) = self.caller_limits.take_changed(now.mono) {
                 out.push(Action::StoreCallerLimits(limits));
             }
@@ -179,54 +185,18 @@
         }
     }
 
-    /// Applies a newer configuration and sends it to other entry processes.
-    fn configure(&mut self, catalog: QueueCatalog, document: Bytes, out: &mut Vec<Action>) {
-        let known = self.catalog.as_ref().map(|catalog| catalog.version);
-        if known.is_some_and(|known| known >= catalog.version) {
-            return;
-        }
-        // `before` is the version that was in use until now.
-        let fields = vec![
-            ("version", catalog.version.to_string()),
-            ("before", known.unwrap_or_default().to_string()),
-            ("queues", catalog.queues.len().to_string()),
-        ];
-        log(out, 306, "configuration applied", false, fields);
-        let version = i64::try_from(catalog.version).unwrap_or(i64::MAX);
-        self.metrics.config_version.set(version);
-        self.update_queue_configs(&catalog);
-        self.catalog = Some(catalog);
-        self.config_document = document;
-        self.broadcast_config(out);
-        self.update_ready(out);
-    }
-
     /// Reports a change of readiness. A process that has been ready stays so when it loses all
     /// workers, since other entry processes may not reach any either.
-    fn update_ready(&mut self, out: &mut Vec<Action>) {
+    pub(super) fn update_ready(&mut self, out: &mut Vec<Action>) {
         let had_workers = self.ready || self.workers.iter().any(|(_, worker)| worker.listed);
-        let ready = self.stop_requested_at.is_none() && self.catalog.is_some() && had_workers;
+        let ready =
+            self.stop_requested_at.is_none() && self.configuration.catalog.is_some() && had_workers;
         if ready != self.ready {
             self.ready = ready;
             out.push(Action::Ready(ready));
         }
     }
 
-    /// Updates the queue configurations of open durable jobs.
-    fn update_queue_configs(&mut self, catalog: &QueueCatalog) {
-        let open = self
-            .jobs
-            .iter_open()
-            .filter(|(_, job)| job.durable.is_some());
-        for key in open.map(|(key, _)| key).collect::<Vec<_>>() {
-            if let Some(job) = self.jobs.get_mut(key)
-                && let Some(queue_config) = catalog.queue(&job.request.queue)
-            {
-                job.queue_config = queue_config.clone();
-            }
-        }
-    }
-
     /// Starts a graceful shutdown.
     fn begin_stop(&mut self, now: Now, out: &mut Vec<Action>) {
         if self.stop_requested_at.is_none() {
--- a/crates/core/src/scheduler/metrics.rs
+++ b/crates/core/src/scheduler/metrics.rs
@@ -34,6 +34,8 @@
     pub held_back: Counter,
     /// Version of the configuration in use.
     pub config_version: Gauge,
+    /// Wall-clock time at which the store last confirmed the configuration, in seconds since 1970.
+    pub config_confirmed: Gauge,
     /// Time from submission to answer of completed jobs.
     pub response: Histogram,
 }
@@ -49,6 +51,7 @@
             orders: Counter::default(),
             held_back: Counter::default(),
             config_version: Gauge::default(),
+            config_confirmed: Gauge::default(),
             response: Histogram::new(RESPONSE_BOUNDS_S),
         }
     }
@@ -83,6 +86,9 @@
         }
         let help = "Version of the configuration in force";
         registry.register("config_version", help, self.config_version.clone());
+        let help =
+            "Time at which the store last confirmed the configuration, in seconds since 1970";
+        registry.register("config_confirmed", help, self.config_confirmed.clone());
         let help = "Time from submission to answer of completed jobs";
         registry.register("job_response_seconds", help, self.response.clone());
     }
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -8,6 +8,7 @@
 //! report of an agent, none of the runs that it started for this process is still active.
 
 mod admission;
+mod configuration;
 mod durable_jobs;
 mod forwarding;
 mod io;
@@ -29,7 +30,7 @@
 mod stored_job;
 mod workers;
 
-pub use io::{Action, Answer, CallKey, Input, JobState, Settings};
+pub use io::{Action, Answer, CallKey, ConfigSource, Input, JobState, Settings};
 pub use links::LOST_AFTER;
 pub use machine::Machine;
 pub use metrics::Metrics;
--- a/crates/core/src/scheduler/requests.rs
+++ b/crates/core/src/scheduler/requests.rs
@@ -39,12 +39,12 @@
         out: &mut Vec<Action>,
     ) {
         self.metrics.submitted.inc();
-        let catalog = self.catalog.as_ref();
+        let catalog = self.configuration.catalog.as_ref();
         let Some(queue_config) = catalog
             .and_then(|catalog| catalog.queue(&request.queue))
             .cloned()
         else {
-            return out.push(Action::Reply(call, Answer::NoQueue));
+            return self.reject_unknown_queue(now, call, out);
         };
         if let Some(feature) = request.unsupported {
             return self.refuse(call, &request.id, &feature.to_string(), out);
@@ -80,7 +80,7 @@
         let waited = request.wait.map_or(Duration::ZERO, |wait| {
             self.caller_limits.observe(now.mono, queue, wait)
         });
-        self.log_received(&request, objective, waited, out);
+        self.log_received(now, &request, objective, waited, out);
         let mut job = Job::new(now.mono, Some(call), request, queue_config, objective);
         job.requested_at = now.mono.saturating_sub(waited);
         self.jobs.insert(job);
@@ -98,6 +98,7 @@
 
     pub(super) fn log_received(
         &self,
+        now: Now,
         request: &JobRequest,
         objective: Duration,
         waited: Duration,
@@ -110,10 +111,8 @@
             ("objective_ms", ms(objective)),
             ("wait_ms", request.wait.map(ms).unwrap_or_default()),
             ("waited_ms", ms(waited)),
-            (
-                "config",
-                self.catalog.as_ref().map_or(0, |c| c.version).to_string(),
-            ),
+            ("config", self.configuration.version().to_string()),
+            ("config_age_ms", self.config_age_ms(now)),
             ("open_jobs", self.jobs.open_len().to_string()),
         ];
         log(out, 301, "job received", false, fields);
@@ -221,9 +220,9 @@
         queue: &str,
         out: &mut Vec<Action>,
     ) {
-        let known = self.catalog.as_ref();
+        let known = self.configuration.catalog.as_ref();
         if known.and_then(|catalog| catalog.queue(queue)).is_none() {
-            return self.reply(call, Answer::NoQueue, out);
+            return self.reject_unknown_queue(now, call, out);
         }
         let waiting = self
             .jobs
--- a/crates/core/src/scheduler/shard_loading.rs
+++ b/crates/core/src/scheduler/shard_loading.rs
@@ -56,7 +56,7 @@
         if self.jobs.find(&stored.id).is_some() {
             return;
         }
-        let catalog = self.catalog.as_ref();
+        let catalog = self.configuration.catalog.as_ref();
         let known = catalog.and_then(|catalog| catalog.queue(&stored.queue));
         let queue_config = known
             .cloned()
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -202,7 +202,11 @@
             queues: vec![queue("checks", 2), queue("patient", 9)],
         };
         let document = Bytes::from_static(b"{}");
-        let input = scheduler::Input::Configure { catalog, document };
+        let input = scheduler::Input::Configure {
+            catalog,
+            document,
+            source: scheduler::ConfigSource::Peer,
+        };
         machine.step(self.now(), input, &mut Vec::new());
         let limits = scheduler::Input::CallerLimitsFound(self.caller_limits.clone());
         machine.step(self.now(), limits, &mut Vec::new());
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -14,6 +14,7 @@
 mod bounded_room;
 mod callers_gone;
 mod calm_jobs;
+mod config_age;
 mod durable_jobs;
 mod lost_agents;
 mod lost_starts;
