--- a/crates/core/src/scheduler/configuration.rs
+++ b/crates/core/src/scheduler/configuration.rs
@@ -91,14 +91,18 @@
         self.update_ready(out);
     }
 
-    /// Records that the store's response to a request sent at `requested_at` showed no version newer
-    /// than the one in use.
+    /// Records that the store's response to a request sent at `requested_at` showed `version` as the
+    /// newest one.
     pub(super) fn confirm_configuration(
         &mut self,
         now: Now,
+        version: u64,
         requested_at: Duration,
         out: &mut Vec<Action>,
     ) {
+        if version < self.configuration.version() {
+            return;
+        }
         let age = self.config_age_ms(now);
         let confirmed_at = self.configuration.confirmed_at;
         self.configuration.confirmed_at = confirmed_at.max(Some(requested_at));
--- a/crates/core/src/scheduler/io.rs
+++ b/crates/core/src/scheduler/io.rs
@@ -137,9 +137,14 @@
         /// Where the document comes from.
         source: ConfigSource,
     },
-    /// The store had no version newer than the one in use when it received a request sent at this
-    /// time.
-    ConfigConfirmed(Duration),
+    /// The store has shown a version as the newest one. It confirms the configuration in use, unless
+    /// that is newer: then the response was older than an earlier one.
+    ConfigConfirmed {
+        /// The version.
+        version: u64,
+        /// When the request to the store was sent.
+        requested_at: Duration,
+    },
     /// Names and addresses of discovered entry processes.
     EntriesFound(Vec<(SmolStr, SmolStr)>),
     /// Limits that entry processes have stored earlier, see [`Action::StoreCallerLimits`].
--- a/crates/core/src/scheduler/machine.rs
+++ b/crates/core/src/scheduler/machine.rs
@@ -116,9 +116,10 @@
                 document,
                 source,
             } => self.configure(now, catalog, document, source, out),
-            Input::ConfigConfirmed(requested_at) => {
-                self.confirm_configuration(now, requested_at, out);
-            }
+            Input::ConfigConfirmed {
+                version,
+                requested_at,
+            } => self.confirm_configuration(now, version, requested_at, out),
             Input::EntriesFound(entries) => self.add_entries(entries, out),
             Input::CallerLimitsFound(limits) => self.caller_limits.load(limits),
             Input::StoreResult(key, outcome) => self.handle_store_outcome(now, key, outcome, out),
--- a/crates/core/tests/jobs/config_age.rs
+++ b/crates/core/tests/jobs/config_age.rs
@@ -38,6 +38,15 @@
         out
     }
 
+    fn confirm(&mut self, at_ms: u64, version: u64, requested_ms: u64) -> Vec<Action> {
+        let requested_at = at(requested_ms);
+        let input = Input::ConfigConfirmed {
+            version,
+            requested_at,
+        };
+        self.step(at_ms, input)
+    }
+
     fn configure(&mut self, at_ms: u64, version: u64, source: ConfigSource) -> Vec<Action> {
         let queue = QueueConfig {
             name: format!("queue-{version}").into(),
@@ -85,7 +94,7 @@
 fn misses_name_the_version() {
     let mut process = Process::start();
     process.configure(0, 7, ConfigSource::Store(at(0)));
-    process.step(0, Input::ConfigConfirmed(at(0)));
+    process.confirm(0, 7, 0);
     let out = process.step(900, Input::UnknownQueue(CallKey(1)));
     assert!(out.contains(&Action::Reply(CallKey(1), Answer::NoQueue)));
     let miss = event(&out, 329).unwrap();
@@ -104,7 +113,7 @@
 ) {
     let mut process = Process::start();
     process.configure(0, 7, ConfigSource::Store(at(0)));
-    process.step(0, Input::ConfigConfirmed(at(0)));
+    process.confirm(0, 7, 0);
     let out = process.configure(800, 9, source);
     let change = event(&out, 306).unwrap();
     assert_eq!(field(change, "source"), name);
@@ -118,11 +127,24 @@
 fn a_lost_store_is_reported() {
     let mut process = Process::start();
     process.configure(0, 7, ConfigSource::Store(at(0)));
-    process.step(0, Input::ConfigConfirmed(at(0)));
+    process.confirm(0, 7, 0);
     assert!(event(&process.step(1_990, Input::Tick), 330).is_none());
     let out = process.step(2_020, Input::Tick);
     assert_eq!(field(event(&out, 330).unwrap(), "config"), "7");
     assert!(event(&process.step(2_050, Input::Tick), 330).is_none());
-    let out = process.step(3_000, Input::ConfigConfirmed(at(2_990)));
+    let out = process.confirm(3_000, 7, 2_990);
     assert_eq!(field(event(&out, 331).unwrap(), "config_age_ms"), "3000");
 }
+
+/// Guards against a response from before the version in use that counts as its confirmation.
+#[rstest]
+fn old_responses_confirm_nothing() {
+    let mut process = Process::start();
+    process.configure(0, 7, ConfigSource::Peer);
+    process.confirm(100, 5, 90);
+    let miss = process.step(200, Input::UnknownQueue(CallKey(1)));
+    assert_eq!(field(event(&miss, 329).unwrap(), "config_age_ms"), "");
+    process.confirm(300, 7, 250);
+    let miss = process.step(400, Input::UnknownQueue(CallKey(2)));
+    assert_eq!(field(event(&miss, 329).unwrap(), "config_age_ms"), "150");
+}
