fix(scheduler): a configuration that is lost between entry processes is asked for again

Callers saw: an entry process that the store does not serve kept an older version, for as long as no further change came. Cause: each process sent a new document once to every peer. If it was lost there (a full input queue, a connection that died), nobody sent it again, and heartbeats did not name the version. Each change also cost a document for every pair of processes. Ruled out: sending again without being asked, which fills the links of small hosts when all of them lag. Change: heartbeats of entry processes carry the version in use. A process that is behind for 200 ms asks the peer that it just heard, and again every 250 ms until it is not; one without any configuration asks at once. Documents are sent on request only.

--- a/crates/core/src/scheduler/configuration.rs
+++ b/crates/core/src/scheduler/configuration.rs
@@ -1,4 +1,8 @@
 //! The configuration in use, and how recently the store confirmed that it is the newest.
+//!
+//! Each entry process watches the store. One that the store does not serve gets the document from a
+//! peer whose heartbeats name a newer version. Documents are sent on request only, since many
+//! processes that send each other a large one would fill the links of small hosts.
 
 use std::time::Duration;
 
@@ -10,10 +14,17 @@
 use super::machine::{Machine, log, ms};
 use crate::clock::Now;
 use crate::job::QueueCatalog;
+use crate::peer::LinkKey;
 
 /// Time since the last confirmation after which the configuration is reported as unconfirmed.
 const UNCONFIRMED_AFTER: Duration = Duration::from_secs(2);
 
+/// Time that the store has to deliver a version before a peer is asked for it.
+const STORE_DELAY: Duration = Duration::from_millis(200);
+
+/// Minimum interval between requests to peers for their configuration.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Interval in which at most [`MAX_LOGGED_MISSES`] requests for unknown queues are logged.
 const MISS_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -27,6 +38,10 @@
     document: Bytes,
     /// When the last request to the store was sent whose response showed no newer version.
     confirmed_at: Option<Duration>,
+    /// When a heartbeat of a peer first named a newer version than the one in use.
+    behind_since: Option<Duration>,
+    /// Time of the last request to a peer for its configuration.
+    requested_at: Option<Duration>,
     /// Whether the configuration has been reported as unconfirmed.
     unconfirmed: bool,
     /// Start of the current interval for logging requests for unknown queues, and their number.
@@ -55,7 +70,7 @@
 }
 
 impl Machine {
-    /// Applies a newer configuration and sends it to other entry processes.
+    /// Applies a newer configuration. Other entry processes learn of its version from heartbeats.
     pub(super) fn configure(
         &mut self,
         now: Now,
@@ -87,7 +102,8 @@
         self.update_queue_configs(&catalog);
         self.configuration.catalog = Some(catalog);
         self.configuration.document = document;
-        self.broadcast_config(out);
+        self.configuration.behind_since = None;
+        self.configuration.requested_at = None;
         self.update_ready(out);
     }
 
@@ -160,12 +176,30 @@
         self.configuration.age(now).map(ms).unwrap_or_default()
     }
 
-    /// Sends the configuration in use to all connected entry processes.
-    fn broadcast_config(&self, out: &mut Vec<Action>) {
-        for link in self.peers.links() {
-            let update = self.configuration.update_frame();
-            out.extend(update.map(|update| Action::Send(link, update)));
+    /// Asks a peer for its configuration if its heartbeat names a newer version. While this process
+    /// has a configuration, that is done only when the store has not delivered the version within
+    /// [`STORE_DELAY`]. Repeated with later heartbeats, of whichever peer, until the version has
+    /// arrived.
+    pub(super) fn request_newer_configuration(
+        &mut self,
+        now: Now,
+        link: LinkKey,
+        version: u64,
+        out: &mut Vec<Action>,
+    ) {
+        let configuration = &mut self.configuration;
+        if version <= configuration.version() {
+            return;
+        }
+        let behind_since = *configuration.behind_since.get_or_insert(now.mono);
+        let waiting = configuration.catalog.is_some() && now.since(behind_since) < STORE_DELAY;
+        let requested_at = configuration.requested_at;
+        if waiting || requested_at.is_some_and(|at| now.since(at) < REQUEST_INTERVAL) {
+            return;
         }
+        configuration.requested_at = Some(now.mono);
+        let request = Body::ConfigRequest(wire::ConfigRequest {});
+        out.push(Action::Send(link, request));
     }
 
     /// Updates the queue configurations of open durable jobs.
--- a/crates/core/src/scheduler/links.rs
+++ b/crates/core/src/scheduler/links.rs
@@ -52,8 +52,7 @@
                 ("instance", peer.instance.to_string()),
             ];
             log(out, 327, "entry process connected", false, fields);
-            let update = self.configuration.update_frame();
-            out.extend(update.map(|update| Action::Send(link, update)));
+            out.push(Action::Send(link, self.peer_beat()));
             return self.add_entries(vec![(peer.name, peer.address)], out);
         }
         let key = self.workers.link_up(now.mono, &self.settings, link, peer);
@@ -112,7 +111,7 @@
                 }
             }
             Body::PeerBeat(beat) if self.peers.contains(link) => {
-                self.handle_peer_beat(now, link, beat);
+                self.handle_peer_beat(now, link, beat, out);
             }
             Body::JobCall(call) if self.peers.contains(link) => {
                 self.handle_job_call(now, link, call, out);
@@ -120,6 +119,10 @@
             Body::JobReply(reply) if self.peers.contains(link) => {
                 self.handle_job_reply(&reply, out);
             }
+            Body::ConfigRequest(_) if self.peers.contains(link) => {
+                let update = self.configuration.update_frame();
+                out.extend(update.map(|update| Action::Send(link, update)));
+            }
             Body::ConfigUpdate(update) if self.peers.contains(link) => {
                 out.push(Action::ConfigDocument(update.document));
             }
--- a/crates/core/src/scheduler/peers.rs
+++ b/crates/core/src/scheduler/peers.rs
@@ -149,7 +149,14 @@
 
 impl Machine {
     /// Handles the heartbeat of another entry process.
-    pub(super) fn handle_peer_beat(&mut self, now: Now, link: LinkKey, beat: wire::PeerBeat) {
+    pub(super) fn handle_peer_beat(
+        &mut self,
+        now: Now,
+        link: LinkKey,
+        beat: wire::PeerBeat,
+        out: &mut Vec<Action>,
+    ) {
+        self.request_newer_configuration(now, link, beat.config_version, out);
         if let Some(peer) = self.peers.by_link.get_mut(&link) {
             peer.last_heard = now.mono;
             let owned = beat.owned;
@@ -180,6 +187,14 @@
         if self.peers.by_link.is_empty() {
             return;
         }
+        let beat = self.peer_beat();
+        for link in self.peers.links() {
+            out.push(Action::Send(link, beat.clone()));
+        }
+    }
+
+    /// Returns a heartbeat with the present state.
+    pub(super) fn peer_beat(&self) -> Body {
         let mut waiting: DeterministicMap<&str, u32> = DeterministicMap::default();
         for (_, job) in self.jobs.iter_open().filter(|(_, job)| job.is_queued()) {
             *waiting.entry(&job.request.queue).or_default() += 1;
@@ -188,14 +203,12 @@
             queue: queue.to_owned(),
             jobs,
         });
-        let beat = wire::PeerBeat {
+        Body::PeerBeat(wire::PeerBeat {
             owned: self.shards.owned().collect(),
             waiting: waiting.collect(),
             eligible: self.stop_requested_at.is_none() && self.shards.failing_since().is_none(),
             relinquished: self.shards.relinquished().collect(),
-        };
-        for link in self.peers.links() {
-            out.push(Action::Send(link, Body::PeerBeat(beat.clone())));
-        }
+            config_version: self.configuration.version(),
+        })
     }
 }
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -15,6 +15,7 @@
 mod callers_gone;
 mod calm_jobs;
 mod config_age;
+mod config_repair;
 mod durable_jobs;
 mod lost_agents;
 mod lost_starts;
--- a/crates/core/tests/jobs/malformed_messages.rs
+++ b/crates/core/tests/jobs/malformed_messages.rs
@@ -165,6 +165,7 @@
             waiting: vec![wire::QueueCount { queue, jobs }],
             eligible: true,
             relinquished: vec![wire::ShardEpoch { shard, epoch }],
+            config_version: epoch,
         })
     });
     let cancel = text().prop_map(|job| Body::CancelRuns(wire::CancelRuns { job }));
--- a/crates/runtime/src/links/frame_kind.rs
+++ b/crates/runtime/src/links/frame_kind.rs
@@ -3,7 +3,7 @@
 use knapweedwall_wire::frame::Body;
 
 /// Number of frame kinds.
-pub(super) const KIND_COUNT: usize = 29;
+pub(super) const KIND_COUNT: usize = 30;
 
 /// Values of the metric label `kind`, by index.
 pub(super) const NAMES: [&str; KIND_COUNT] = [
@@ -36,6 +36,7 @@
     "peer_beat",
     "job_call",
     "job_reply",
+    "config_request",
 ];
 
 /// Index of the kind of `body` in [`NAMES`].
@@ -70,5 +71,6 @@
         Body::PeerBeat(_) => 26,
         Body::JobCall(_) => 27,
         Body::JobReply(_) => 28,
+        Body::ConfigRequest(_) => 29,
     }
 }
