fix(scheduler): a process that may have missed a change does not deny a queue

Callers saw: 404 for a queue that had been added, from a process that had lost the store or had started without it. Cause: the process did not know that its configuration was old; a queue that was not in it was denied as if the configuration were the newest. Ruled out: refusing all requests then: a store outage would stop the service, and most changes do not touch the queue of a request.

--- a/crates/core/src/scheduler/configuration.rs
+++ b/crates/core/src/scheduler/configuration.rs
@@ -16,8 +16,9 @@
 use crate::job::QueueCatalog;
 use crate::peer::LinkKey;
 
-/// Time since the last confirmation after which the configuration is reported as unconfirmed.
-const UNCONFIRMED_AFTER: Duration = Duration::from_secs(2);
+/// Time after which a request for a queue that is not known yet may be repeated. Covers a read of the
+/// store and a request to a peer.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Time that the store has to deliver a version before a peer is asked for it.
 const STORE_DELAY: Duration = Duration::from_millis(200);
@@ -137,7 +138,8 @@
     /// Reports a configuration that the store has not confirmed for some time.
     pub(super) fn check_configuration_age(&mut self, now: Now, out: &mut Vec<Action>) {
         let age = self.configuration.age(now);
-        if self.configuration.unconfirmed || age.is_none_or(|age| age < UNCONFIRMED_AFTER) {
+        let limit = self.settings.config_limit;
+        if self.configuration.unconfirmed || age.is_none_or(|age| age < limit) {
             return;
         }
         self.configuration.unconfirmed = true;
@@ -148,10 +150,20 @@
         log(out, 330, "configuration not confirmed", true, fields);
     }
 
-    /// Answers a request for a queue that the configuration in use does not have.
+    /// Answers a request for a queue that the configuration in use does not have. Unless the store
+    /// has recently confirmed the configuration, the queue may have been added, so that the request
+    /// may be repeated.
     pub(super) fn reject_unknown_queue(&mut self, now: Now, call: CallKey, out: &mut Vec<Action>) {
         self.log_unknown_queue(now, out);
-        self.reply(call, Answer::NoQueue, out);
+        let limit = self.settings.config_limit;
+        let answer = match self.configuration.age(now) {
+            Some(age) if age <= limit => Answer::NoQueue,
+            _ => Answer::NotRun {
+                reason: "the queue is not known yet".into(),
+                retry: RETRY_AFTER,
+            },
+        };
+        self.reply(call, answer, out);
     }
 
     fn log_unknown_queue(&mut self, now: Now, out: &mut Vec<Action>) {
--- a/crates/core/src/scheduler/io.rs
+++ b/crates/core/src/scheduler/io.rs
@@ -31,6 +31,8 @@
     pub shutdown_accept_time: Duration,
     /// Longest time between a stop request and the exit.
     pub stop_limit: Duration,
+    /// Time within which a change of the configuration must be in force.
+    pub config_limit: Duration,
 }
 
 /// State of a job.
--- a/crates/core/tests/jobs/config_age.rs
+++ b/crates/core/tests/jobs/config_age.rs
@@ -23,6 +23,7 @@
             instance: Instance(1),
             shutdown_accept_time: Duration::from_secs(2),
             stop_limit: Duration::from_secs(5),
+            config_limit: Duration::from_secs(2),
         };
         Self(Machine::new(settings, Metrics::default()))
     }
@@ -148,3 +149,29 @@
     let miss = process.step(400, Input::UnknownQueue(CallKey(2)));
     assert_eq!(field(event(&miss, 329).unwrap(), "config_age_ms"), "150");
 }
+
+/// Guards against a caller who is told that a queue does not exist by a process that may have missed
+/// its addition: one that has lost the store, or that has its configuration from a peer only.
+#[rstest]
+#[case::confirmed(ConfigSource::Store(at(0)), Some(0), 1_900, true)]
+#[case::store_lost(ConfigSource::Store(at(0)), Some(0), 2_100, false)]
+#[case::never_confirmed(ConfigSource::Peer, None, 100, false)]
+fn missed_queues_are_not_denied(
+    #[case] source: ConfigSource,
+    #[case] confirmed_ms: Option<u64>,
+    #[case] asked_ms: u64,
+    #[case] denied: bool,
+) {
+    let mut process = Process::start();
+    process.configure(0, 7, source);
+    if let Some(confirmed_ms) = confirmed_ms {
+        process.confirm(0, 7, confirmed_ms);
+    }
+    let out = process.step(asked_ms, Input::UnknownQueue(CallKey(1)));
+    assert_eq!(
+        out.contains(&Action::Reply(CallKey(1), Answer::NoQueue)),
+        denied
+    );
+    let refused = |action: &Action| matches!(action, Action::Reply(_, Answer::NotRun { .. }));
+    assert_eq!(out.iter().any(refused), !denied);
+}
--- a/crates/core/tests/jobs/config_repair.rs
+++ b/crates/core/tests/jobs/config_repair.rs
@@ -139,6 +139,7 @@
         instance: Instance(at as u64 + 1),
         shutdown_accept_time: Duration::from_secs(2),
         stop_limit: Duration::from_secs(5),
+        config_limit: Duration::from_secs(2),
     }
 }
 
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -188,6 +188,7 @@
             instance: Instance(instance),
             shutdown_accept_time: Duration::from_secs(2),
             stop_limit: Duration::from_secs(5),
+            config_limit: Duration::from_secs(2),
         };
         let mut machine = scheduler::Machine::new(settings, scheduler::Metrics::default());
         let queue = |name: &str, attempts| QueueConfig {
