test(scheduler): the store of the fleet model confirms the configuration

Cause: calm_jobs::an_unknown_queue_runs_nothing failed since 404 needs a confirmation of the store; the model gave the configuration as one from a peer and never confirmed it. Ruled out: a wider answer in the test: the caller of an unknown queue is to be told 404 while the store confirms. Change: the model's entry processes get a confirmation when they start. The test is unchanged. Measured: an_unknown_queue_runs_nothing failed before, passes now.

--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -209,6 +209,7 @@
             source: scheduler::ConfigSource::Peer,
         };
         machine.step(self.now(), input, &mut Vec::new());
+        self.confirm_config(&mut machine);
         let limits = scheduler::Input::CallerLimitsFound(self.caller_limits.clone());
         machine.step(self.now(), limits, &mut Vec::new());
         self.entries[at] = Entry {
@@ -219,6 +220,15 @@
         };
     }
 
+    /// Lets the store confirm the configuration of an entry process.
+    fn confirm_config(&self, machine: &mut scheduler::Machine) {
+        let input = scheduler::Input::ConfigConfirmed {
+            version: 1,
+            requested_at: self.now().mono,
+        };
+        machine.step(self.now(), input, &mut Vec::new());
+    }
+
     /// Ends an entry process at once; callers lose their connections.
     pub fn kill_entry(&mut self, at: usize) {
         self.entries[at].machine = None;
