--- /dev/null
+++ b/crates/core/src/executor/crashes.rs
@@ -0,0 +1,115 @@
+//! Crashes of the worker, and the evidence on which of its runs has caused them.
+//!
+//! The worker is on the agent's host, so a refused connection means that no process listens there: the
+//! worker has ended, and with it all runs. That is known long before the lease expires.
+
+use std::time::Duration;
+
+use knapweedwall_wire as wire;
+
+use super::io::Action;
+use super::machine::{Loss, Machine, log};
+use super::runs::{Run, RunState};
+use crate::clock::Now;
+use crate::deterministic::DeterministicMap;
+use crate::job::RunId;
+
+/// Number of refused connections in a row after which the worker is known to have ended.
+const REFUSALS_OF_ENDED_WORKER: u32 = 2;
+
+/// Added to the age of a run, in milliseconds. Bounds the blame of a run that has just started
+/// relative to the others.
+const BLAME_AGE_OFFSET_MS: f64 = 20.0;
+
+/// Fraction of the highest blame among the jobs on the worker from which on a job is suspect.
+const SUSPECT_SHARE: f64 = 0.5;
+
+/// Time for which a crash is reported to processes that claim the shard of the run's job. Covers the
+/// time from the loss of an owner to the claim of its shards.
+const CRASH_RETENTION: Duration = Duration::from_secs(30);
+
+/// Recent crashes under runs of durable jobs, for later owners of their shards: the owner that a crash
+/// was reported to may have been lost before it stored the count.
+#[derive(Debug, Default)]
+pub(super) struct CrashedRuns(Vec<(wire::RunReport, Duration)>);
+
+impl CrashedRuns {
+    pub(super) fn add(&mut self, now: Duration, report: wire::RunReport) {
+        self.0
+            .retain(|(_, at)| now.saturating_sub(*at) < CRASH_RETENTION);
+        self.0.push((report, now));
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = &wire::RunReport> {
+        self.0.iter().map(|(report, _)| report)
+    }
+}
+
+impl Machine {
+    /// Handles a refused connection to the worker. Returns whether it has ended.
+    pub(super) fn handle_connection_refused(&mut self, now: Now, out: &mut Vec<Action>) -> bool {
+        if self.worker.is_responsive(now.mono) {
+            let fields = vec![("cause", "connection refused".to_owned())];
+            log(out, 420, "no response to a lease renewal", true, fields);
+        }
+        self.worker.record_failure(now.mono);
+        self.worker.refusals += 1;
+        let ended = self.worker.refusals >= REFUSALS_OF_ENDED_WORKER;
+        if !ended || self.runs.is_idle() {
+            return false;
+        }
+        let loss = Loss {
+            cause: "the worker does not accept connections",
+            crashed: !self.worker.leaving,
+        };
+        self.reset_worker(now, None, loss, out);
+        true
+    }
+
+    /// Returns the evidence against each run on a worker that has crashed. A run is the more likely to
+    /// have caused the crash the shorter before it has started, since a task that always crashes its
+    /// worker does so after the same time, and most tasks have survived that time before.
+    pub(super) fn crash_evidence(&self, now: Now) -> DeterministicMap<RunId, wire::CrashEvidence> {
+        let crashed_at = self.worker.failing_since.unwrap_or(now.mono);
+        let on_worker = || self.runs.iter().filter(|(_, run)| run.may_be_on_worker());
+        let mut jobs: DeterministicMap<&str, f64> = DeterministicMap::default();
+        for (id, run) in on_worker() {
+            let weight = jobs.entry(id.task.job.as_str()).or_default();
+            *weight = weight.max(blame_weight(run, crashed_at));
+        }
+        let total: f64 = jobs.values().sum();
+        let highest = jobs.values().copied().fold(0.0, f64::max);
+        let evidence = on_worker().filter_map(|(id, _)| {
+            let weight = *jobs.get(id.task.job.as_str())?;
+            let evidence = wire::CrashEvidence {
+                blame: (weight / total.max(f64::MIN_POSITIVE) * 1_000.0) as u32,
+                suspect: weight >= highest * SUSPECT_SHARE,
+                alone: jobs.len() == 1,
+            };
+            Some((id.clone(), evidence))
+        });
+        evidence.collect()
+    }
+
+    /// Returns whether a run may be on the worker beside those that are there now: an isolated run
+    /// shares the worker with runs of its job only.
+    pub(super) fn isolation_allows(&self, id: &RunId) -> bool {
+        let isolated = self.runs.get(id).is_some_and(|run| run.isolated);
+        let others = self
+            .runs
+            .iter()
+            .filter(|(other, run)| run.may_be_on_worker() && other.task.job != id.task.job);
+        let mut others = others.map(|(_, run)| run.isolated);
+        others.all(|other_isolated| !isolated && !other_isolated)
+    }
+}
+
+/// Returns how likely a run has caused a crash, relative to the others.
+fn blame_weight(run: &Run, crashed_at: Duration) -> f64 {
+    let started_at = match run.state {
+        RunState::Starting(_, sent_at) => sent_at,
+        _ => run.started_at.unwrap_or(run.ordered_at),
+    };
+    let age_ms = crashed_at.saturating_sub(started_at).as_secs_f64() * 1_000.0;
+    1.0 / (age_ms + BLAME_AGE_OFFSET_MS)
+}
--- a/crates/core/src/executor/durable_runs.rs
+++ b/crates/core/src/executor/durable_runs.rs
@@ -145,7 +145,8 @@
                 let owned = run.durable && run.owner == Some(owner);
                 (owned || run.owner.is_none()) && is_in(id, &shards)
             });
-            let ended = self.retained_runs.iter().filter(|report| {
+            let ended = self.retained_runs.iter().chain(self.crashed_runs.iter());
+            let ended = ended.filter(|report| {
                 let run = report.run.clone().map(RunId::from);
                 run.is_some_and(|run| is_in(&run, &shards))
             });
--- a/crates/core/src/executor/io.rs
+++ b/crates/core/src/executor/io.rs
@@ -159,6 +159,8 @@
     Fence,
     /// The call was addressed to another instance of the worker.
     WrongInstance,
+    /// No process listens at the worker's address.
+    ConnectionRefused,
     /// No valid response, for this reason.
     NoAnswer(SmolStr),
 }
--- a/crates/core/src/executor/machine.rs
+++ b/crates/core/src/executor/machine.rs
@@ -6,6 +6,7 @@
 use knapweedwall_wire as wire;
 use knapweedwall_wire::frame::Body;
 
+use super::crashes::CrashedRuns;
 use super::durable_runs::{RetainedRuns, ShardClaims};
 use super::io::{Action, Heartbeat, Input, Settings};
 use super::metrics::Metrics;
@@ -15,6 +16,7 @@
 use super::runs::{Run, RunState, Runs, StopCause, run_report};
 use super::worker::Worker;
 use crate::clock::Now;
+use crate::deterministic::DeterministicMap;
 use crate::event::Event;
 use crate::ids::Instance;
 use crate::job::{Resources, RunId};
@@ -58,6 +60,7 @@
     /// processes that connect within [`super::OWNER_SILENCE_TIMEOUT`].
     pub(super) unclaimed_reports: Vec<(wire::RunReport, Duration)>,
     pub(super) retained_runs: RetainedRuns,
+    pub(super) crashed_runs: CrashedRuns,
     pub(super) registration: Registration,
     pub(super) shard_claims: ShardClaims,
     /// Runs for which a stop request must be sent or resent.
@@ -97,6 +100,7 @@
             metrics,
             unclaimed_reports: Vec::new(),
             retained_runs: RetainedRuns::default(),
+            crashed_runs: CrashedRuns::default(),
             registration: Registration::default(),
             shard_claims: ShardClaims::default(),
             pending_stops: Vec::new(),
@@ -196,12 +200,11 @@
             self.reset_renewal_backoff(now);
         }
         if !same_incarnation {
-            self.reset_worker(
-                now,
-                Some(heartbeat.incarnation),
-                "the worker restarted",
-                out,
-            );
+            let loss = Loss {
+                cause: "the worker restarted",
+                crashed: !self.worker.leaving,
+            };
+            self.reset_worker(now, Some(heartbeat.incarnation), loss, out);
         }
         self.update_registration(&heartbeat, first_heartbeat, out);
         if first_heartbeat {
@@ -244,22 +247,26 @@
 
     fn handle_worker_left(&mut self, now: Now, instance: &str, out: &mut Vec<Action>) {
         if self.worker.instance() == instance {
-            self.reset_worker(now, None, "the worker has left", out);
+            let loss = Loss {
+                cause: "the worker has left",
+                crashed: false,
+            };
+            self.reset_worker(now, None, loss, out);
             self.worker.leaving = true;
             self.worker_left = true;
             self.withdraw_registration(out);
         }
     }
 
-    /// Resets the state of the worker after the end of its incarnation. All runs on it ended as well
-    /// and are closed with outcome `Lost`.
+    /// Resets the state of the worker after the end of its incarnation. All runs on it ended as well.
     pub(super) fn reset_worker(
         &mut self,
         now: Now,
         incarnation: Option<u64>,
-        cause: &'static str,
+        loss: Loss,
         out: &mut Vec<Action>,
     ) {
+        self.close_lost_runs(now, loss, out);
         self.worker.begin_incarnation(now.mono, incarnation);
         self.pending_calls.reset_counts();
         self.probe_needed = false;
@@ -267,19 +274,26 @@
         self.retained_runs.clear();
         self.lists_read_at = None;
         self.reset_renewal_backoff(now);
-        self.close_lost_runs(now, cause, out);
     }
 
-    /// Closes all runs that may have been on the worker, with outcome `Lost`.
-    pub(super) fn close_lost_runs(&mut self, now: Now, cause: &'static str, out: &mut Vec<Action>) {
+    /// Closes all runs that may have been on the worker.
+    pub(super) fn close_lost_runs(&mut self, now: Now, loss: Loss, out: &mut Vec<Action>) {
         let lost = self.runs.iter().filter(|(_, run)| run.may_be_on_worker());
         let lost: Vec<RunId> = lost.map(|(id, _)| id.clone()).collect();
         if lost.is_empty() {
             return;
         }
+        let mut evidence = if loss.crashed {
+            self.crash_evidence(now)
+        } else {
+            DeterministicMap::default()
+        };
+        let suspects = evidence.values().filter(|evidence| evidence.suspect);
         let fields = vec![
             ("runs", lost.len().to_string()),
-            ("cause", cause.to_owned()),
+            ("cause", loss.cause.to_owned()),
+            ("crashed", loss.crashed.to_string()),
+            ("suspects", suspects.count().to_string()),
         ];
         log(
             out,
@@ -289,11 +303,24 @@
             fields,
         );
         for id in lost {
-            self.close_run(now, &id, wire::RunOutcome::Lost);
+            match evidence.remove(&id) {
+                Some(evidence) => self.close_crashed_run(now, &id, evidence),
+                None => self.close_run(now, &id, wire::RunOutcome::Lost),
+            }
         }
         self.decline_waiting(now);
     }
 
+    /// Closes a run whose worker crashed.
+    fn close_crashed_run(&mut self, now: Now, id: &RunId, evidence: wire::CrashEvidence) {
+        let mut report = run_report(id, wire::RunOutcome::Crashed, Duration::ZERO);
+        report.crash = Some(evidence);
+        if self.runs.get(id).is_some_and(|run| run.durable) {
+            self.crashed_runs.add(now.mono, report.clone());
+        }
+        self.close_run_with_report(now, id, report);
+    }
+
     /// Closes a run and reports its outcome.
     pub(super) fn close_run(&mut self, now: Now, id: &RunId, outcome: wire::RunOutcome) {
         let started = self.runs.get(id).and_then(|run| run.started_at);
@@ -310,7 +337,7 @@
         let counter = match outcome {
             wire::RunOutcome::Done => &self.metrics.done,
             wire::RunOutcome::Failed => &self.metrics.failed,
-            wire::RunOutcome::Lost => &self.metrics.lost,
+            wire::RunOutcome::Lost | wire::RunOutcome::Crashed => &self.metrics.lost,
             wire::RunOutcome::Stopped | wire::RunOutcome::Stalled => &self.metrics.stopped,
             _ => &self.metrics.declined,
         };
@@ -512,10 +539,17 @@
         if self.worker.heartbeat.is_none() {
             return wire::WorkerState::default();
         }
+        let isolating = self.runs.iter().any(|(_, run)| run.isolated);
+        let free = if isolating {
+            Resources::default()
+        } else {
+            self.free_resources()
+        };
         wire::WorkerState {
-            free: Some(self.free_resources().into()),
+            free: Some(free.into()),
             waiting_cpu: self.runs.waiting_cpu(),
             usable: self.is_usable(now),
+            idle: self.runs.is_empty(),
         }
     }
 
@@ -545,6 +579,15 @@
     }
 }
 
+/// Why runs are lost.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Loss {
+    /// Cause, for the log.
+    pub(super) cause: &'static str,
+    /// Whether the worker crashed, so that a run may have caused it.
+    pub(super) crashed: bool,
+}
+
 /// Appends a log event to `out`.
 pub(super) fn log(
     out: &mut Vec<Action>,
--- a/crates/core/src/executor/run_lists.rs
+++ b/crates/core/src/executor/run_lists.rs
@@ -3,7 +3,7 @@
 use knapweedwall_wire as wire;
 
 use super::io::{Action, CallKey, EndCause, EndedRun, RenewalOutcome, RunLists, RunningRun};
-use super::machine::{Machine, log};
+use super::machine::{Loss, Machine, log};
 use super::pending_calls::{PendingCall, Purpose};
 use super::runs::{Run, RunState, StopCause, run_report};
 use crate::clock::Now;
@@ -38,10 +38,21 @@
                 self.probe_needed |= is_probe;
             }
             RenewalOutcome::WrongInstance => {
-                self.reset_worker(now, None, "the worker was replaced", out);
+                let loss = Loss {
+                    cause: "the worker was replaced",
+                    crashed: !self.worker.leaving,
+                };
+                self.reset_worker(now, None, loss, out);
+                self.back_off_renewals(now);
+            }
+            RenewalOutcome::ConnectionRefused => {
+                if !self.handle_connection_refused(now, out) {
+                    self.probe_needed |= is_probe;
+                }
                 self.back_off_renewals(now);
             }
             RenewalOutcome::NoAnswer(cause) => {
+                self.worker.record_failure(now.mono);
                 if self.worker.is_responsive(now.mono) {
                     let fields = vec![("cause", cause.to_string())];
                     log(out, 420, "no response to a lease renewal", true, fields);
@@ -70,7 +81,11 @@
                 return;
             }
             if self.worker.incarnation.is_some() {
-                self.reset_worker(now, Some(incarnation), "the worker restarted", out);
+                let loss = Loss {
+                    cause: "the worker restarted",
+                    crashed: !self.worker.leaving,
+                };
+                self.reset_worker(now, Some(incarnation), loss, out);
                 return;
             }
             self.worker.incarnation = Some(incarnation);
@@ -184,6 +199,7 @@
             progress_percent: listed_run.percent,
             progress_times: (now.mono, now.mono),
             stop_cause: None,
+            isolated: false,
         };
         self.insert_run(listed_run.run.clone(), run);
     }
--- a/crates/core/src/executor/runs.rs
+++ b/crates/core/src/executor/runs.rs
@@ -60,6 +60,8 @@
     pub(super) progress_times: (Duration, Duration),
     /// Why the run is to be stopped, if it is.
     pub(super) stop_cause: Option<StopCause>,
+    /// Whether the run may share the worker with runs of its job only.
+    pub(super) isolated: bool,
 }
 
 impl Run {
@@ -198,5 +200,6 @@
         outcome: outcome.into(),
         run_ms: u32::try_from(run_time.as_millis()).unwrap_or(u32::MAX),
         kept: false,
+        crash: None,
     }
 }
--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -113,9 +113,10 @@
                 progress_percent: 0,
                 progress_times: (now.mono, now.mono),
                 stop_cause: None,
+                isolated: order.isolated,
             };
             self.insert_run(id.clone(), run);
-            if self.free_resources().can_fit(resources) {
+            if self.free_resources().can_fit(resources) && self.isolation_allows(&id) {
                 self.start_run(now, &id, out);
             }
         }
@@ -133,8 +134,9 @@
         waiting.sort_unstable();
         for (_, id) in waiting {
             let resources = self.runs.get(&id).and_then(|run| run.resources);
-            if !self.free_resources().can_fit(resources.unwrap_or_default()) {
-                // Smaller tasks do not overtake a larger one. It blocks them for at most
+            let fits = self.free_resources().can_fit(resources.unwrap_or_default());
+            if !fits || !self.isolation_allows(&id) {
+                // Smaller tasks do not overtake a larger or isolated one. It blocks them for at most
                 // `MAX_RESOURCE_WAIT`, after which it is declined.
                 return;
             }
--- a/crates/core/src/executor/timeouts.rs
+++ b/crates/core/src/executor/timeouts.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::io::Action;
-use super::machine::{Machine, log};
+use super::machine::{Loss, Machine, log};
 use super::owners::OWNER_SILENCE_TIMEOUT;
 use super::runs::{RunState, StopCause};
 use crate::clock::Now;
@@ -28,7 +28,11 @@
         let expired = self.worker.has_lease_expired(now.mono, self.settings.lease);
         if expired && !self.runs.is_idle() {
             self.worker.raise_fence();
-            self.close_lost_runs(now, "the lease expired", out);
+            let loss = Loss {
+                cause: "the lease expired",
+                crashed: false,
+            };
+            self.close_lost_runs(now, loss, out);
         }
         if expired && self.worker.lease_withheld {
             self.finish_lease_expiry(now, out);
--- a/crates/core/src/executor/worker.rs
+++ b/crates/core/src/executor/worker.rs
@@ -57,6 +57,10 @@
     clock: Option<(u64, Duration)>,
     /// Time of the first call since the last response.
     unanswered_since: Option<Duration>,
+    /// Time of the first failed lease renewal since the last response.
+    pub(super) failing_since: Option<Duration>,
+    /// Number of refused connections since the last response.
+    pub(super) refusals: u32,
     /// Time of the last call that may have extended the lease.
     last_extension: Duration,
     /// Moving average of the response time of start requests.
@@ -80,6 +84,8 @@
             starts_paused_until: Duration::ZERO,
             clock: None,
             unanswered_since: None,
+            failing_since: None,
+            refusals: 0,
             last_extension: now,
             mean_response_time: Duration::ZERO,
         }
@@ -97,12 +103,21 @@
         self.starts_paused_until = Duration::ZERO;
         self.clock = None;
         self.unanswered_since = None;
+        self.failing_since = None;
+        self.refusals = 0;
         self.last_extension = now;
     }
 
+    /// Records a failed lease renewal.
+    pub(super) fn record_failure(&mut self, now: Duration) {
+        self.failing_since = self.failing_since.or(Some(now));
+    }
+
     /// Records a response, and the worker's clock reading if the response contains one.
     pub(super) fn record_response(&mut self, now: Duration, clock_ms: Option<u64>) {
         self.unanswered_since = None;
+        self.failing_since = None;
+        self.refusals = 0;
         if let Some(clock_ms) = clock_ms {
             self.clock = Some((clock_ms, now));
         }
--- /dev/null
+++ b/crates/core/src/scheduler/crashes.rs
@@ -0,0 +1,377 @@
+//! Tasks that crash the workers that run them.
+//!
+//! All runs on a worker end with it, so its crash tells little about which of them has caused it. The
+//! jobs that are the most likely causes run isolated from then on: on a worker without tasks of other
+//! jobs, so that a further crash harms nobody else and shows which job is to blame. A job of which a
+//! task has crashed two workers, the last of them in isolation, is given up.
+//!
+//! A queue whose jobs keep crashing workers is confined: all its jobs run isolated, on a bounded share
+//! of the workers, while other queues use the rest.
+
+use std::time::Duration;
+
+use knapweedwall_wire as wire;
+use smol_str::SmolStr;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::io::{Action, Answer};
+use super::jobs::{Job, JobKey, Progress};
+use super::machine::{Machine, log};
+use super::placement::{Priority, meets_constraints};
+use super::workers::WorkerKey;
+use crate::clock::Now;
+use crate::deterministic::{DeterministicMap, DeterministicSet};
+use crate::job::RunId;
+
+/// Number of crashed workers after which a task is given up if the last crash came in isolation.
+const MAX_CRASHES: u32 = 2;
+
+/// Number of crashed workers after which a task is given up in any case.
+const MAX_UNPROVED_CRASHES: u32 = 3;
+
+/// Time in which the blame of a queue falls to 1/e.
+const BLAME_DECAY: Duration = Duration::from_secs(5);
+
+/// Blame, in crashes, from which on a queue is confined. A single job causes at most 1.
+const CONFINEMENT_BLAME: f64 = 1.3;
+
+/// Proved blame from which on a queue is confined: that of one job some seconds ago.
+const CONFINEMENT_PROOF: f64 = 0.4;
+
+/// Blame, in crashes, below which a confined queue is released.
+const RELEASE_BLAME: f64 = 0.6;
+
+/// Upper bound of the blame of a queue, in crashes. Bounds the time until its release.
+const MAX_BLAME: f64 = 4.0;
+
+/// Time after the first crash in which crashes of other workers are taken to have the same cause, such
+/// as the loss of a rack, and are not added to the blame unless a single isolated job was on them.
+const COMMON_CAUSE_TIME: Duration = Duration::from_millis(60);
+
+/// Fraction of the workers of a service that are reserved for isolated jobs while there are any.
+const RESERVED_SHARE: f64 = 0.2;
+
+/// Fraction of the CPU of all connected workers that has to be free for jobs of confined queues to use
+/// workers that are not reserved.
+const SPARE_CPU_SHARE: f64 = 0.5;
+
+/// Decaying blame of a queue: expected number of its jobs that crash workers.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Blame {
+    total: f64,
+    /// The part that is proved, because an isolated job was alone on the worker.
+    proved: f64,
+    at: Duration,
+}
+
+impl Blame {
+    /// Decodes the blame that a peer reports.
+    pub(super) fn from_report(report: &wire::QueueBlame) -> Self {
+        Self {
+            total: f64::from(report.blame) / 1_000.0,
+            proved: f64::from(report.proved) / 1_000.0,
+            at: Duration::ZERO,
+        }
+    }
+
+    fn at(self, now: Duration) -> Self {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        let left = (-age / BLAME_DECAY.as_secs_f64()).exp();
+        Self {
+            total: self.total * left,
+            proved: self.proved * left,
+            at: now,
+        }
+    }
+
+    /// Returns the sum of both.
+    pub(super) fn plus(self, other: Self) -> Self {
+        Self {
+            total: (self.total + other.total).min(MAX_BLAME),
+            proved: (self.proved + other.proved).min(MAX_BLAME),
+            at: self.at,
+        }
+    }
+
+    /// Returns whether the queue is to be confined. Without proof it is not: workers may crash by
+    /// themselves.
+    fn confines(self) -> bool {
+        self.total >= CONFINEMENT_BLAME && self.proved >= CONFINEMENT_PROOF
+    }
+}
+
+/// What is known of crashes.
+#[derive(Debug, Default)]
+pub(super) struct Crashes {
+    /// Blame of queues for crashes under jobs of this process.
+    blame: DeterministicMap<SmolStr, Blame>,
+    confined: DeterministicSet<SmolStr>,
+    /// Start of the last group of crashes with a common cause, and the first crashed worker.
+    group: Option<(Duration, WorkerKey)>,
+    /// Whether this process has jobs to isolate, as last told to its peers.
+    isolating: bool,
+    /// Workers that run isolated jobs only.
+    pub(super) reserved: DeterministicSet<WorkerKey>,
+    /// Whether jobs of confined queues may use other workers as well.
+    spare: bool,
+}
+
+impl Crashes {
+    /// Returns whether all jobs of a queue run isolated, on reserved workers only.
+    pub(super) fn is_confined(&self, queue: &str) -> bool {
+        self.confined.contains(queue)
+    }
+
+    /// Returns whether this process has jobs to isolate.
+    pub(super) fn is_isolating(&self) -> bool {
+        self.isolating
+    }
+
+    /// Returns the blame of queues for crashes under jobs of this process, for its peers.
+    pub(super) fn blame_report(&self, now: Duration) -> Vec<wire::QueueBlame> {
+        let blame = self.blame.iter().map(|(queue, blame)| {
+            let blame = blame.at(now);
+            wire::QueueBlame {
+                queue: queue.to_string(),
+                blame: (blame.total * 1_000.0) as u32,
+                proved: (blame.proved * 1_000.0) as u32,
+            }
+        });
+        blame.filter(|blame| blame.blame > 0).collect()
+    }
+}
+
+impl Machine {
+    /// Counts a run whose worker crashed against its task, unless it has been counted, and gives the
+    /// job up if the task has crashed too many workers.
+    pub(super) fn record_crash(
+        &mut self,
+        now: Now,
+        from: WorkerKey,
+        run: &RunId,
+        evidence: wire::CrashEvidence,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(key) = self.jobs.find(&run.task.job) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let closed = job.progress == Progress::Closed;
+        let queue = job.request.queue.clone();
+        let Some(task) = job.task_mut(run.task.phase, run.task.index) else {
+            return;
+        };
+        if closed || run.attempt <= task.last_crashed_attempt {
+            return;
+        }
+        task.crashes += 1;
+        task.last_crashed_attempt = run.attempt;
+        let crashes = task.crashes;
+        let proved = job.isolated && evidence.alone;
+        job.isolated |= evidence.suspect || crashes >= MAX_CRASHES;
+        let fields = vec![
+            ("run", run.to_string()),
+            ("crashes", crashes.to_string()),
+            ("blame", evidence.blame.to_string()),
+            ("isolated", job.isolated.to_string()),
+            ("alone", evidence.alone.to_string()),
+        ];
+        log(out, 332, "worker crashed under a run", true, fields);
+        // A job counts once, however many of its tasks crash workers, and however often.
+        let blame = f64::from(evidence.blame) / 1_000.0;
+        let added = (blame - job.blame).max(0.0);
+        if added > 0.0 && (proved || self.is_first_of_group(now, from)) {
+            let known = self.crashes.blame.entry(queue).or_default();
+            let added = Blame {
+                total: added,
+                proved: if proved { blame } else { 0.0 },
+                at: now.mono,
+            };
+            *known = known.at(now.mono).plus(added);
+            if let Some(job) = self.jobs.get_mut(key) {
+                job.blame = blame;
+            }
+        }
+        self.mark_dirty(now, key, Duration::ZERO);
+        let given_up = crashes >= MAX_CRASHES && evidence.alone;
+        if given_up || crashes >= MAX_UNPROVED_CRASHES {
+            self.metrics.crashing.inc();
+            self.close_job(now, key, Answer::Failed, "crashes workers", out);
+        }
+    }
+
+    /// Returns whether no other worker has crashed shortly before this one.
+    fn is_first_of_group(&mut self, now: Now, from: WorkerKey) -> bool {
+        let group = self.crashes.group;
+        match group.filter(|(since, _)| now.since(*since) < COMMON_CAUSE_TIME) {
+            Some((_, first)) => first == from,
+            None => {
+                self.crashes.group = Some((now.mono, from));
+                true
+            }
+        }
+    }
+
+    /// Updates which queues are confined, and tells peers when this process starts or stops isolating
+    /// jobs.
+    pub(super) fn update_crashes(&mut self, now: Now, out: &mut Vec<Action>) {
+        if self.crashes.blame.is_empty()
+            && !self.crashes.isolating
+            && !self.peers.is_any_blaming()
+            && self.crashes.confined.is_empty()
+        {
+            return;
+        }
+        let forgotten = 1.0 / 1_000.0;
+        self.crashes
+            .blame
+            .retain(|_, blame| blame.at(now.mono).total >= forgotten);
+        self.update_confinement(now, out);
+        let jobs = self.jobs.iter_open();
+        let mut unfinished = jobs.filter(|(_, job)| job.waiting_tasks + job.placed_tasks > 0);
+        let isolating =
+            !self.crashes.confined.is_empty() || unfinished.any(|(_, job)| job.isolated);
+        if isolating != self.crashes.isolating {
+            self.crashes.isolating = isolating;
+            self.send_peer_beats(now, out);
+        }
+    }
+
+    fn update_confinement(&mut self, now: Now, out: &mut Vec<Action>) {
+        let mut total: DeterministicMap<SmolStr, Blame> = self.peers.queue_blame();
+        for (queue, blame) in &self.crashes.blame {
+            let known = total.entry(queue.clone()).or_default();
+            *known = known.plus(blame.at(now.mono));
+        }
+        let confined = &mut self.crashes.confined;
+        let mut changes: Vec<(SmolStr, bool)> = Vec::new();
+        for (queue, blame) in &total {
+            if blame.confines() && confined.insert(queue.clone()) {
+                changes.push((queue.clone(), true));
+            }
+        }
+        confined.retain(|queue| {
+            let blame = total.get(queue);
+            let keep = blame.is_some_and(|blame| blame.total >= RELEASE_BLAME);
+            if !keep {
+                changes.push((queue.clone(), false));
+            }
+            keep
+        });
+        for (queue, begins) in changes {
+            let blame = total.get(&queue).copied().unwrap_or_default();
+            let fields = vec![
+                ("queue", queue.to_string()),
+                ("blame", format!("{:.2}", blame.total)),
+                ("proved", format!("{:.2}", blame.proved)),
+            ];
+            if begins {
+                self.metrics.confined.inc();
+                log(out, 333, "queue confined to reserved workers", true, fields);
+            } else {
+                log(out, 334, "queue no longer confined", false, fields);
+            }
+        }
+    }
+
+    /// Returns whether the tasks of a job may share a worker with those of other jobs.
+    pub(super) fn is_isolated(&self, job: &Job) -> bool {
+        job.isolated || self.crashes.is_confined(&job.request.queue)
+    }
+
+    /// Places the waiting tasks of isolated jobs. Jobs of a confined queue that have crashed no worker
+    /// go before those that have, which probably crash the next one as well.
+    pub(super) fn place_isolated_jobs(&mut self, now: Now, mut jobs: Vec<(Priority, JobKey)>) {
+        jobs.sort_by_cached_key(|(priority, key)| {
+            let job = self.jobs.get(*key);
+            let confined = job.is_some_and(|job| self.crashes.is_confined(&job.request.queue));
+            let isolated = job.is_some_and(|job| job.isolated);
+            (confined, isolated, *priority)
+        });
+        for (priority, key) in jobs {
+            let waiting = self.jobs.get(key).map(Job::waiting_positions);
+            for at in waiting.unwrap_or_default() {
+                let Some(worker) = self.choose_isolated_worker(now, key, at) else {
+                    break;
+                };
+                self.order_task(now, key, at, worker, (priority.sort_key, false));
+            }
+        }
+    }
+
+    /// Chooses the workers that are reserved for isolated jobs, while any process has such jobs. All
+    /// processes choose the same ones, including those that are down at the moment: otherwise one
+    /// worker after the other would be reserved and crashed.
+    pub(super) fn update_reserved_workers(&mut self, now: Now) {
+        self.crashes.reserved.clear();
+        self.crashes.spare = false;
+        if !self.crashes.isolating && !self.peers.is_any_isolating() {
+            return;
+        }
+        let mut services: DeterministicMap<SmolStr, Vec<(u64, WorkerKey)>> =
+            DeterministicMap::default();
+        for (key, worker) in self.workers.iter().filter(|(_, w)| w.link.is_some()) {
+            let hash = xxh3_64(worker.name.as_bytes());
+            let members = services.entry(worker.service.clone()).or_default();
+            members.push((hash, key));
+        }
+        let (mut free, mut capacity) = (0.0, 0.0);
+        for (_, worker) in self.workers.iter().filter(|(_, w)| w.link.is_some()) {
+            capacity += f64::from(worker.capacity.cpu);
+            if worker.is_usable(now.mono) {
+                free += f64::from(worker.free().cpu);
+            }
+        }
+        self.crashes.spare = free > capacity * SPARE_CPU_SHARE;
+        for mut members in services.into_values() {
+            members.sort_unstable();
+            let share = (members.len() as f64 * RESERVED_SHARE).ceil() as usize;
+            let reserved = members.iter().take(share.min(members.len() - 1));
+            self.crashes.reserved.extend(reserved.map(|(_, key)| *key));
+        }
+    }
+
+    /// Chooses the worker for a task of an isolated job: the one that runs other tasks of the job, else
+    /// an idle one. Jobs of confined queues use reserved workers only.
+    pub(super) fn choose_isolated_worker(
+        &self,
+        now: Now,
+        key: JobKey,
+        (phase, index): (u32, u32),
+    ) -> Option<WorkerKey> {
+        let job = self.jobs.get(key)?;
+        let id = &job.request.id;
+        let spec = &job.request.phases[phase as usize];
+        let confined = self.crashes.is_confined(&job.request.queue);
+        let avoided = &job.task(phase, index)?.avoided_workers;
+        let mut best: Option<([bool; 2], WorkerKey)> = None;
+        for (worker_key, worker) in self.workers.iter() {
+            if worker.service != job.queue_config.service || !worker.is_usable(now.mono) {
+                continue;
+            }
+            let reserved = self.crashes.reserved.contains(&worker_key);
+            let only_choice = self.crashes.reserved.is_empty();
+            if confined && !reserved && !only_choice && !self.crashes.spare {
+                continue;
+            }
+            let runs_job = worker.runs.iter().any(|run| run.task.job == *id);
+            let foreign = worker.runs.iter().any(|run| run.task.job != *id);
+            let has_room = worker.free().can_fit(spec.resources);
+            let fits = has_room && (runs_job && !foreign || worker.is_idle());
+            if !fits || !meets_constraints(job, spec, phase, worker_key, worker) {
+                continue;
+            }
+            if runs_job {
+                return Some(worker_key);
+            }
+            let rank = [avoided.contains(&worker_key), !reserved];
+            if best.is_none_or(|best| (rank, worker_key) < best) {
+                best = Some((rank, worker_key));
+            }
+        }
+        let placed = job.placed_tasks > 0;
+        best.filter(|_| !placed).map(|(_, worker)| worker)
+    }
+}
--- a/crates/core/src/scheduler/jobs.rs
+++ b/crates/core/src/scheduler/jobs.rs
@@ -40,6 +40,10 @@
     pub(super) failures: u32,
     /// Number of the latest failed attempt.
     pub(super) last_failed_attempt: u32,
+    /// Number of runs whose worker crashed.
+    pub(super) crashes: u32,
+    /// Number of the latest attempt whose worker crashed.
+    pub(super) last_crashed_attempt: u32,
     /// Workers on which the task failed or stalled; used only if no other worker is suitable.
     pub(super) avoided_workers: SmallVec<[WorkerKey; 2]>,
 }
@@ -88,6 +92,11 @@
     pub(super) placed_tasks: u32,
     /// Number of attempts sent to agents.
     pub(super) starts: u32,
+    /// Whether the job may have crashed a worker, so that its tasks share no worker with those of
+    /// other jobs.
+    pub(super) isolated: bool,
+    /// Blame of the job for crashes, as added to that of its queue.
+    pub(super) blame: f64,
     /// Whether at least one of the ended runs started or may have started.
     pub(super) may_have_run: bool,
     /// A later submission with the same id, processed once this job is removed.
@@ -118,6 +127,8 @@
                 attempt: 0,
                 failures: 0,
                 last_failed_attempt: 0,
+                crashes: 0,
+                last_crashed_attempt: 0,
                 avoided_workers: SmallVec::new(),
             };
             phases.push(Phase {
@@ -138,6 +149,8 @@
             waiting_tasks: waiting,
             placed_tasks: 0,
             starts: 0,
+            isolated: false,
+            blame: 0.0,
             may_have_run: false,
             resubmission: None,
             durable: None,
@@ -153,6 +166,19 @@
         phase.tasks.get_mut(index as usize)
     }
 
+    /// Returns the phase and index of each waiting task.
+    pub(super) fn waiting_positions(&self) -> Vec<(u32, u32)> {
+        let mut waiting = Vec::new();
+        for (phase, tasks) in self.phases.iter().enumerate() {
+            for (index, task) in tasks.tasks.iter().enumerate() {
+                if task.state == TaskState::Waiting {
+                    waiting.push((to_u32(phase), to_u32(index)));
+                }
+            }
+        }
+        waiting
+    }
+
     /// Returns whether no task of the job has run or is placed.
     pub(super) fn is_unstarted(&self) -> bool {
         !self.may_have_run && self.placed_tasks == 0
--- a/crates/core/src/scheduler/machine.rs
+++ b/crates/core/src/scheduler/machine.rs
@@ -11,6 +11,7 @@
 
 use super::admission::{CallerLimits, RetrySchedule};
 use super::configuration::Configuration;
+use super::crashes::Crashes;
 use super::durable_jobs::HeldQuery;
 use super::forwarding::Forwarding;
 use super::io::{Action, Input, Settings};
@@ -41,6 +42,7 @@
     pub(super) settings: Settings,
     pub(super) configuration: Configuration,
     pub(super) jobs: Jobs,
+    pub(super) crashes: Crashes,
     pub(super) workers: Workers,
     pub(super) peers: Peers,
     pub(super) shards: Shards,
@@ -77,6 +79,7 @@
             settings,
             configuration: Configuration::default(),
             jobs: Jobs::default(),
+            crashes: Crashes::default(),
             workers: Workers::default(),
             peers: Peers::default(),
             shards: Shards::default(),
@@ -144,6 +147,7 @@
             self.purge_ended_jobs(now);
             self.update_ready(out);
             self.check_configuration_age(now, out);
+            self.update_crashes(now, out);
             if let Some(limits) = self.caller_limits.take_changed(now.mono) {
                 out.push(Action::StoreCallerLimits(limits));
             }
--- a/crates/core/src/scheduler/metrics.rs
+++ b/crates/core/src/scheduler/metrics.rs
@@ -32,6 +32,10 @@
     pub orders: Counter,
     /// Number of times a worker was held back after failed or stalled runs.
     pub held_back: Counter,
+    /// Jobs given up because a task crashes workers.
+    pub crashing: Counter,
+    /// Number of times a queue was confined to reserved workers.
+    pub confined: Counter,
     /// Version of the configuration in use.
     pub config_version: Gauge,
     /// Wall-clock time at which the store last confirmed the configuration, in seconds since 1970.
@@ -50,6 +54,8 @@
             given_up: Counter::default(),
             orders: Counter::default(),
             held_back: Counter::default(),
+            crashing: Counter::default(),
+            confined: Counter::default(),
             config_version: Gauge::default(),
             config_confirmed: Gauge::default(),
             response: Histogram::new(RESPONSE_BOUNDS_S),
@@ -80,6 +86,16 @@
                 "Times a worker was held back",
                 &self.held_back,
             ),
+            (
+                "jobs_crashing",
+                "Jobs given up because a task crashes workers",
+                &self.crashing,
+            ),
+            (
+                "queues_confined",
+                "Times a queue was confined to reserved workers",
+                &self.confined,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 
 mod admission;
 mod configuration;
+mod crashes;
 mod durable_jobs;
 mod forwarding;
 mod io;
--- a/crates/core/src/scheduler/peers.rs
+++ b/crates/core/src/scheduler/peers.rs
@@ -6,6 +6,7 @@
 use knapweedwall_wire::frame::Body;
 use smol_str::SmolStr;
 
+use super::crashes::Blame;
 use super::io::Action;
 use super::machine::Machine;
 use crate::clock::Now;
@@ -37,6 +38,10 @@
     pending_jobs: Vec<wire::QueueCount>,
     /// Whether it may claim shards.
     eligible: bool,
+    /// Blame of queues for crashes under its jobs.
+    blame: Vec<(SmolStr, Blame)>,
+    /// Whether it has jobs to isolate.
+    isolating: bool,
 }
 
 /// Connected entry processes.
@@ -60,6 +65,8 @@
             relinquished: Vec::new(),
             pending_jobs: Vec::new(),
             eligible: false,
+            blame: Vec::new(),
+            isolating: false,
         };
         self.by_link.insert(link, peer);
     }
@@ -134,6 +141,26 @@
         least.map(|peer| (peer.name.clone(), peer.owned.len()))
     }
 
+    /// Returns whether any process has jobs to isolate.
+    pub(super) fn is_any_isolating(&self) -> bool {
+        self.by_link.values().any(|peer| peer.isolating)
+    }
+
+    /// Returns whether any process blames a queue for crashes.
+    pub(super) fn is_any_blaming(&self) -> bool {
+        self.by_link.values().any(|peer| !peer.blame.is_empty())
+    }
+
+    /// Returns the blame of queues for crashes under the jobs of all other processes.
+    pub(super) fn queue_blame(&self) -> DeterministicMap<SmolStr, Blame> {
+        let mut total: DeterministicMap<SmolStr, Blame> = DeterministicMap::default();
+        for (queue, blame) in self.by_link.values().flat_map(|peer| &peer.blame) {
+            let known = total.entry(queue.clone()).or_default();
+            *known = known.plus(*blame);
+        }
+        total
+    }
+
     /// Returns the number of pending jobs of a queue at other processes, including recently lost
     /// ones.
     pub(super) fn pending_jobs(&self, now: Duration, queue: &str) -> u32 {
@@ -164,6 +191,14 @@
             peer.relinquished = beat.relinquished;
             peer.pending_jobs = beat.waiting;
             peer.eligible = beat.eligible;
+            let blame = beat.blame.into_iter();
+            peer.blame = blame
+                .map(|report| {
+                    let blame = Blame::from_report(&report);
+                    (report.queue.into(), blame)
+                })
+                .collect();
+            peer.isolating = beat.isolating;
             let name = peer.name.clone();
             self.refresh_owner_rows(now, &name, &owned);
         }
@@ -178,23 +213,23 @@
         }
         if now.since(self.peers.last_beat) >= HEARTBEAT_INTERVAL {
             self.peers.last_beat = now.mono;
-            self.send_peer_beats(out);
+            self.send_peer_beats(now, out);
         }
     }
 
     /// Sends a heartbeat with the present state to all connected entry processes.
-    pub(super) fn send_peer_beats(&self, out: &mut Vec<Action>) {
+    pub(super) fn send_peer_beats(&self, now: Now, out: &mut Vec<Action>) {
         if self.peers.by_link.is_empty() {
             return;
         }
-        let beat = self.peer_beat();
+        let beat = self.peer_beat(now);
         for link in self.peers.links() {
             out.push(Action::Send(link, beat.clone()));
         }
     }
 
     /// Returns a heartbeat with the present state.
-    pub(super) fn peer_beat(&self) -> Body {
+    pub(super) fn peer_beat(&self, now: Now) -> Body {
         let mut waiting: DeterministicMap<&str, u32> = DeterministicMap::default();
         for (_, job) in self.jobs.iter_open().filter(|(_, job)| job.is_queued()) {
             *waiting.entry(&job.request.queue).or_default() += 1;
@@ -209,6 +244,8 @@
             eligible: self.stop_requested_at.is_none() && self.shards.failing_since().is_none(),
             relinquished: self.shards.relinquished().collect(),
             config_version: self.configuration.version(),
+            blame: self.crashes.blame_report(now.mono),
+            isolating: self.crashes.is_isolating(),
         })
     }
 }
--- a/crates/core/src/scheduler/placement.rs
+++ b/crates/core/src/scheduler/placement.rs
@@ -109,7 +109,7 @@
     pub(super) tier: Tier,
     /// Orders jobs that are otherwise equal. In [`Tier::InTime`] it is the expected run time, in
     /// the other tiers the time of submission plus the expected run time.
-    sort_key: Duration,
+    pub(super) sort_key: Duration,
 }
 
 /// State of the fleet at one turn.
@@ -126,14 +126,22 @@
 impl Machine {
     /// Places waiting tasks in the order of their jobs' priorities, as far as capacity allows.
     pub(super) fn place_tasks(&mut self, now: Now) {
+        self.update_reserved_workers(now);
         let fleet = self.fleet_view(now);
         let mut ready: Vec<(Priority, JobKey)> = Vec::new();
+        let mut isolated: Vec<(Priority, JobKey)> = Vec::new();
         for (key, job) in self.jobs.iter_open() {
             let has_waiting = job.waiting_tasks > 0 && job.progress != Progress::Closed;
             if has_waiting && self.may_place(now, job) {
-                ready.push((self.priority(now, job, fleet), key));
+                let jobs = if self.is_isolated(job) {
+                    &mut isolated
+                } else {
+                    &mut ready
+                };
+                jobs.push((self.priority(now, job, fleet), key));
             }
         }
+        self.place_isolated_jobs(now, isolated);
         ready.sort_unstable();
         let mut incomplete = 0;
         for (priority, key) in ready {
@@ -203,14 +211,7 @@
         let Some(job) = self.jobs.get(key) else {
             return true;
         };
-        let mut waiting: Vec<(u32, u32)> = Vec::new();
-        for (phase, tasks) in job.phases.iter().enumerate() {
-            for (index, task) in tasks.tasks.iter().enumerate() {
-                if task.state == TaskState::Waiting {
-                    waiting.push((to_u32(phase), to_u32(index)));
-                }
-            }
-        }
+        let waiting = job.waiting_positions();
         let fits = || self.has_room_to_start(now, key, &waiting, priority.tier);
         if priority.group.is_unstarted() && fleet.scarce && !fits() {
             return false;
@@ -241,7 +242,8 @@
         let left = (job.requested_at + job.objective).saturating_sub(now.mono);
         for (worker_key, worker) in self.workers.iter() {
             let usable = worker.is_usable(now.mono) && worker.service == job.queue_config.service;
-            if !usable || !meets_constraints(job, spec, phase, worker_key, worker) {
+            let reserved = self.crashes.reserved.contains(&worker_key);
+            if !usable || reserved || !meets_constraints(job, spec, phase, worker_key, worker) {
                 continue;
             }
             let run_ms = self.run_ms(spec, worker, expected) * RUN_TIME_MARGIN;
@@ -281,6 +283,9 @@
             if !worker.is_usable(now.mono) || worker.service != job.queue_config.service {
                 continue;
             }
+            if self.crashes.reserved.contains(&worker_key) {
+                continue;
+            }
             if !meets_constraints(job, spec, phase, worker_key, worker) {
                 continue;
             }
@@ -342,7 +347,7 @@
     }
 
     /// Places a task on a worker and adds it to the worker's next frame.
-    fn order_task(
+    pub(super) fn order_task(
         &mut self,
         now: Now,
         key: JobKey,
@@ -351,6 +356,8 @@
         (sort_key, waits): (Duration, bool),
     ) {
         let epoch = self.jobs.get(key).map_or(0, |job| self.shard_epoch(job));
+        let job = self.jobs.get(key);
+        let isolated = job.is_some_and(|job| self.is_isolated(job));
         let (Some(job), Some(worker)) = (self.jobs.get_mut(key), self.workers.get_mut(worker_key))
         else {
             return;
@@ -383,7 +390,8 @@
         };
         worker.add_order(run, resources, waits);
         let same = worker.outbox.phases.last_mut().filter(|order| {
-            order.job == job.request.id.as_str() && order.phase == phase && order.waits == waits
+            let same_phase = order.job == job.request.id.as_str() && order.phase == phase;
+            same_phase && order.waits == waits && order.isolated == isolated
         });
         if let Some(order) = same {
             return order.tasks.push(attempt);
@@ -398,6 +406,7 @@
             waits,
             tasks: vec![attempt],
             epoch,
+            isolated,
         });
     }
 
@@ -464,7 +473,7 @@
 
 /// Returns whether a worker has the label that a phase requires, and has fewer tasks of the phase
 /// than the phase allows per worker.
-fn meets_constraints(
+pub(super) fn meets_constraints(
     job: &Job,
     spec: &PhaseSpec,
     phase: u32,
--- a/crates/core/src/scheduler/run_reports.rs
+++ b/crates/core/src/scheduler/run_reports.rs
@@ -27,6 +27,10 @@
             return;
         };
         let run_time = Duration::from_millis(u64::from(report.run_ms));
+        if report.outcome() == wire::RunOutcome::Crashed {
+            let evidence = report.crash.unwrap_or_default();
+            self.record_crash(now, from, &run, evidence, out);
+        }
         if report.kept {
             self.record_retained_end(now, from, &run, report.outcome());
         }
--- a/crates/core/src/scheduler/shard_claims.rs
+++ b/crates/core/src/scheduler/shard_claims.rs
@@ -198,7 +198,7 @@
     }
 
     /// Takes ownership after all jobs were read, and asks the agents for their runs of these jobs.
-    pub(super) fn finish_loading(&mut self, shard: Shard, out: &mut Vec<Action>) {
+    pub(super) fn finish_loading(&mut self, now: Now, shard: Shard, out: &mut Vec<Action>) {
         self.shards.last_claim_number += 1;
         let claim = self.shards.last_claim_number;
         let state = self.shards.get_mut(shard);
@@ -211,7 +211,7 @@
             epoch,
         }];
         self.send_shard_claims(None, claim, shards, out);
-        self.send_peer_beats(out);
+        self.send_peer_beats(now, out);
     }
 
     /// Sets `runs_known` once all connected agents have reported their runs of the shard's jobs and
--- a/crates/core/src/scheduler/shard_loading.rs
+++ b/crates/core/src/scheduler/shard_loading.rs
@@ -48,7 +48,7 @@
             ("jobs", jobs.to_string()),
         ];
         log(out, 324, "jobs of a shard loaded", false, fields);
-        self.finish_loading(shard, out);
+        self.finish_loading(now, shard, out);
     }
 
     /// Adds a job read from the store, unless its id is in use.
--- a/crates/core/src/scheduler/stored_job.rs
+++ b/crates/core/src/scheduler/stored_job.rs
@@ -116,11 +116,13 @@
         if task.state == TaskState::Done {
             done[index / 8] |= 1 << (index % 8);
         }
-        if task.failures > 0 {
+        if task.failures > 0 || task.crashes > 0 {
             failures.push(wire::TaskFailures {
                 index: to_u32(index),
                 runs: task.failures,
                 attempt: task.last_failed_attempt,
+                crashes: task.crashes,
+                crash_attempt: task.last_crashed_attempt,
             });
         }
     }
@@ -209,9 +211,12 @@
         for failure in &phase.failures {
             if let Some(task) = job.task_mut(phase_at, failure.index) {
                 task.failures = failure.runs;
-                task.attempt = failure.attempt;
+                task.attempt = failure.attempt.max(failure.crash_attempt);
                 task.last_failed_attempt = failure.attempt;
+                task.crashes = failure.crashes;
+                task.last_crashed_attempt = failure.crash_attempt;
             }
+            job.isolated |= failure.crashes > 0;
         }
     }
     job.unblock_phases();
--- a/crates/core/src/scheduler/workers.rs
+++ b/crates/core/src/scheduler/workers.rs
@@ -79,6 +79,7 @@
     free: Resources,
     waiting_cpu: u32,
     usable: bool,
+    idle: bool,
     /// Ordered runs that the last report does not reflect yet, in the order of their frames.
     unseen_orders: VecDeque<UnseenOrder>,
     /// Number of the last `RunOrders` frame sent on this connection.
@@ -122,6 +123,7 @@
         self.free = state.free.map(Resources::from).unwrap_or_default();
         self.waiting_cpu = state.waiting_cpu;
         self.usable = state.usable;
+        self.idle = state.idle;
         while self
             .unseen_orders
             .front()
@@ -141,6 +143,11 @@
         free
     }
 
+    /// Returns whether no run is on the worker, as far as known.
+    pub(super) fn is_idle(&self) -> bool {
+        self.idle && self.unseen_orders.is_empty() && self.runs.is_empty()
+    }
+
     /// Returns whether a task that needs `resources` may be queued at the agent.
     pub(super) fn can_queue(&self, resources: Resources) -> bool {
         let unseen: u32 = self
@@ -277,6 +284,7 @@
                 free: Resources::default(),
                 waiting_cpu: 0,
                 usable: false,
+                idle: false,
                 unseen_orders: VecDeque::new(),
                 last_order: 0,
                 runs: DeterministicSet::default(),
--- a/crates/core/tests/jobs/bad_workers.rs
+++ b/crates/core/tests/jobs/bad_workers.rs
@@ -33,11 +33,7 @@
 #[rstest]
 fn a_hopeless_job_fails_after_its_attempts() {
     let mut fleet = Fleet::new(1, &[(16_000, 1.0), (16_000, 1.0)], 1);
-    let job = Job {
-        fails: true,
-        ..Job::new(1, 1_600, 50)
-    };
-    let job = fleet.submit(0, "checks", job);
+    let job = fleet.submit(0, "checks", Job::new(1, 1_600, 50).failing());
     fleet.finish(2_000);
     assert_eq!(fleet.answer_to(job), Some(&Answer::Failed));
     assert_eq!(fleet.worker(0).starts + fleet.worker(1).starts, 2);
--- a/crates/core/tests/jobs/callers.rs
+++ b/crates/core/tests/jobs/callers.rs
@@ -6,7 +6,7 @@
 use knapweedwall_core::scheduler::{self, Answer, CallKey};
 
 use crate::fleet::Fleet;
-use crate::worker::spec;
+use crate::worker::{Ending, spec};
 
 /// Pause before a caller that lost its answer submits again.
 pub const RESEND_MS: u64 = 1_300;
@@ -29,7 +29,7 @@
     pub tasks: u32,
     pub cpu: u32,
     pub run_ms: u64,
-    pub fails: bool,
+    pub ending: Ending,
     pub wait_ms: Option<u64>,
     pub durable: bool,
     /// Phases, each after the one before it.
@@ -42,7 +42,7 @@
             tasks,
             cpu,
             run_ms,
-            fails: false,
+            ending: Ending::Done,
             wait_ms: None,
             durable: false,
             phases: 1,
@@ -61,9 +61,15 @@
         self
     }
 
+    /// A job with a task that crashes its worker.
+    pub fn deadly(mut self) -> Self {
+        self.ending = Ending::Deadly;
+        self
+    }
+
     /// A job whose tasks fail.
     pub fn failing(mut self) -> Self {
-        self.fails = true;
+        self.ending = Ending::Failed;
         self
     }
 }
@@ -98,7 +104,7 @@
         let request = JobRequest {
             id: id.into(),
             queue: queue.into(),
-            spec: spec(job.cpu, job.run_ms, job.fails).into(),
+            spec: spec(job.cpu, job.run_ms, job.ending).into(),
             phases: phases.collect(),
             wait: job.wait_ms.map(Duration::from_millis),
             durable: job.durable,
--- a/crates/core/tests/jobs/calls.rs
+++ b/crates/core/tests/jobs/calls.rs
@@ -147,7 +147,9 @@
                 continue;
             }
             if !host.worker.up {
-                if !pending.lost {
+                if !pending.lost && host.worker.is_gone() {
+                    inputs.push(refused_connection(pending.key, &pending.call));
+                } else if !pending.lost {
                     inputs.push(no_answer(pending.key, &pending.call));
                 }
                 continue;
@@ -264,6 +266,23 @@
     }
 }
 
+fn refused_connection(key: executor::CallKey, call: &Call) -> executor::Input {
+    let clock_ms = None;
+    match call {
+        Call::Start(..) => executor::Input::StartCompleted {
+            call: key,
+            outcome: StartOutcome::Refused(Refusal::Unhealthy),
+            clock_ms,
+        },
+        Call::Stop(..) => no_answer(key, call),
+        Call::Hold { .. } => executor::Input::RenewalCompleted {
+            call: key,
+            outcome: RenewalOutcome::ConnectionRefused,
+            clock_ms,
+        },
+    }
+}
+
 fn other_life(key: executor::CallKey, call: &Call) -> executor::Input {
     let clock_ms = None;
     match call {
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -16,6 +16,7 @@
 mod calm_jobs;
 mod config_age;
 mod config_repair;
+mod crashing_tasks;
 mod durable_jobs;
 mod lost_agents;
 mod lost_starts;
--- a/crates/core/tests/jobs/malformed_messages.rs
+++ b/crates/core/tests/jobs/malformed_messages.rs
@@ -101,12 +101,13 @@
         job in text(), phase in small(), spec in text(), room in room(), expected_ms in small(),
         slack_ms in prop_oneof![Just(i32::MIN), Just(i32::MAX), Just(0)], waits in any::<bool>(),
         tasks in proptest::collection::vec((small(), small()), 0..3), epoch in large(),
+        isolated in any::<bool>(),
     ) -> wire::PhaseOrder {
         let tasks = tasks.into_iter();
         let tasks = tasks.map(|(index, attempt)| wire::TaskAttempt { index, attempt });
         wire::PhaseOrder {
             job, phase, spec, room: Some(room), expected_ms, slack_ms, waits,
-            tasks: tasks.collect(), epoch,
+            tasks: tasks.collect(), epoch, isolated,
         }
     }
 }
@@ -129,16 +130,18 @@
     fn reports()(
         number in large(), orders_seen in large(), listing in any::<bool>(),
         runs in proptest::collection::vec((run(), 0..12_i32, small(), any::<bool>()), 0..3),
+        blame in small(), suspect in any::<bool>(), alone in any::<bool>(), idle in any::<bool>(),
         open in proptest::collection::vec(run(), 0..3), free in proptest::option::of(room()),
         waiting_cpu in small(), usable in any::<bool>(), capacity in room(), service in text(),
     ) -> Body {
         let reports = runs.into_iter().map(|(run, outcome, run_ms, kept)| wire::RunReport {
             run: Some(run), outcome, run_ms, kept,
+            crash: Some(wire::CrashEvidence { blame, suspect, alone }),
         });
         Body::RunReports(wire::RunReports {
             number, orders_seen, listing, open,
             reports: reports.collect(),
-            worker: Some(wire::WorkerState { free, waiting_cpu, usable }),
+            worker: Some(wire::WorkerState { free, waiting_cpu, usable, idle }),
             profile: Some(wire::WorkerProfile {
                 instance: "i-1".into(), service, labels: Vec::new(), capacity: Some(capacity),
             }),
@@ -162,10 +165,19 @@
     let peer_beat = (small(), large(), text(), small()).prop_map(|(shard, epoch, queue, jobs)| {
         Body::PeerBeat(wire::PeerBeat {
             owned: vec![wire::ShardEpoch { shard, epoch }],
-            waiting: vec![wire::QueueCount { queue, jobs }],
+            waiting: vec![wire::QueueCount {
+                queue: queue.clone(),
+                jobs,
+            }],
             eligible: true,
             relinquished: vec![wire::ShardEpoch { shard, epoch }],
             config_version: epoch,
+            blame: vec![wire::QueueBlame {
+                queue,
+                blame: jobs,
+                proved: shard,
+            }],
+            isolating: jobs % 2 == 1,
         })
     });
     let cancel = text().prop_map(|job| Body::CancelRuns(wire::CancelRuns { job }));
--- a/crates/core/tests/jobs/worker.rs
+++ b/crates/core/tests/jobs/worker.rs
@@ -17,9 +17,24 @@
 /// Offset of the worker's clock, to tell it apart from others.
 const CLOCK_OFFSET_MS: u64 = 77_000;
 
-/// What a specification of the tests asks for: processor, run time at speed 1, failure.
-pub fn spec(cpu: u32, run_ms: u64, fails: bool) -> String {
-    format!("{cpu}:{run_ms}:{}", u8::from(fails))
+/// Time from the start of a deadly task to the crash of its worker.
+const DEADLY_MS: u64 = 10;
+
+/// Time until a crashed worker is back.
+const BACK_MS: u64 = 3_200;
+
+/// How the tasks of a job end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    Done = 0,
+    Failed = 1,
+    /// The first task crashes its worker, the others are done.
+    Deadly = 2,
+}
+
+/// What a specification of the tests asks for: processor, run time at speed 1, ending.
+pub fn spec(cpu: u32, run_ms: u64, ending: Ending) -> String {
+    format!("{cpu}:{run_ms}:{}", ending as u8)
 }
 
 /// Ends that one list holds.
@@ -42,6 +57,12 @@
     pub speed: f64,
     pub born: u64,
     pub up: bool,
+    /// When a crashed worker is back.
+    back_ms: Option<u64>,
+    /// When a deadly task crashes the worker.
+    crash_ms: Option<u64>,
+    /// Runs that were on the worker when it crashed.
+    pub crashed: Vec<RunId>,
     /// Starts fail at once.
     pub broken: bool,
     /// Runs make no progress.
@@ -70,6 +91,9 @@
             speed,
             born,
             up: true,
+            back_ms: None,
+            crash_ms: None,
+            crashed: Vec::new(),
             broken: false,
             hangs: false,
             runs: BTreeMap::new(),
@@ -99,11 +123,26 @@
         let faults = std::mem::take(&mut self.faults);
         let (starts, started) = (self.starts, std::mem::take(&mut self.started));
         let noted = std::mem::take(&mut self.noted);
+        let crashed = std::mem::take(&mut self.crashed);
         *self = Self::new(self.cpu, self.speed, now_ms);
         self.faults = faults;
         self.starts = starts;
         self.started = started;
         self.noted = noted;
+        self.crashed = crashed;
+    }
+
+    /// Ends the lifetime; another begins some seconds later. No process listens meanwhile.
+    pub fn crash(&mut self, now_ms: u64) {
+        self.crashed.extend(self.runs.keys().cloned());
+        self.runs.clear();
+        self.up = false;
+        self.back_ms = Some(now_ms + BACK_MS);
+    }
+
+    /// Whether the worker has crashed and is not back yet.
+    pub fn is_gone(&self) -> bool {
+        self.back_ms.is_some()
     }
 
     fn extend(&mut self, now_ms: u64, lease_ms: Option<u64>) {
@@ -127,6 +166,12 @@
 
     /// Lets time pass. Returns whether a run ended.
     pub fn pass(&mut self, now_ms: u64) -> bool {
+        if self.back_ms.is_some_and(|at| now_ms >= at) {
+            self.restart(now_ms);
+        }
+        if self.crash_ms.take_if(|at| now_ms >= *at).is_some() && self.up {
+            self.crash(now_ms);
+        }
         let lapsed = Self::clock(now_ms) > self.lease_ms;
         for end in self.done.values_mut() {
             end.2 |= lapsed;
@@ -190,7 +235,11 @@
             .split(':')
             .map(|part| part.parse::<u64>().unwrap());
         let (cpu, run_ms) = (parts.next().unwrap(), parts.next().unwrap());
-        let fails = parts.next().unwrap() == 1 || self.broken;
+        let ending = parts.next().unwrap();
+        let fails = ending == 1 || self.broken;
+        if ending == 2 && run.task.index == 0 {
+            self.crash_ms = self.crash_ms.or(Some(now_ms + DEADLY_MS));
+        }
         let run_ms = if self.broken { 3 } else { run_ms };
         self.starts += 1;
         self.started.push((run.task.clone(), now_ms));
