fix(scheduler): processes do not take the same worker for isolated jobs

Change: among equal workers a process takes the one that it prefers by its hash; jobs of confined queues use idle workers while 0.4 of the fleet is free instead of 0.5.

--- a/crates/core/src/scheduler/crashes.rs
+++ b/crates/core/src/scheduler/crashes.rs
@@ -53,7 +53,7 @@
 
 /// Fraction of the CPU of all connected workers that has to be free for jobs of confined queues to use
 /// workers that are not reserved.
-const SPARE_CPU_SHARE: f64 = 0.5;
+const SPARE_CPU_SHARE: f64 = 0.4;
 
 /// Decaying blame of a queue: expected number of its jobs that crash workers.
 #[derive(Debug, Clone, Copy, Default)]
@@ -346,7 +346,7 @@
         let spec = &job.request.phases[phase as usize];
         let confined = self.crashes.is_confined(&job.request.queue);
         let avoided = &job.task(phase, index)?.avoided_workers;
-        let mut best: Option<([bool; 2], WorkerKey)> = None;
+        let mut best: Option<([bool; 2], f64, WorkerKey)> = None;
         for (worker_key, worker) in self.workers.iter() {
             if worker.service != job.queue_config.service || !worker.is_usable(now.mono) {
                 continue;
@@ -367,11 +367,13 @@
                 return Some(worker_key);
             }
             let rank = [avoided.contains(&worker_key), !reserved];
-            if best.is_none_or(|best| (rank, worker_key) < best) {
-                best = Some((rank, worker_key));
+            // Different processes prefer different workers, so that they do not take the same one.
+            let preference = worker.preference;
+            if best.is_none_or(|best| (rank, preference) < (best.0, best.1)) {
+                best = Some((rank, preference, worker_key));
             }
         }
         let placed = job.placed_tasks > 0;
-        best.filter(|_| !placed).map(|(_, worker)| worker)
+        best.filter(|_| !placed).map(|(_, _, worker)| worker)
     }
 }
