fix(agent): an agent that restarts keeps to the capacity that its worker has left

Callers saw: nothing; a worker that had shrunk was filled to four times its capacity for up to 2 s after a restart of its agent. Cause: the registration, from which an agent resumes before the next heartbeat, held the capacity of the first heartbeat. The capacity may change while the worker runs. Ruled out: starts while the agent runs, waits and stops: starts_keep_to_the_capacity passed before. Not resuming at all: costs the seconds after a loss of all processes. Change: the registration is written again when the capacity falls below the stored one, and holds the smallest of the incarnation. It is not raised: that only delays the use of room until the next heartbeat. Measured: restarted_agents_know_the_shrunk_capacity: 16,000 of 4,000 in use before, none over it now. If the store takes no write between the change and the restart, the old capacity is used until the next heartbeat, 2 s at most: open.

--- a/crates/core/src/executor/registration.rs
+++ b/crates/core/src/executor/registration.rs
@@ -4,13 +4,15 @@
 //! running worker would leave it unused until the next one, so when all agents are killed at once,
 //! the first seconds afterwards find most of the fleet without known capacity. The agent therefore
 //! keeps the last description in the store and resumes from it, provided that the worker's run lists
-//! name the same incarnation. The registration is withdrawn when the worker starts to drain.
+//! name the same incarnation. The registration is withdrawn when the worker starts to drain, and
+//! written again when its capacity shrinks.
 
 use std::time::Duration;
 
 use super::io::{Action, Heartbeat};
 use super::machine::{Machine, log};
 use crate::clock::Now;
+use crate::job::Resources;
 
 /// Time for which a worker is used without a heartbeat after the agent resumed from a registration.
 /// Covers a heartbeat interval of 1.5 s and one repetition.
@@ -21,6 +23,9 @@
 pub(super) struct Registration {
     /// Registration found in the store that has not been used.
     found: Option<Heartbeat>,
+    /// Capacity in the stored registration: the smallest that the incarnation has reported. Its
+    /// capacity may change, and a restarted agent must not exceed it.
+    stored_capacity: Option<Resources>,
     /// When the agent resumed from a registration, until the next heartbeat arrives.
     resumed_at: Option<Duration>,
 }
@@ -69,8 +74,8 @@
         self.describe_worker(found);
     }
 
-    /// Writes the registration after the first heartbeat of an incarnation, and withdraws it when
-    /// the worker starts to drain.
+    /// Writes the registration after the first heartbeat of an incarnation and when its capacity
+    /// shrinks, and withdraws it when the worker starts to drain.
     pub(super) fn update_registration(
         &mut self,
         heartbeat: &Heartbeat,
@@ -78,14 +83,24 @@
         out: &mut Vec<Action>,
     ) {
         let found = self.registration.found.take();
-        let stored = found.is_some_and(|found| found.incarnation == heartbeat.incarnation);
+        let stored = found.filter(|found| found.incarnation == heartbeat.incarnation);
+        if first {
+            self.registration.stored_capacity = stored.map(|found| found.capacity);
+        }
         self.registration.resumed_at = None;
         if heartbeat.draining {
             if first || !self.worker.leaving {
                 out.push(Action::StoreRegistration(None));
             }
-        } else if first && !stored {
-            out.push(Action::StoreRegistration(Some(heartbeat.clone())));
+            return;
+        }
+        let stored = self.registration.stored_capacity;
+        let smallest = stored.map_or(heartbeat.capacity, |stored| stored.min(heartbeat.capacity));
+        if stored != Some(smallest) && !self.worker.leaving {
+            self.registration.stored_capacity = Some(smallest);
+            let mut registration = heartbeat.clone();
+            registration.capacity = smallest;
+            out.push(Action::StoreRegistration(Some(registration)));
         }
     }
 
--- a/crates/core/src/job/resources.rs
+++ b/crates/core/src/job/resources.rs
@@ -40,6 +40,16 @@
         }
     }
 
+    /// Returns the smaller amount of each resource.
+    #[must_use]
+    pub fn min(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu.min(other.cpu),
+            memory: self.memory.min(other.memory),
+            gpus: self.gpus.min(other.gpus),
+        }
+    }
+
     /// Subtracts `other` from these resources, saturating at zero.
     #[must_use]
     pub fn saturating_sub(self, other: Self) -> Self {
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -14,6 +14,7 @@
 mod bounded_room;
 mod callers_gone;
 mod calm_jobs;
+mod capacity_changes;
 mod config_age;
 mod config_repair;
 mod crashing_tasks;
