fix(scheduler): jobs on workers that crash by themselves are not given up

Callers saw: an accepted job shown as failed that could be done. Cause: two crashes, the second one alone on the worker, counted as proof. A long task that is alone anyway meets two crashes of workers by themselves now and then. Ruled out: a higher count alone: a fatal input would crash three workers each. Change: agents report how long after the start of a run its worker crashed; two crashes are proof only if that was about the same. Else the task has two more chances, four crashes in all.

--- a/crates/core/src/executor/crashes.rs
+++ b/crates/core/src/executor/crashes.rs
@@ -79,12 +79,13 @@
         }
         let total: f64 = jobs.values().sum();
         let highest = jobs.values().copied().fold(0.0, f64::max);
-        let evidence = on_worker().filter_map(|(id, _)| {
+        let evidence = on_worker().filter_map(|(id, run)| {
             let weight = *jobs.get(id.task.job.as_str())?;
             let evidence = wire::CrashEvidence {
                 blame: (weight / total.max(f64::MIN_POSITIVE) * 1_000.0) as u32,
                 suspect: weight >= highest * SUSPECT_SHARE,
                 alone: jobs.len() == 1,
+                age_ms: u32::try_from(age(run, crashed_at).as_millis()).unwrap_or(u32::MAX),
             };
             Some((id.clone(), evidence))
         });
@@ -104,12 +105,17 @@
     }
 }
 
-/// Returns how likely a run has caused a crash, relative to the others.
-fn blame_weight(run: &Run, crashed_at: Duration) -> f64 {
+/// Returns the time from the start of a run to the crash of its worker.
+fn age(run: &Run, crashed_at: Duration) -> Duration {
     let started_at = match run.state {
         RunState::Starting(_, sent_at) => sent_at,
         _ => run.started_at.unwrap_or(run.ordered_at),
     };
-    let age_ms = crashed_at.saturating_sub(started_at).as_secs_f64() * 1_000.0;
+    crashed_at.saturating_sub(started_at)
+}
+
+/// Returns how likely a run has caused a crash, relative to the others.
+fn blame_weight(run: &Run, crashed_at: Duration) -> f64 {
+    let age_ms = age(run, crashed_at).as_secs_f64() * 1_000.0;
     1.0 / (age_ms + BLAME_AGE_OFFSET_MS)
 }
--- a/crates/core/src/scheduler/crashes.rs
+++ b/crates/core/src/scheduler/crashes.rs
@@ -3,7 +3,9 @@
 //! All runs on a worker end with it, so its crash tells little about which of them has caused it. The
 //! jobs that are the most likely causes run isolated from then on: on a worker without tasks of other
 //! jobs, so that a further crash harms nobody else and shows which job is to blame. A job of which a
-//! task has crashed two workers, the last of them in isolation, is given up.
+//! task has crashed two workers, the second one in isolation and as long after its start as the first
+//! one, is given up. If the times differ, the workers may have crashed by themselves, and the task gets
+//! two more chances.
 //!
 //! A queue whose jobs keep crashing workers is confined: all its jobs run isolated, on a bounded share
 //! of the workers, while other queues use the rest.
@@ -23,11 +25,17 @@
 use crate::deterministic::{DeterministicMap, DeterministicSet};
 use crate::job::RunId;
 
-/// Number of crashed workers after which a task is given up if the last crash came in isolation.
+/// Number of crashed workers after which a task is given up if the last crash came in isolation, and as
+/// long after the start as the one before.
 const MAX_CRASHES: u32 = 2;
 
-/// Number of crashed workers after which a task is given up in any case.
-const MAX_UNPROVED_CRASHES: u32 = 3;
+/// Number of crashed workers after which a task is given up in any case. Two more starts would be
+/// permitted; one is left for a crash that was not counted.
+const MAX_UNPROVED_CRASHES: u32 = 4;
+
+/// Tolerance with which two crashes came as long after the start of a run: a constant part, and a part
+/// of the time.
+const AGE_TOLERANCE: (f64, f64) = (30.0, 0.1);
 
 /// Time in which the blame of a queue falls to 1/e.
 const BLAME_DECAY: Duration = Duration::from_secs(5);
@@ -166,8 +174,10 @@
         if closed || run.attempt <= task.last_crashed_attempt {
             return;
         }
+        let alike = is_alike(task.crash_age_ms, evidence.age_ms);
         task.crashes += 1;
         task.last_crashed_attempt = run.attempt;
+        task.crash_age_ms = evidence.age_ms;
         let crashes = task.crashes;
         let proved = job.isolated && evidence.alone;
         job.isolated |= evidence.suspect || crashes >= MAX_CRASHES;
@@ -177,6 +187,7 @@
             ("blame", evidence.blame.to_string()),
             ("isolated", job.isolated.to_string()),
             ("alone", evidence.alone.to_string()),
+            ("age_ms", evidence.age_ms.to_string()),
         ];
         log(out, 332, "worker crashed under a run", true, fields);
         // A job counts once, however many of its tasks crash workers, and however often.
@@ -195,7 +206,7 @@
             }
         }
         self.mark_dirty(now, key, Duration::ZERO);
-        let given_up = crashes >= MAX_CRASHES && evidence.alone;
+        let given_up = crashes >= MAX_CRASHES && evidence.alone && alike;
         if given_up || crashes >= MAX_UNPROVED_CRASHES {
             self.metrics.crashing.inc();
             self.close_job(now, key, Answer::Failed, "crashes workers", out);
@@ -377,3 +388,10 @@
         best.filter(|_| !placed).map(|(_, _, worker)| worker)
     }
 }
+
+/// Returns whether two crashes came as long after the start of a run.
+fn is_alike(one_ms: u32, other_ms: u32) -> bool {
+    let (constant, part) = AGE_TOLERANCE;
+    let longer = f64::from(one_ms.max(other_ms));
+    f64::from(one_ms.abs_diff(other_ms)) <= constant + part * longer
+}
--- a/crates/core/src/scheduler/stored_job.rs
+++ b/crates/core/src/scheduler/stored_job.rs
@@ -123,6 +123,7 @@
                 attempt: task.last_failed_attempt,
                 crashes: task.crashes,
                 crash_attempt: task.last_crashed_attempt,
+                crash_age_ms: task.crash_age_ms,
             });
         }
     }
@@ -215,6 +216,7 @@
                 task.last_failed_attempt = failure.attempt;
                 task.crashes = failure.crashes;
                 task.last_crashed_attempt = failure.crash_attempt;
+                task.crash_age_ms = failure.crash_age_ms;
             }
             job.isolated |= failure.crashes > 0;
         }
--- a/crates/core/tests/jobs/crashing_tasks.rs
+++ b/crates/core/tests/jobs/crashing_tasks.rs
@@ -255,3 +255,29 @@
     assert!(!fleet.events.contains(&CONFINED));
     fleet.assert_rules();
 }
+
+/// Guards against a job that is given up because two workers crashed by themselves while nothing else
+/// was on them: the crashes come at different times after its starts.
+#[rstest]
+fn two_accidents_are_no_proof(#[values(false, true)] kept: bool) {
+    let mut fleet = Fleet::new(3, &WORKERS, 1);
+    fleet.run(CLAIM_MS);
+    let job = Job::new(1, 1_600, 900);
+    let job = if kept { job.durable() } else { job };
+    let caller = fleet.submit(0, "patient", job);
+    for after_ms in [150, 500] {
+        fleet.run(after_ms);
+        let now_ms = fleet.now_ms;
+        let busy = (0..WORKERS.len()).find(|&at| !fleet.hosts[at].worker.runs.is_empty());
+        fleet.worker(busy.unwrap()).crash(now_ms);
+        fleet.run(100);
+    }
+    fleet.finish(5_000);
+    let answer = if kept {
+        state(&mut fleet, caller)
+    } else {
+        fleet.answer_to(caller).cloned()
+    };
+    assert_eq!(answer, Some(Answer::Completed));
+    fleet.assert_rules();
+}
--- a/crates/core/tests/jobs/malformed_messages.rs
+++ b/crates/core/tests/jobs/malformed_messages.rs
@@ -136,7 +136,7 @@
     ) -> Body {
         let reports = runs.into_iter().map(|(run, outcome, run_ms, kept)| wire::RunReport {
             run: Some(run), outcome, run_ms, kept,
-            crash: Some(wire::CrashEvidence { blame, suspect, alone }),
+            crash: Some(wire::CrashEvidence { blame, suspect, alone, age_ms: run_ms }),
         });
         Body::RunReports(wire::RunReports {
             number, orders_seen, listing, open,
