fix(scheduler): jobs whose tasks an agent returned are counted as waiting

Callers saw: the number of waiting jobs of a queue was less than half of the true one (MIXED) while many orders were declined. Cause: a job counted as begun as soon as a task was sent to an agent. One that the agent returns unstarted has not begun. Ruled out: peers' counts that are lost: they come three times a second. Change: a job waits as long as none of its tasks is placed, may have run, or is done.

--- a/crates/core/src/scheduler/durable_jobs.rs
+++ b/crates/core/src/scheduler/durable_jobs.rs
@@ -317,11 +317,16 @@
         self.durable.as_ref().map(|durable| durable.shard)
     }
 
-    /// Returns whether the job was accepted and no task of it has been placed.
+    /// Returns whether the job was accepted and no task of it has been started, as far as is known. A
+    /// task that an agent returned has not been.
     pub(super) fn is_queued(&self) -> bool {
         let stored = self.durable.as_ref();
         let stored = stored.is_none_or(|durable| durable.stored == StoredState::Open);
-        stored && self.progress == Progress::Queued
+        let any_done = || {
+            let mut phases = self.phases.iter();
+            phases.any(|phase| (phase.unfinished_tasks as usize) < phase.tasks.len())
+        };
+        stored && self.progress != Progress::Closed && self.is_unstarted() && !any_done()
     }
 
     /// Returns whether the job ended so long ago that its row can be deleted.
