fix(scheduler): a confined queue does not stand still, and accidents at other times are no proof

Cause: each job of a confined queue had a worker of its own, and all processes competed for these workers. Change: orders carry a group instead of a flag. Suspect jobs form a group each, all other jobs of a confined queue form one together. Half of the reserved workers are left to suspects. All crashes of a task must come after about the same time to be proof; the rows keep the shortest and the longest.

--- a/crates/core/src/executor/crashes.rs
+++ b/crates/core/src/executor/crashes.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use knapweedwall_wire as wire;
+use smol_str::SmolStr;
 
 use super::io::Action;
 use super::machine::{Loss, Machine, log};
@@ -92,16 +93,22 @@
         evidence.collect()
     }
 
-    /// Returns whether a run may be on the worker beside those that are there now: an isolated run
-    /// shares the worker with runs of its job only.
-    pub(super) fn isolation_allows(&self, id: &RunId) -> bool {
-        let isolated = self.runs.get(id).is_some_and(|run| run.isolated);
-        let others = self
-            .runs
-            .iter()
-            .filter(|(other, run)| run.may_be_on_worker() && other.task.job != id.task.job);
-        let mut others = others.map(|(_, run)| run.isolated);
-        others.all(|other_isolated| !isolated && !other_isolated)
+    /// Returns whether a run may be on the worker beside those that are there now: all of them must be
+    /// of the same group.
+    pub(super) fn group_allows(&self, id: &RunId) -> bool {
+        let Some(run) = self.runs.get(id) else {
+            return false;
+        };
+        let others = self.runs.iter().filter(|(_, run)| run.may_be_on_worker());
+        let mut groups = others.map(|(_, other)| &other.group);
+        groups.all(|group| *group == run.group)
+    }
+
+    /// Returns the group of the runs that are on the worker or wait for it; empty if they have none.
+    pub(super) fn group(&self) -> SmolStr {
+        let mut groups = self.runs.iter().map(|(_, run)| &run.group);
+        let group = groups.find(|group| !group.is_empty());
+        group.cloned().unwrap_or_default()
     }
 }
 
--- a/crates/core/src/executor/machine.rs
+++ b/crates/core/src/executor/machine.rs
@@ -539,17 +539,12 @@
         if self.worker.heartbeat.is_none() {
             return wire::WorkerState::default();
         }
-        let isolating = self.runs.iter().any(|(_, run)| run.isolated);
-        let free = if isolating {
-            Resources::default()
-        } else {
-            self.free_resources()
-        };
         wire::WorkerState {
-            free: Some(free.into()),
+            free: Some(self.free_resources().into()),
             waiting_cpu: self.runs.waiting_cpu(),
             usable: self.is_usable(now),
             idle: self.runs.is_empty(),
+            group: self.group().into(),
         }
     }
 
--- a/crates/core/src/executor/owners.rs
+++ b/crates/core/src/executor/owners.rs
@@ -302,7 +302,7 @@
                     number: owner.last_message_number,
                     orders_seen: owner.last_orders_number,
                     reports: mem::take(&mut owner.queued_run_reports).into(),
-                    worker: Some(*state),
+                    worker: Some(state.clone()),
                     listing: send_listing,
                     open: open.unwrap_or_default(),
                     profile: new_profile,
--- a/crates/core/src/executor/run_lists.rs
+++ b/crates/core/src/executor/run_lists.rs
@@ -1,6 +1,7 @@
 //! Lease renewals, and the lists of running and ended runs in the worker's responses.
 
 use knapweedwall_wire as wire;
+use smol_str::SmolStr;
 
 use super::io::{Action, CallKey, EndCause, EndedRun, RenewalOutcome, RunLists, RunningRun};
 use super::machine::{Loss, Machine, log};
@@ -199,7 +200,7 @@
             progress_percent: listed_run.percent,
             progress_times: (now.mono, now.mono),
             stop_cause: None,
-            isolated: false,
+            group: SmolStr::default(),
         };
         self.insert_run(listed_run.run.clone(), run);
     }
--- a/crates/core/src/executor/runs.rs
+++ b/crates/core/src/executor/runs.rs
@@ -60,8 +60,8 @@
     pub(super) progress_times: (Duration, Duration),
     /// Why the run is to be stopped, if it is.
     pub(super) stop_cause: Option<StopCause>,
-    /// Whether the run may share the worker with runs of its job only.
-    pub(super) isolated: bool,
+    /// If not empty, the run shares the worker with runs of this group only.
+    pub(super) group: SmolStr,
 }
 
 impl Run {
--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -72,6 +72,7 @@
         let latest_start =
             Duration::from_micros(u64::try_from(latest_start_us).unwrap_or_default());
         let job = SmolStr::from(order.job);
+        let group = SmolStr::from(order.group);
         let durable = order.epoch > 0;
         let current_owner = !durable || self.shard_claims.accepts_order(&job, order.epoch, owner);
         for task in order.tasks {
@@ -113,10 +114,10 @@
                 progress_percent: 0,
                 progress_times: (now.mono, now.mono),
                 stop_cause: None,
-                isolated: order.isolated,
+                group: group.clone(),
             };
             self.insert_run(id.clone(), run);
-            if self.free_resources().can_fit(resources) && self.isolation_allows(&id) {
+            if self.free_resources().can_fit(resources) && self.group_allows(&id) {
                 self.start_run(now, &id, out);
             }
         }
@@ -135,8 +136,8 @@
         for (_, id) in waiting {
             let resources = self.runs.get(&id).and_then(|run| run.resources);
             let fits = self.free_resources().can_fit(resources.unwrap_or_default());
-            if !fits || !self.isolation_allows(&id) {
-                // Smaller tasks do not overtake a larger or isolated one. It blocks them for at most
+            if !fits || !self.group_allows(&id) {
+                // Smaller tasks do not overtake a larger one, or one of another group. It blocks them for at most
                 // `MAX_RESOURCE_WAIT`, after which it is declined.
                 return;
             }
--- a/crates/core/src/scheduler/crashes.rs
+++ b/crates/core/src/scheduler/crashes.rs
@@ -7,13 +7,13 @@
 //! one, is given up. If the times differ, the workers may have crashed by themselves, and the task gets
 //! two more chances.
 //!
-//! A queue whose jobs keep crashing workers is confined: all its jobs run isolated, on a bounded share
-//! of the workers, while other queues use the rest.
+//! A queue whose jobs keep crashing workers is confined: its jobs share no worker with those of other
+//! queues, and use a bounded share of the workers.
 
 use std::time::Duration;
 
 use knapweedwall_wire as wire;
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::io::{Action, Answer};
@@ -25,15 +25,15 @@
 use crate::deterministic::{DeterministicMap, DeterministicSet};
 use crate::job::RunId;
 
-/// Number of crashed workers after which a task is given up if the last crash came in isolation, and as
-/// long after the start as the one before.
+/// Number of crashed workers after which a task is given up if the last crash came in isolation, and all
+/// of them as long after the start.
 const MAX_CRASHES: u32 = 2;
 
 /// Number of crashed workers after which a task is given up in any case. Two more starts would be
 /// permitted; one is left for a crash that was not counted.
 const MAX_UNPROVED_CRASHES: u32 = 4;
 
-/// Tolerance with which two crashes came as long after the start of a run: a constant part, and a part
+/// Tolerance with which crashes came as long after the start of a run: a constant part, and a part
 /// of the time.
 const AGE_TOLERANCE: (f64, f64) = (30.0, 0.1);
 
@@ -59,6 +59,9 @@
 /// Fraction of the workers of a service that are reserved for isolated jobs while there are any.
 const RESERVED_SHARE: f64 = 0.2;
 
+/// Fraction of the reserved workers that are left to jobs that may have crashed a worker, rounded down.
+const SUSPECTS_SHARE: f64 = 0.5;
+
 /// Fraction of the CPU of all connected workers that has to be free for jobs of confined queues to use
 /// workers that are not reserved.
 const SPARE_CPU_SHARE: f64 = 0.4;
@@ -120,6 +123,8 @@
     isolating: bool,
     /// Workers that run isolated jobs only.
     pub(super) reserved: DeterministicSet<WorkerKey>,
+    /// Those of them that run only jobs that may have crashed a worker.
+    suspects_only: DeterministicSet<WorkerKey>,
     /// Whether jobs of confined queues may use other workers as well.
     spare: bool,
 }
@@ -174,10 +179,13 @@
         if closed || run.attempt <= task.last_crashed_attempt {
             return;
         }
-        let alike = is_alike(task.crash_age_ms, evidence.age_ms);
+        let age_ms = evidence.age_ms;
+        let (shortest, longest) = task.crash_ages.unwrap_or((age_ms, age_ms));
+        let ages = (shortest.min(age_ms), longest.max(age_ms));
+        let alike = is_alike(ages);
         task.crashes += 1;
         task.last_crashed_attempt = run.attempt;
-        task.crash_age_ms = evidence.age_ms;
+        task.crash_ages = Some(ages);
         let crashes = task.crashes;
         let proved = job.isolated && evidence.alone;
         job.isolated |= evidence.suspect || crashes >= MAX_CRASHES;
@@ -287,9 +295,16 @@
         }
     }
 
-    /// Returns whether the tasks of a job may share a worker with those of other jobs.
-    pub(super) fn is_isolated(&self, job: &Job) -> bool {
-        job.isolated || self.crashes.is_confined(&job.request.queue)
+    /// Returns the group whose tasks alone share a worker with those of a job: that of the job itself if
+    /// it may have crashed a worker, else that of its queue if it is confined. Other jobs have none.
+    pub(super) fn group_of(&self, job: &Job) -> SmolStr {
+        if job.isolated {
+            return format_smolstr!("job {}", job.request.id);
+        }
+        if self.crashes.is_confined(&job.request.queue) {
+            return format_smolstr!("queue {}", job.request.queue);
+        }
+        SmolStr::default()
     }
 
     /// Places the waiting tasks of isolated jobs. Jobs of a confined queue that have crashed no worker
@@ -303,10 +318,15 @@
         });
         for (priority, key) in jobs {
             let waiting = self.jobs.get(key).map(Job::waiting_positions);
+            let group = self.jobs.get(key).map(|job| self.group_of(job));
+            let group = group.unwrap_or_default();
             for at in waiting.unwrap_or_default() {
-                let Some(worker) = self.choose_isolated_worker(now, key, at) else {
+                let Some(worker) = self.choose_group_worker(now, key, &group, at) else {
                     break;
                 };
+                if let Some(worker) = self.workers.get_mut(worker) {
+                    worker.group = group.clone();
+                }
                 self.order_task(now, key, at, worker, (priority.sort_key, false));
             }
         }
@@ -317,6 +337,7 @@
     /// worker after the other would be reserved and crashed.
     pub(super) fn update_reserved_workers(&mut self, now: Now) {
         self.crashes.reserved.clear();
+        self.crashes.suspects_only.clear();
         self.crashes.spare = false;
         if !self.crashes.isolating && !self.peers.is_any_isolating() {
             return;
@@ -341,57 +362,61 @@
             let share = (members.len() as f64 * RESERVED_SHARE).ceil() as usize;
             let reserved = members.iter().take(share.min(members.len() - 1));
             self.crashes.reserved.extend(reserved.map(|(_, key)| *key));
+            let for_suspects = (share as f64 * SUSPECTS_SHARE) as usize;
+            let for_suspects = members.iter().take(for_suspects);
+            self.crashes
+                .suspects_only
+                .extend(for_suspects.map(|(_, key)| *key));
         }
     }
 
-    /// Chooses the worker for a task of an isolated job: the one that runs other tasks of the job, else
-    /// an idle one. Jobs of confined queues use reserved workers only.
-    pub(super) fn choose_isolated_worker(
+    /// Chooses the worker for a task of a group: one that runs tasks of the group, else an idle one.
+    /// Tasks of a job that may have crashed a worker use one worker at a time. Jobs of confined queues
+    /// use reserved workers, one of which is left to those that have crashed a worker.
+    fn choose_group_worker(
         &self,
         now: Now,
         key: JobKey,
+        group: &SmolStr,
         (phase, index): (u32, u32),
     ) -> Option<WorkerKey> {
         let job = self.jobs.get(key)?;
-        let id = &job.request.id;
         let spec = &job.request.phases[phase as usize];
         let confined = self.crashes.is_confined(&job.request.queue);
         let avoided = &job.task(phase, index)?.avoided_workers;
-        let mut best: Option<([bool; 2], f64, WorkerKey)> = None;
+        let bound = job.isolated && job.placed_tasks > 0;
+        let mut best: Option<([bool; 3], f64, WorkerKey)> = None;
         for (worker_key, worker) in self.workers.iter() {
             if worker.service != job.queue_config.service || !worker.is_usable(now.mono) {
                 continue;
             }
             let reserved = self.crashes.reserved.contains(&worker_key);
-            let only_choice = self.crashes.reserved.is_empty();
-            if confined && !reserved && !only_choice && !self.crashes.spare {
+            let for_suspects = self.crashes.suspects_only.contains(&worker_key);
+            let elsewhere = confined && !reserved && !self.crashes.spare;
+            if elsewhere || for_suspects && !job.isolated {
                 continue;
             }
-            let runs_job = worker.runs.iter().any(|run| run.task.job == *id);
-            let foreign = worker.runs.iter().any(|run| run.task.job != *id);
-            let has_room = worker.free().can_fit(spec.resources);
-            let fits = has_room && (runs_job && !foreign || worker.is_idle());
-            if !fits || !meets_constraints(job, spec, phase, worker_key, worker) {
+            let joins = worker.group == *group && !worker.runs.is_empty();
+            if !joins && (bound || !worker.is_idle()) || !worker.free().can_fit(spec.resources) {
                 continue;
             }
-            if runs_job {
-                return Some(worker_key);
+            if !meets_constraints(job, spec, phase, worker_key, worker) {
+                continue;
             }
-            let rank = [avoided.contains(&worker_key), !reserved];
+            let rank = [avoided.contains(&worker_key), !joins, !reserved];
             // Different processes prefer different workers, so that they do not take the same one.
             let preference = worker.preference;
             if best.is_none_or(|best| (rank, preference) < (best.0, best.1)) {
                 best = Some((rank, preference, worker_key));
             }
         }
-        let placed = job.placed_tasks > 0;
-        best.filter(|_| !placed).map(|(_, _, worker)| worker)
+        best.map(|(_, _, worker)| worker)
     }
 }
 
-/// Returns whether two crashes came as long after the start of a run.
-fn is_alike(one_ms: u32, other_ms: u32) -> bool {
+/// Returns whether the shortest and the longest time from the start of a run to a crash are about the
+/// same.
+fn is_alike((shortest_ms, longest_ms): (u32, u32)) -> bool {
     let (constant, part) = AGE_TOLERANCE;
-    let longer = f64::from(one_ms.max(other_ms));
-    f64::from(one_ms.abs_diff(other_ms)) <= constant + part * longer
+    f64::from(longest_ms - shortest_ms) <= constant + part * f64::from(longest_ms)
 }
--- a/crates/core/src/scheduler/jobs.rs
+++ b/crates/core/src/scheduler/jobs.rs
@@ -44,8 +44,8 @@
     pub(super) crashes: u32,
     /// Number of the latest attempt whose worker crashed.
     pub(super) last_crashed_attempt: u32,
-    /// Time from the start of that attempt to the crash, in milliseconds.
-    pub(super) crash_age_ms: u32,
+    /// Shortest and longest time from the start of a run to the crash of its worker, in milliseconds.
+    pub(super) crash_ages: Option<(u32, u32)>,
     /// Workers on which the task failed or stalled; used only if no other worker is suitable.
     pub(super) avoided_workers: SmallVec<[WorkerKey; 2]>,
 }
@@ -131,7 +131,7 @@
                 last_failed_attempt: 0,
                 crashes: 0,
                 last_crashed_attempt: 0,
-                crash_age_ms: 0,
+                crash_ages: None,
                 avoided_workers: SmallVec::new(),
             };
             phases.push(Phase {
--- a/crates/core/src/scheduler/placement.rs
+++ b/crates/core/src/scheduler/placement.rs
@@ -133,10 +133,10 @@
         for (key, job) in self.jobs.iter_open() {
             let has_waiting = job.waiting_tasks > 0 && job.progress != Progress::Closed;
             if has_waiting && self.may_place(now, job) {
-                let jobs = if self.is_isolated(job) {
-                    &mut isolated
-                } else {
+                let jobs = if self.group_of(job).is_empty() {
                     &mut ready
+                } else {
+                    &mut isolated
                 };
                 jobs.push((self.priority(now, job, fleet), key));
             }
@@ -243,7 +243,8 @@
         for (worker_key, worker) in self.workers.iter() {
             let usable = worker.is_usable(now.mono) && worker.service == job.queue_config.service;
             let reserved = self.crashes.reserved.contains(&worker_key);
-            if !usable || reserved || !meets_constraints(job, spec, phase, worker_key, worker) {
+            let grouped = reserved || !worker.group.is_empty();
+            if !usable || grouped || !meets_constraints(job, spec, phase, worker_key, worker) {
                 continue;
             }
             let run_ms = self.run_ms(spec, worker, expected) * RUN_TIME_MARGIN;
@@ -283,7 +284,7 @@
             if !worker.is_usable(now.mono) || worker.service != job.queue_config.service {
                 continue;
             }
-            if self.crashes.reserved.contains(&worker_key) {
+            if self.crashes.reserved.contains(&worker_key) || !worker.group.is_empty() {
                 continue;
             }
             if !meets_constraints(job, spec, phase, worker_key, worker) {
@@ -356,8 +357,8 @@
         (sort_key, waits): (Duration, bool),
     ) {
         let epoch = self.jobs.get(key).map_or(0, |job| self.shard_epoch(job));
-        let job = self.jobs.get(key);
-        let isolated = job.is_some_and(|job| self.is_isolated(job));
+        let group = self.jobs.get(key).map(|job| self.group_of(job));
+        let group = group.unwrap_or_default();
         let (Some(job), Some(worker)) = (self.jobs.get_mut(key), self.workers.get_mut(worker_key))
         else {
             return;
@@ -391,7 +392,7 @@
         worker.add_order(run, resources, waits);
         let same = worker.outbox.phases.last_mut().filter(|order| {
             let same_phase = order.job == job.request.id.as_str() && order.phase == phase;
-            same_phase && order.waits == waits && order.isolated == isolated
+            same_phase && order.waits == waits && order.group == group.as_str()
         });
         if let Some(order) = same {
             return order.tasks.push(attempt);
@@ -406,7 +407,7 @@
             waits,
             tasks: vec![attempt],
             epoch,
-            isolated,
+            group: group.into(),
         });
     }
 
--- a/crates/core/src/scheduler/stored_job.rs
+++ b/crates/core/src/scheduler/stored_job.rs
@@ -123,7 +123,8 @@
                 attempt: task.last_failed_attempt,
                 crashes: task.crashes,
                 crash_attempt: task.last_crashed_attempt,
-                crash_age_ms: task.crash_age_ms,
+                min_age_ms: task.crash_ages.unwrap_or_default().0,
+                max_age_ms: task.crash_ages.unwrap_or_default().1,
             });
         }
     }
@@ -216,7 +217,8 @@
                 task.last_failed_attempt = failure.attempt;
                 task.crashes = failure.crashes;
                 task.last_crashed_attempt = failure.crash_attempt;
-                task.crash_age_ms = failure.crash_age_ms;
+                let ages = (failure.min_age_ms, failure.max_age_ms);
+                task.crash_ages = (failure.crashes > 0).then_some(ages);
             }
             job.isolated |= failure.crashes > 0;
         }
--- a/crates/core/src/scheduler/workers.rs
+++ b/crates/core/src/scheduler/workers.rs
@@ -80,6 +80,8 @@
     waiting_cpu: u32,
     usable: bool,
     idle: bool,
+    /// Group of the runs on the worker, as far as known; empty if they have none.
+    pub(super) group: SmolStr,
     /// Ordered runs that the last report does not reflect yet, in the order of their frames.
     unseen_orders: VecDeque<UnseenOrder>,
     /// Number of the last `RunOrders` frame sent on this connection.
@@ -124,6 +126,7 @@
         self.waiting_cpu = state.waiting_cpu;
         self.usable = state.usable;
         self.idle = state.idle;
+        self.group = state.group.into();
         while self
             .unseen_orders
             .front()
@@ -285,6 +288,7 @@
                 waiting_cpu: 0,
                 usable: false,
                 idle: false,
+                group: SmolStr::default(),
                 unseen_orders: VecDeque::new(),
                 last_order: 0,
                 runs: DeterministicSet::default(),
--- a/crates/core/tests/jobs/malformed_messages.rs
+++ b/crates/core/tests/jobs/malformed_messages.rs
@@ -101,13 +101,13 @@
         job in text(), phase in small(), spec in text(), room in room(), expected_ms in small(),
         slack_ms in prop_oneof![Just(i32::MIN), Just(i32::MAX), Just(0)], waits in any::<bool>(),
         tasks in proptest::collection::vec((small(), small()), 0..3), epoch in large(),
-        isolated in any::<bool>(),
+        group in text(),
     ) -> wire::PhaseOrder {
         let tasks = tasks.into_iter();
         let tasks = tasks.map(|(index, attempt)| wire::TaskAttempt { index, attempt });
         wire::PhaseOrder {
             job, phase, spec, room: Some(room), expected_ms, slack_ms, waits,
-            tasks: tasks.collect(), epoch, isolated,
+            tasks: tasks.collect(), epoch, group,
         }
     }
 }
@@ -126,22 +126,35 @@
     }
 }
 
+prop_compose! {
+    fn run_report()(
+        run in run(), outcome in 0..12_i32, run_ms in small(), kept in any::<bool>(),
+        blame in small(), suspect in any::<bool>(), alone in any::<bool>(),
+    ) -> wire::RunReport {
+        let crash = wire::CrashEvidence { blame, suspect, alone, age_ms: run_ms };
+        wire::RunReport { run: Some(run), outcome, run_ms, kept, crash: Some(crash) }
+    }
+}
+
+prop_compose! {
+    fn worker_state()(
+        free in proptest::option::of(room()), waiting_cpu in small(), usable in any::<bool>(),
+        idle in any::<bool>(), group in text(),
+    ) -> wire::WorkerState {
+        wire::WorkerState { free, waiting_cpu, usable, idle, group }
+    }
+}
+
 prop_compose! {
     fn reports()(
         number in large(), orders_seen in large(), listing in any::<bool>(),
-        runs in proptest::collection::vec((run(), 0..12_i32, small(), any::<bool>()), 0..3),
-        blame in small(), suspect in any::<bool>(), alone in any::<bool>(), idle in any::<bool>(),
-        open in proptest::collection::vec(run(), 0..3), free in proptest::option::of(room()),
-        waiting_cpu in small(), usable in any::<bool>(), capacity in room(), service in text(),
+        reports in proptest::collection::vec(run_report(), 0..3),
+        open in proptest::collection::vec(run(), 0..3), state in worker_state(),
+        capacity in room(), service in text(),
     ) -> Body {
-        let reports = runs.into_iter().map(|(run, outcome, run_ms, kept)| wire::RunReport {
-            run: Some(run), outcome, run_ms, kept,
-            crash: Some(wire::CrashEvidence { blame, suspect, alone, age_ms: run_ms }),
-        });
         Body::RunReports(wire::RunReports {
-            number, orders_seen, listing, open,
-            reports: reports.collect(),
-            worker: Some(wire::WorkerState { free, waiting_cpu, usable, idle }),
+            number, orders_seen, listing, open, reports,
+            worker: Some(state),
             profile: Some(wire::WorkerProfile {
                 instance: "i-1".into(), service, labels: Vec::new(), capacity: Some(capacity),
             }),
