fix(scheduler): a suspect job does not wait for ever for a worker of its own

Callers saw: nothing yet; an accepted job whose worker had crashed by itself would have stayed open on a fleet that is always busy, or where its label allows one worker. Cause: an isolated job needs an idle worker, and nothing bounded the wait. A confined queue needs a reserved worker, and a service with one worker, or a label, may have none. Ruled out: orders that wait at the agent until its worker is idle: smaller tasks overtake them, and the wait there ends after 60 ms. Change: three seconds after the crash a job of a queue that is not confined runs beside others; a queue without a suitable reserved worker is not treated as confined. Blame moves to a file of its own, the evidence of crashes to the agent's crashes. Measured: busy_fleets_do_not_starve_suspects, one worker: still running after 12 s before, completed now. On a worker that is overloaded eightfold the started job still waits behind new ones; that is older and not changed.

--- a/crates/core/src/executor/crashes.rs
+++ b/crates/core/src/executor/crashes.rs
@@ -9,8 +9,8 @@
 use smol_str::SmolStr;
 
 use super::io::Action;
-use super::machine::{Loss, Machine, log};
-use super::runs::{Run, RunState};
+use super::machine::{Machine, log};
+use super::runs::{Run, RunState, run_report};
 use crate::clock::Now;
 use crate::deterministic::DeterministicMap;
 use crate::job::RunId;
@@ -46,6 +46,15 @@
     }
 }
 
+/// Why runs are lost.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Loss {
+    /// Cause, for the log.
+    pub(super) cause: &'static str,
+    /// Whether the worker crashed, so that a run may have caused it.
+    pub(super) crashed: bool,
+}
+
 impl Machine {
     /// Handles a refused connection to the worker. Returns whether it has ended.
     pub(super) fn handle_connection_refused(&mut self, now: Now, out: &mut Vec<Action>) -> bool {
@@ -67,6 +76,21 @@
         true
     }
 
+    /// Closes a run whose worker crashed.
+    pub(super) fn close_crashed_run(
+        &mut self,
+        now: Now,
+        id: &RunId,
+        evidence: wire::CrashEvidence,
+    ) {
+        let mut report = run_report(id, wire::RunOutcome::Crashed, Duration::ZERO);
+        report.crash = Some(evidence);
+        if self.runs.get(id).is_some_and(|run| run.durable) {
+            self.crashed_runs.add(now.mono, report.clone());
+        }
+        self.close_run_with_report(now, id, report);
+    }
+
     /// Returns the evidence against each run on a worker that has crashed. A run is the more likely to
     /// have caused the crash the shorter before it has started, since a task that always crashes its
     /// worker does so after the same time, and most tasks have survived that time before.
--- a/crates/core/src/executor/machine.rs
+++ b/crates/core/src/executor/machine.rs
@@ -6,7 +6,7 @@
 use knapweedwall_wire as wire;
 use knapweedwall_wire::frame::Body;
 
-use super::crashes::CrashedRuns;
+use super::crashes::{CrashedRuns, Loss};
 use super::durable_runs::{RetainedRuns, ShardClaims};
 use super::io::{Action, Heartbeat, Input, Settings};
 use super::metrics::Metrics;
@@ -311,16 +311,6 @@
         self.decline_waiting(now);
     }
 
-    /// Closes a run whose worker crashed.
-    fn close_crashed_run(&mut self, now: Now, id: &RunId, evidence: wire::CrashEvidence) {
-        let mut report = run_report(id, wire::RunOutcome::Crashed, Duration::ZERO);
-        report.crash = Some(evidence);
-        if self.runs.get(id).is_some_and(|run| run.durable) {
-            self.crashed_runs.add(now.mono, report.clone());
-        }
-        self.close_run_with_report(now, id, report);
-    }
-
     /// Closes a run and reports its outcome.
     pub(super) fn close_run(&mut self, now: Now, id: &RunId, outcome: wire::RunOutcome) {
         let started = self.runs.get(id).and_then(|run| run.started_at);
@@ -574,15 +564,6 @@
     }
 }
 
-/// Why runs are lost.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Loss {
-    /// Cause, for the log.
-    pub(super) cause: &'static str,
-    /// Whether the worker crashed, so that a run may have caused it.
-    pub(super) crashed: bool,
-}
-
 /// Appends a log event to `out`.
 pub(super) fn log(
     out: &mut Vec<Action>,
--- a/crates/core/src/executor/run_lists.rs
+++ b/crates/core/src/executor/run_lists.rs
@@ -3,8 +3,9 @@
 use knapweedwall_wire as wire;
 use smol_str::SmolStr;
 
+use super::crashes::Loss;
 use super::io::{Action, CallKey, EndCause, EndedRun, RenewalOutcome, RunLists, RunningRun};
-use super::machine::{Loss, Machine, log};
+use super::machine::{Machine, log};
 use super::pending_calls::{PendingCall, Purpose};
 use super::runs::{Run, RunState, StopCause, run_report};
 use crate::clock::Now;
--- a/crates/core/src/executor/timeouts.rs
+++ b/crates/core/src/executor/timeouts.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
+use super::crashes::Loss;
 use super::io::Action;
-use super::machine::{Loss, Machine, log};
+use super::machine::{Machine, log};
 use super::owners::OWNER_SILENCE_TIMEOUT;
 use super::runs::{RunState, StopCause};
 use crate::clock::Now;
--- a/crates/core/src/scheduler/crashes.rs
+++ b/crates/core/src/scheduler/crashes.rs
@@ -16,6 +16,7 @@
 use smol_str::{SmolStr, format_smolstr};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::blame::Blame;
 use super::io::{Action, Answer};
 use super::jobs::{Job, JobKey, Progress};
 use super::machine::{Machine, log};
@@ -37,25 +38,14 @@
 /// of the time.
 const AGE_TOLERANCE: (f64, f64) = (30.0, 0.1);
 
-/// Time in which the blame of a queue falls to 1/e.
-const BLAME_DECAY: Duration = Duration::from_secs(5);
-
-/// Blame, in crashes, from which on a queue is confined. A single job causes at most 1.
-const CONFINEMENT_BLAME: f64 = 1.3;
-
-/// Proved blame from which on a queue is confined: that of one job some seconds ago.
-const CONFINEMENT_PROOF: f64 = 0.4;
-
-/// Blame, in crashes, below which a confined queue is released.
-const RELEASE_BLAME: f64 = 0.6;
-
-/// Upper bound of the blame of a queue, in crashes. Bounds the time until its release.
-const MAX_BLAME: f64 = 4.0;
-
 /// Time after the first crash in which crashes of other workers are taken to have the same cause, such
 /// as the loss of a rack, and are not added to the blame unless a single isolated job was on them.
 const COMMON_CAUSE_TIME: Duration = Duration::from_millis(60);
 
+/// Time after a crash in which a job of a queue that is not confined waits for a worker of its own. Then
+/// it runs beside others: where all workers that it may use are always busy, none ever becomes idle.
+const ISOLATION_WAIT: Duration = Duration::from_secs(3);
+
 /// Fraction of the workers of a service that are reserved for isolated jobs while there are any.
 const RESERVED_SHARE: f64 = 0.2;
 
@@ -69,51 +59,6 @@
 /// Time in which the CPU that other jobs have used is forgotten, to 1/e.
 const DEMAND_DECAY: Duration = Duration::from_secs(4);
 
-/// Decaying blame of a queue: expected number of its jobs that crash workers.
-#[derive(Debug, Clone, Copy, Default)]
-pub(super) struct Blame {
-    total: f64,
-    /// The part that is proved, because an isolated job was alone on the worker.
-    proved: f64,
-    at: Duration,
-}
-
-impl Blame {
-    /// Decodes the blame that a peer reports.
-    pub(super) fn from_report(report: &wire::QueueBlame) -> Self {
-        Self {
-            total: f64::from(report.blame) / 1_000.0,
-            proved: f64::from(report.proved) / 1_000.0,
-            at: Duration::ZERO,
-        }
-    }
-
-    fn at(self, now: Duration) -> Self {
-        let age = now.saturating_sub(self.at).as_secs_f64();
-        let left = (-age / BLAME_DECAY.as_secs_f64()).exp();
-        Self {
-            total: self.total * left,
-            proved: self.proved * left,
-            at: now,
-        }
-    }
-
-    /// Returns the sum of both.
-    pub(super) fn plus(self, other: Self) -> Self {
-        Self {
-            total: (self.total + other.total).min(MAX_BLAME),
-            proved: (self.proved + other.proved).min(MAX_BLAME),
-            at: self.at,
-        }
-    }
-
-    /// Returns whether the queue is to be confined. Without proof it is not: workers may crash by
-    /// themselves.
-    fn confines(self) -> bool {
-        self.total >= CONFINEMENT_BLAME && self.proved >= CONFINEMENT_PROOF
-    }
-}
-
 /// What is known of crashes.
 #[derive(Debug, Default)]
 pub(super) struct Crashes {
@@ -136,7 +81,7 @@
 }
 
 impl Crashes {
-    /// Returns whether all jobs of a queue run isolated, on reserved workers only.
+    /// Returns whether a queue is confined.
     pub(super) fn is_confined(&self, queue: &str) -> bool {
         self.confined.contains(queue)
     }
@@ -195,6 +140,7 @@
         let crashes = task.crashes;
         let proved = job.isolated && evidence.alone;
         job.isolated |= evidence.suspect || crashes >= MAX_CRASHES;
+        job.crashed_at = now.mono;
         let fields = vec![
             ("run", run.to_string()),
             ("crashes", crashes.to_string()),
@@ -212,7 +158,7 @@
             let added = Blame {
                 total: added,
                 proved: if proved { blame } else { 0.0 },
-                at: now.mono,
+                since: now.mono,
             };
             *known = known.at(now.mono).plus(added);
             if let Some(job) = self.jobs.get_mut(key) {
@@ -249,10 +195,9 @@
         {
             return;
         }
-        let forgotten = 1.0 / 1_000.0;
         self.crashes
             .blame
-            .retain(|_, blame| blame.at(now.mono).total >= forgotten);
+            .retain(|_, blame| !blame.at(now.mono).is_forgotten());
         self.update_confinement(now, out);
         let jobs = self.jobs.iter_open();
         let mut unfinished = jobs.filter(|(_, job)| job.waiting_tasks + job.placed_tasks > 0);
@@ -279,7 +224,7 @@
         }
         confined.retain(|queue| {
             let blame = total.get(queue);
-            let keep = blame.is_some_and(|blame| blame.total >= RELEASE_BLAME);
+            let keep = blame.is_some_and(|blame| blame.keeps_confined());
             if !keep {
                 changes.push((queue.clone(), false));
             }
@@ -302,17 +247,31 @@
     }
 
     /// Returns the group whose tasks alone share a worker with those of a job: that of the job itself if
-    /// it may have crashed a worker, else that of its queue if it is confined. Other jobs have none.
-    pub(super) fn group_of(&self, job: &Job) -> SmolStr {
-        if job.isolated {
+    /// it may have crashed a worker, else that of its queue if it is confined and a reserved worker is
+    /// suitable. Other jobs have none.
+    pub(super) fn group_of(&self, now: Now, job: &Job) -> SmolStr {
+        let confined = self.crashes.is_confined(&job.request.queue);
+        let waits = job.placed_tasks > 0 || now.since(job.crashed_at) < ISOLATION_WAIT;
+        if job.isolated && (confined || waits) {
             return format_smolstr!("job {}", job.request.id);
         }
-        if self.crashes.is_confined(&job.request.queue) {
+        if confined && self.has_reserved_worker(job) {
             return format_smolstr!("queue {}", job.request.queue);
         }
         SmolStr::default()
     }
 
+    /// Returns whether a reserved worker is suitable for all phases of a job.
+    fn has_reserved_worker(&self, job: &Job) -> bool {
+        let reserved = self.crashes.reserved.iter();
+        let mut workers = reserved.filter_map(|key| self.workers.get(*key));
+        workers.any(|worker| {
+            let mut labels = job.request.phases.iter().map(|spec| spec.label.as_ref());
+            worker.service == job.queue_config.service
+                && labels.all(|label| label.is_none_or(|label| worker.labels.contains(label)))
+        })
+    }
+
     /// Places the waiting tasks of isolated jobs. Jobs of a confined queue that have crashed no worker
     /// go before those that have, which probably crash the next one as well.
     pub(super) fn place_isolated_jobs(&mut self, now: Now, mut jobs: Vec<(Priority, JobKey)>) {
@@ -324,7 +283,7 @@
         });
         for (priority, key) in jobs {
             let waiting = self.jobs.get(key).map(Job::waiting_positions);
-            let group = self.jobs.get(key).map(|job| self.group_of(job));
+            let group = self.jobs.get(key).map(|job| self.group_of(now, job));
             let group = group.unwrap_or_default();
             for at in waiting.unwrap_or_default() {
                 let Some(worker) = self.choose_group_worker(now, key, &group, at) else {
--- a/crates/core/src/scheduler/jobs.rs
+++ b/crates/core/src/scheduler/jobs.rs
@@ -97,6 +97,8 @@
     /// Whether the job may have crashed a worker, so that its tasks share no worker with those of
     /// other jobs.
     pub(super) isolated: bool,
+    /// Time of the last crash of a worker under the job.
+    pub(super) crashed_at: Duration,
     /// Blame of the job for crashes, as added to that of its queue.
     pub(super) blame: f64,
     /// Whether at least one of the ended runs started or may have started.
@@ -153,6 +155,7 @@
             placed_tasks: 0,
             starts: 0,
             isolated: false,
+            crashed_at: Duration::ZERO,
             blame: 0.0,
             may_have_run: false,
             resubmission: None,
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -8,6 +8,7 @@
 //! report of an agent, none of the runs that it started for this process is still active.
 
 mod admission;
+mod blame;
 mod configuration;
 mod crashes;
 mod durable_jobs;
--- a/crates/core/src/scheduler/peers.rs
+++ b/crates/core/src/scheduler/peers.rs
@@ -6,7 +6,7 @@
 use knapweedwall_wire::frame::Body;
 use smol_str::SmolStr;
 
-use super::crashes::Blame;
+use super::blame::Blame;
 use super::io::Action;
 use super::machine::Machine;
 use crate::clock::Now;
--- a/crates/core/src/scheduler/placement.rs
+++ b/crates/core/src/scheduler/placement.rs
@@ -133,7 +133,7 @@
         for (key, job) in self.jobs.iter_open() {
             let has_waiting = job.waiting_tasks > 0 && job.progress != Progress::Closed;
             if has_waiting && self.may_place(now, job) {
-                let jobs = if self.group_of(job).is_empty() {
+                let jobs = if self.group_of(now, job).is_empty() {
                     &mut ready
                 } else {
                     &mut isolated
@@ -357,7 +357,7 @@
         (sort_key, waits): (Duration, bool),
     ) {
         let epoch = self.jobs.get(key).map_or(0, |job| self.shard_epoch(job));
-        let group = self.jobs.get(key).map(|job| self.group_of(job));
+        let group = self.jobs.get(key).map(|job| self.group_of(now, job));
         let group = group.unwrap_or_default();
         let (Some(job), Some(worker)) = (self.jobs.get_mut(key), self.workers.get_mut(worker_key))
         else {
--- a/crates/core/src/scheduler/stored_job.rs
+++ b/crates/core/src/scheduler/stored_job.rs
@@ -220,7 +220,10 @@
                 let ages = (failure.min_age_ms, failure.max_age_ms);
                 task.crash_ages = (failure.crashes > 0).then_some(ages);
             }
-            job.isolated |= failure.crashes > 0;
+            if failure.crashes > 0 {
+                job.isolated = true;
+                job.crashed_at = now;
+            }
         }
     }
     job.unblock_phases();
--- a/crates/core/tests/jobs/crashing_tasks.rs
+++ b/crates/core/tests/jobs/crashing_tasks.rs
@@ -312,3 +312,23 @@
     assert_eq!(failed.count(), 30);
     assert_bounded(&fleet);
 }
+
+/// Guards against a job that waits for ever for a worker of its own on a fleet that is always busy: its
+/// worker crashed by itself.
+#[rstest]
+fn busy_fleets_do_not_starve_suspects(#[values(1, 2)] workers: usize) {
+    let mut fleet = Fleet::new(2, &WORKERS[..workers], 1);
+    fleet.run(CLAIM_MS);
+    let suspect = fleet.submit(0, "patient", Job::new(1, 1_600, 900).durable());
+    fleet.run(200);
+    let now_ms = fleet.now_ms;
+    let busy = (0..workers).find(|&at| !fleet.hosts[at].worker.runs.is_empty());
+    fleet.worker(busy.unwrap()).crash(now_ms);
+    for round in 0..600 {
+        fleet.submit(round % 2, "checks", Job::new(workers as u32, 1_600, 150));
+        fleet.run(20);
+    }
+    let answer = fleet.query(0, suspect);
+    assert_eq!(answer, Some(Answer::Completed));
+    fleet.assert_rules();
+}
