feat(agent): logs tell refused connections from refusals by the worker, and lifetimes from each other

A start whose connection was refused was logged like a refusal by the worker (412, Unhealthy), nothing named the lifetime, and runs that are kept over a restart left no line. Ruled out: a change of behaviour; a start that was not sent is handled as before. Change: outcome NotSent of a start with event 414; the lifetime in 401 and 421; event 425 for kept runs; a run and the age of the last response in 403. Conclusion: event 403 or 425 and their ages tell hypotheses 1 and 2 apart.

--- a/crates/core/src/executor/io.rs
+++ b/crates/core/src/executor/io.rs
@@ -87,6 +87,13 @@
     Started,
     /// The worker rejected the request.
     Refused(Refusal),
+    /// No connection to the worker could be made, so the request was not sent.
+    NotSent {
+        /// Whether no process listens at the worker's address.
+        refused: bool,
+        /// Cause, for the log.
+        cause: SmolStr,
+    },
     /// No valid response, for this reason. The worker may have executed the request, or may still do
     /// so.
     NoAnswer(SmolStr),
--- a/crates/core/src/executor/machine.rs
+++ b/crates/core/src/executor/machine.rs
@@ -215,6 +215,7 @@
                 ("service", heartbeat.service.to_string()),
                 ("cpu", heartbeat.capacity.cpu.to_string()),
                 ("labels", heartbeat.labels.join(",")),
+                ("incarnation", heartbeat.incarnation.to_string()),
             ];
             log(out, 401, "worker registered", false, fields);
         }
@@ -282,6 +283,20 @@
         self.pending_calls.reset_counts();
         self.probe_needed = false;
         self.pending_stops.clear();
+        if let Some(first) = carried.first() {
+            let fields = vec![
+                ("runs", carried.len().to_string()),
+                ("first", first.to_string()),
+                ("cause", loss.cause.to_owned()),
+            ];
+            log(
+                out,
+                425,
+                "runs kept because a new incarnation may have accepted them",
+                false,
+                fields,
+            );
+        }
         for id in carried {
             let evidence = evidence.get(&id).copied().filter(|_| loss.crashed);
             self.carry_over(&id, evidence);
@@ -307,9 +322,12 @@
             DeterministicMap::default()
         };
         let suspects = evidence.values().filter(|evidence| evidence.suspect);
+        let response_age = now.since(self.worker.responded_at);
         let fields = vec![
             ("runs", lost.len().to_string()),
+            ("first", lost[0].to_string()),
             ("cause", loss.cause.to_owned()),
+            ("response_age_ms", response_age.as_millis().to_string()),
             ("crashed", loss.crashed.to_string()),
             ("suspects", suspects.count().to_string()),
         ];
--- a/crates/core/src/executor/run_lists.rs
+++ b/crates/core/src/executor/run_lists.rs
@@ -115,7 +115,11 @@
         }
         if !self.worker.lists_read {
             self.worker.lists_read = true;
-            let fields = vec![("running", listed.len().to_string())];
+            let incarnation = self.worker.incarnation.unwrap_or_default();
+            let fields = vec![
+                ("running", listed.len().to_string()),
+                ("incarnation", incarnation.to_string()),
+            ];
             log(
                 out,
                 421,
--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -197,6 +197,16 @@
             StartOutcome::Refused(refusal) => {
                 self.handle_refusal(now, &id, &refusal, call.fence, out);
             }
+            StartOutcome::NotSent { refused, cause } => {
+                let fields = vec![
+                    ("run", id.to_string()),
+                    ("refused", refused.to_string()),
+                    ("cause", cause.to_string()),
+                ];
+                log(out, 414, "start request not sent", true, fields);
+                self.worker.starts_paused_until = now.mono + UNHEALTHY_PAUSE;
+                self.close_run(now, &id, wire::RunOutcome::Unusable);
+            }
         }
     }
 
--- a/crates/core/src/executor/worker.rs
+++ b/crates/core/src/executor/worker.rs
@@ -57,6 +57,8 @@
     clock: Option<(u64, Duration)>,
     /// Time of the first call since the last response.
     unanswered_since: Option<Duration>,
+    /// Time of the last response, of this or an earlier incarnation.
+    pub(super) responded_at: Duration,
     /// When the last run lists of this incarnation were requested.
     pub(super) lists_requested_at: Duration,
     /// Time of the first failed lease renewal since the last response.
@@ -86,6 +88,7 @@
             starts_paused_until: Duration::ZERO,
             clock: None,
             unanswered_since: None,
+            responded_at: Duration::ZERO,
             lists_requested_at: Duration::ZERO,
             failing_since: None,
             refusals: 0,
@@ -120,6 +123,7 @@
     /// Records a response, and the worker's clock reading if the response contains one.
     pub(super) fn record_response(&mut self, now: Duration, clock_ms: Option<u64>) {
         self.unanswered_since = None;
+        self.responded_at = now;
         self.failing_since = None;
         self.refusals = 0;
         if let Some(clock_ms) = clock_ms {
--- a/crates/core/tests/jobs/calls.rs
+++ b/crates/core/tests/jobs/calls.rs
@@ -271,7 +271,10 @@
     match call {
         Call::Start(..) => executor::Input::StartCompleted {
             call: key,
-            outcome: StartOutcome::Refused(Refusal::Unhealthy),
+            outcome: StartOutcome::NotSent {
+                refused: true,
+                cause: "connection refused".into(),
+            },
             clock_ms,
         },
         Call::Stop(..) => no_answer(key, call),
