--- a/crates/core/tests/jobs/worker.rs
+++ b/crates/core/tests/jobs/worker.rs
@@ -64,8 +64,9 @@
     pub up: bool,
     /// Capacity before the last change, and until when it counts.
     earlier: (u32, u64),
-    /// When a crashed worker is back.
+    /// When a crashed worker is back, and whether with its instance id.
     back_ms: Option<u64>,
+    back_with_id: bool,
     /// When a deadly task crashes the worker.
     crash_ms: Option<u64>,
     /// Runs that were on the worker when it crashed.
@@ -101,6 +102,7 @@
             up: true,
             earlier: (0, 0),
             back_ms: None,
+            back_with_id: false,
             crash_ms: None,
             crashed: Vec::new(),
             broken: false,
@@ -162,6 +164,13 @@
         self.back_ms = Some(now_ms + BACK_MS);
     }
 
+    /// The same, but the worker is back after `down_ms` with its instance id.
+    pub fn crash_with_id(&mut self, now_ms: u64, down_ms: u64) {
+        self.crash(now_ms);
+        self.back_ms = Some(now_ms + down_ms);
+        self.back_with_id = true;
+    }
+
     /// Whether the worker has crashed and is not back yet.
     pub fn is_gone(&self) -> bool {
         self.back_ms.is_some()
@@ -189,7 +198,11 @@
     /// Lets time pass. Returns whether a run ended.
     pub fn pass(&mut self, now_ms: u64) -> bool {
         if self.back_ms.is_some_and(|at| now_ms >= at) {
-            self.restart(now_ms);
+            if self.back_with_id {
+                self.restart_with_id(now_ms);
+            } else {
+                self.restart(now_ms);
+            }
         }
         if self.crash_ms.take_if(|at| now_ms >= *at).is_some() && self.up {
             self.crash(now_ms);
