fix(agent): refused connections end only runs that the worker had confirmed

Cause: evidence on one lifetime of a worker was applied to runs of the next one. Two refusals in a row closed all runs, also starts that were sent after the refused calls, and the two could be a second apart or made at the same time. A start that could not be sent passed for a response, so an agent whose worker had crashed without runs stayed usable and sent starts every half second, until one met the new lifetime before its heartbeat was handled. Change: refusals count only if their renewal was sent after the last response and after the refusal before it; they end runs that the worker has confirmed, all others are kept until its lists are known or the lease has expired. A refused start makes the worker unusable until it responds, and closes its run also when the worker is known to have restarted meanwhile.

--- a/crates/core/src/executor/crashes.rs
+++ b/crates/core/src/executor/crashes.rs
@@ -9,13 +9,14 @@
 use smol_str::SmolStr;
 
 use super::io::Action;
-use super::machine::{Machine, log};
+use super::machine::Machine;
 use super::runs::{Run, RunState, run_report};
 use crate::clock::Now;
 use crate::deterministic::DeterministicMap;
 use crate::job::RunId;
 
-/// Number of refused connections in a row after which the worker is known to have ended.
+/// Number of lease renewals in a row whose connections were refused after which the worker is known to
+/// have ended.
 const REFUSALS_OF_ENDED_WORKER: u32 = 2;
 
 /// Added to the age of a run, in milliseconds. Bounds the blame of a run that has just started
@@ -53,27 +54,43 @@
     pub(super) cause: &'static str,
     /// Whether the worker crashed, so that a run may have caused it.
     pub(super) crashed: bool,
-    /// Whether a new incarnation with the same instance id is known. It may have accepted runs already.
-    pub(super) same_id: bool,
+    pub(super) proof: Proof,
+}
+
+/// What is known of the worker when runs are lost, and so which runs have ended. A worker may restart
+/// with its instance id, and then accepts starts that were meant for the incarnation before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Proof {
+    /// Nothing that was sent so far can be running, or start later.
+    AllEnded,
+    /// A new incarnation with the same instance id is known. It may have accepted runs already.
+    Restarted,
+    /// The worker refused connections that were tried after its last response, so the incarnation that
+    /// gave that response has ended. A new one may be there by now.
+    Refused,
 }
 
 impl Machine {
-    /// Handles a refused connection to the worker. Returns whether it has ended.
-    pub(super) fn handle_connection_refused(&mut self, now: Now, out: &mut Vec<Action>) -> bool {
-        if self.worker.is_responsive(now.mono) {
-            let fields = vec![("cause", "connection refused".to_owned())];
-            log(out, 420, "no response to a lease renewal", true, fields);
+    /// Handles the refused connection of a lease renewal that was made at `made_at`. Returns whether the
+    /// worker has ended.
+    pub(super) fn handle_connection_refused(
+        &mut self,
+        now: Now,
+        made_at: Duration,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        if made_at < self.worker.responded_at {
+            return false;
         }
         self.worker.record_failure(now.mono);
-        self.worker.refusals += 1;
-        let ended = self.worker.refusals >= REFUSALS_OF_ENDED_WORKER;
-        if !ended || self.runs.is_idle() {
+        self.worker.record_refusal(now.mono, made_at);
+        if self.worker.refusals < REFUSALS_OF_ENDED_WORKER || !self.worker.lists_read {
             return false;
         }
         let loss = Loss {
             cause: "the worker does not accept connections",
             crashed: !self.worker.leaving,
-            same_id: false,
+            proof: Proof::Refused,
         };
         self.reset_worker(now, None, loss, out);
         true
@@ -120,9 +137,21 @@
         evidence.collect()
     }
 
+    /// Returns whether the run has not certainly ended with the incarnation that was known.
+    pub(super) fn may_have_survived(&self, run: &Run, proof: Proof) -> bool {
+        match proof {
+            Proof::AllEnded => false,
+            Proof::Restarted => self.may_be_on_successor(run),
+            // The worker responded to all other runs, so they were on the incarnation that has ended.
+            Proof::Refused => {
+                matches!(run.state, RunState::Starting(..) | RunState::Unconfirmed(_))
+            }
+        }
+    }
+
     /// Returns whether a new incarnation may have accepted the run, rather than the one before, which
     /// has neither listed it nor answered a later request for its lists.
-    pub(super) fn may_be_on_successor(&self, run: &Run) -> bool {
+    fn may_be_on_successor(&self, run: &Run) -> bool {
         match run.state {
             RunState::Waiting(_) => false,
             RunState::Running(confirmed_at) => {
--- a/crates/core/src/executor/machine.rs
+++ b/crates/core/src/executor/machine.rs
@@ -6,7 +6,7 @@
 use knapweedwall_wire as wire;
 use knapweedwall_wire::frame::Body;
 
-use super::crashes::{CrashedRuns, Loss};
+use super::crashes::{CrashedRuns, Loss, Proof};
 use super::durable_runs::{RetainedRuns, ShardClaims};
 use super::io::{Action, Heartbeat, Input, Settings};
 use super::metrics::Metrics;
@@ -181,7 +181,10 @@
     /// Returns whether runs are open or their state is unknown, so that ticks must be more frequent.
     #[must_use]
     pub fn is_busy(&self) -> bool {
-        !self.runs.is_empty() || self.probe_needed || !self.worker.lists_read
+        !self.runs.is_empty()
+            || self.probe_needed
+            || !self.worker.lists_read
+            || self.worker.unreachable
     }
 
     fn handle_heartbeat(&mut self, now: Now, heartbeat: Heartbeat, out: &mut Vec<Action>) {
@@ -203,7 +206,11 @@
             let loss = Loss {
                 cause: "the worker restarted",
                 crashed: !self.worker.leaving,
-                same_id: self.worker.instance() == heartbeat.instance,
+                proof: if self.worker.instance() == heartbeat.instance {
+                    Proof::Restarted
+                } else {
+                    Proof::AllEnded
+                },
             };
             self.reset_worker(now, Some(heartbeat.incarnation), loss, out);
         }
@@ -252,7 +259,7 @@
             let loss = Loss {
                 cause: "the worker has left",
                 crashed: false,
-                same_id: false,
+                proof: Proof::AllEnded,
             };
             self.reset_worker(now, None, loss, out);
             self.worker.leaving = true;
@@ -272,11 +279,8 @@
         let carried = self
             .runs
             .iter()
-            .filter(|(_, run)| self.may_be_on_successor(run));
-        let mut carried: Vec<RunId> = carried.map(|(id, _)| id.clone()).collect();
-        if !loss.same_id {
-            carried.clear();
-        }
+            .filter(|(_, run)| self.may_have_survived(run, loss.proof));
+        let carried: Vec<RunId> = carried.map(|(id, _)| id.clone()).collect();
         let evidence = self.crash_evidence(now);
         self.close_lost_runs(now, loss, out);
         self.worker.begin_incarnation(now.mono, incarnation);
@@ -306,12 +310,12 @@
         self.reset_renewal_backoff(now);
     }
 
-    /// Closes all runs that may have been on the worker, except those that a new incarnation with the
-    /// same instance id may have accepted.
+    /// Closes all runs that may have been on the worker, except those that have not certainly ended.
     pub(super) fn close_lost_runs(&mut self, now: Now, loss: Loss, out: &mut Vec<Action>) {
-        let lost = self.runs.iter().filter(|(_, run)| {
-            run.may_be_on_worker() && !(loss.same_id && self.may_be_on_successor(run))
-        });
+        let lost = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.may_be_on_worker() && !self.may_have_survived(run, loss.proof));
         let lost: Vec<RunId> = lost.map(|(id, _)| id.clone()).collect();
         if lost.is_empty() {
             return;
--- a/crates/core/src/executor/pending_calls.rs
+++ b/crates/core/src/executor/pending_calls.rs
@@ -72,6 +72,18 @@
         Some(call)
     }
 
+    /// Removes a completed start. Also returns whether it was sent to the given generation of the
+    /// worker.
+    pub(super) fn complete_start(
+        &mut self,
+        key: CallKey,
+        generation: u32,
+    ) -> Option<(PendingCall, bool)> {
+        let call = self.pending.remove(&key)?;
+        let current = call.generation == generation;
+        Some((call, current))
+    }
+
     /// Excludes the pending lease renewals and probes from the counts, because they were sent to an
     /// earlier generation of the worker.
     pub(super) fn reset_counts(&mut self) {
--- a/crates/core/src/executor/run_lists.rs
+++ b/crates/core/src/executor/run_lists.rs
@@ -3,7 +3,7 @@
 use knapweedwall_wire as wire;
 use smol_str::SmolStr;
 
-use super::crashes::Loss;
+use super::crashes::{Loss, Proof};
 use super::io::{Action, CallKey, EndCause, EndedRun, RenewalOutcome, RunLists, RunningRun};
 use super::machine::{Machine, log};
 use super::pending_calls::{PendingCall, Purpose};
@@ -43,13 +43,17 @@
                 let loss = Loss {
                     cause: "the worker was replaced",
                     crashed: !self.worker.leaving,
-                    same_id: false,
+                    proof: Proof::AllEnded,
                 };
                 self.reset_worker(now, None, loss, out);
                 self.back_off_renewals(now);
             }
             RenewalOutcome::ConnectionRefused => {
-                if !self.handle_connection_refused(now, out) {
+                if self.worker.is_responsive(now.mono) {
+                    let fields = vec![("cause", "connection refused".to_owned())];
+                    log(out, 420, "no response to a lease renewal", true, fields);
+                }
+                if !self.handle_connection_refused(now, call.made_at, out) {
                     self.probe_needed |= is_probe;
                 }
                 self.back_off_renewals(now);
@@ -87,7 +91,7 @@
                 let loss = Loss {
                     cause: "the worker restarted",
                     crashed: !self.worker.leaving,
-                    same_id: true,
+                    proof: Proof::Restarted,
                 };
                 self.reset_worker(now, Some(incarnation), loss, out);
                 return;
--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -176,16 +176,27 @@
         clock_ms: Option<u64>,
         out: &mut Vec<Action>,
     ) {
-        let Some(call) = self.pending_calls.complete(key, self.worker.generation) else {
+        let completed = self
+            .pending_calls
+            .complete_start(key, self.worker.generation);
+        let Some((call, current)) = completed else {
             return;
         };
         let Purpose::Start(id) = call.purpose else {
             return;
         };
-        if !matches!(outcome, StartOutcome::NoAnswer(_)) {
+        // That a start was not sent is certain whatever became of the worker since.
+        if !current && !matches!(outcome, StartOutcome::NotSent { .. }) {
+            return;
+        }
+        if matches!(outcome, StartOutcome::Started | StartOutcome::Refused(_)) {
             self.worker.record_response(now.mono, clock_ms);
             self.worker.record_start_response(now.since(call.made_at));
         }
+        let refused = matches!(outcome, StartOutcome::NotSent { refused: true, .. });
+        if current && refused && call.made_at >= self.worker.responded_at {
+            self.worker.unreachable = true;
+        }
         match self.runs.get(&id).map(|run| run.state) {
             Some(RunState::Starting(fence, _) | RunState::Unconfirmed(fence))
                 if fence == call.fence => {}
@@ -204,7 +215,9 @@
                     ("cause", cause.to_string()),
                 ];
                 log(out, 414, "start request not sent", true, fields);
-                self.worker.starts_paused_until = now.mono + UNHEALTHY_PAUSE;
+                if !refused {
+                    self.worker.starts_paused_until = now.mono + UNHEALTHY_PAUSE;
+                }
                 self.close_run(now, &id, wire::RunOutcome::Unusable);
             }
         }
--- a/crates/core/src/executor/timeouts.rs
+++ b/crates/core/src/executor/timeouts.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::crashes::Loss;
+use super::crashes::{Loss, Proof};
 use super::io::Action;
 use super::machine::{Machine, log};
 use super::owners::OWNER_SILENCE_TIMEOUT;
@@ -32,7 +32,7 @@
             let loss = Loss {
                 cause: "the lease expired",
                 crashed: false,
-                same_id: false,
+                proof: Proof::AllEnded,
             };
             self.close_lost_runs(now, loss, out);
         }
--- a/crates/core/src/executor/worker.rs
+++ b/crates/core/src/executor/worker.rs
@@ -63,8 +63,14 @@
     pub(super) lists_requested_at: Duration,
     /// Time of the first failed lease renewal since the last response.
     pub(super) failing_since: Option<Duration>,
-    /// Number of refused connections since the last response.
+    /// Whether a connection has been refused since the last response. The worker gets no runs until it
+    /// responds.
+    pub(super) unreachable: bool,
+    /// Number of lease renewals whose connection was refused since the last response, each sent after
+    /// the refusal of the one before it.
     pub(super) refusals: u32,
+    /// When the last of them was refused.
+    refused_at: Duration,
     /// Time of the last call that may have extended the lease.
     last_extension: Duration,
     /// Moving average of the response time of start requests.
@@ -91,7 +97,9 @@
             responded_at: Duration::ZERO,
             lists_requested_at: Duration::ZERO,
             failing_since: None,
+            unreachable: false,
             refusals: 0,
+            refused_at: Duration::ZERO,
             last_extension: now,
             mean_response_time: Duration::ZERO,
         }
@@ -111,6 +119,7 @@
         self.unanswered_since = None;
         self.lists_requested_at = now;
         self.failing_since = None;
+        self.unreachable = false;
         self.refusals = 0;
         self.last_extension = now;
     }
@@ -120,11 +129,22 @@
         self.failing_since = self.failing_since.or(Some(now));
     }
 
+    /// Records the refused connection of a lease renewal that was made at `made_at`. One that was made
+    /// before the last refusal was known tells nothing more.
+    pub(super) fn record_refusal(&mut self, now: Duration, made_at: Duration) {
+        self.unreachable = true;
+        if self.refusals == 0 || made_at >= self.refused_at {
+            self.refusals += 1;
+            self.refused_at = now;
+        }
+    }
+
     /// Records a response, and the worker's clock reading if the response contains one.
     pub(super) fn record_response(&mut self, now: Duration, clock_ms: Option<u64>) {
         self.unanswered_since = None;
         self.responded_at = now;
         self.failing_since = None;
+        self.unreachable = false;
         self.refusals = 0;
         if let Some(clock_ms) = clock_ms {
             self.clock = Some((clock_ms, now));
@@ -193,7 +213,7 @@
             .as_ref()
             .is_some_and(|heartbeat| !heartbeat.draining);
         let state_known = self.lists_read && self.clock.is_some();
-        let available = !self.leaving && !self.lease_withheld;
+        let available = !self.leaving && !self.lease_withheld && !self.unreachable;
         ready
             && state_known
             && available
--- a/crates/core/tests/jobs/refused_connections.rs
+++ b/crates/core/tests/jobs/refused_connections.rs
@@ -85,7 +85,8 @@
 
     /// Ends a turn, and notes what was reported in it.
     fn flush(&mut self) {
-        self.machine.flush(self.now(), &mut self.out);
+        let now = self.now();
+        self.machine.flush(now, &mut self.out);
         for action in &self.out {
             let Action::Send(_, Body::RunReports(reports)) = action else {
                 continue;
@@ -101,27 +102,17 @@
                 self.ended.push((job, report.outcome()));
             }
             let input = Input::Frame(LINK, Body::OwnerBeat(beat));
-            self.machine.step(
-                Now {
-                    mono: Duration::from_millis(self.now_ms),
-                    wall_ms: self.now_ms,
-                },
-                input,
-                &mut Vec::new(),
-            );
+            self.machine.step(now, input, &mut Vec::new());
         }
     }
 
     /// Lets time pass in turns of 5 ms. Calls stay without an answer.
-    fn run(&mut self, ms: u64) -> Vec<Action> {
-        let mut calls = Vec::new();
+    fn run(&mut self, ms: u64) {
         for _ in 0..ms / 5 {
             self.now_ms += 5;
             self.input(Input::Tick);
             self.flush();
-            calls.append(&mut self.out);
         }
-        calls
     }
 
     fn heartbeat(&mut self, incarnation: u64) {
@@ -227,6 +218,14 @@
         });
     }
 
+    fn accept_start(&mut self, call: CallKey) {
+        self.input(Input::StartCompleted {
+            call,
+            outcome: StartOutcome::Started,
+            clock_ms: Some(self.now_ms),
+        });
+    }
+
     fn ended(&self, job: &str) -> Option<wire::RunOutcome> {
         let mut ended = self.ended.iter();
         ended.find(|(of, _)| of == job).map(|(_, outcome)| *outcome)
@@ -260,3 +259,75 @@
         assert_eq!(agent.ended("0000000000000003"), None);
     }
 }
+
+/// Guards against a worker that gets one order after the other while no process listens at its
+/// address, because a start that could not be sent passes for a response.
+#[rstest]
+fn refused_starts_are_no_response() {
+    let mut agent = Agent::new();
+    assert!(agent.usable);
+    let start = agent.order("0000000000000001").expect("a start");
+    agent.refuse_start(start);
+    agent.flush();
+    assert_eq!(
+        agent.ended("0000000000000001"),
+        Some(wire::RunOutcome::Unusable)
+    );
+    for _ in 0..10 {
+        for call in agent.renewals() {
+            agent.refuse_renewal(call);
+        }
+        agent.run(100);
+        assert!(!agent.usable);
+    }
+    assert_eq!(agent.order("0000000000000002"), None);
+    agent.heartbeat(2);
+    agent.flush();
+    agent.answer_renewals(2);
+    assert!(agent.order("0000000000000003").is_some());
+}
+
+/// Guards against tasks that wait for the end of the lease after their worker has crashed.
+#[rstest]
+fn confirmed_runs_end_with_the_crash() {
+    let mut agent = Agent::new();
+    let start = agent.order("0000000000000001").expect("a start");
+    agent.accept_start(start);
+    agent.flush();
+    for _ in 0..20 {
+        agent.now_ms += 5;
+        agent.flush();
+        for call in agent.renewals() {
+            agent.refuse_renewal(call);
+        }
+    }
+    agent.flush();
+    let ended = agent.ended("0000000000000001");
+    assert_eq!(ended, Some(wire::RunOutcome::Crashed));
+}
+
+/// Guards against a run that is taken for ended because of refusals that are handled after the worker
+/// has responded again.
+#[rstest]
+fn refusals_before_a_response_count_no_more() {
+    let mut agent = Agent::new();
+    agent.order("0000000000000001");
+    let mut earlier = agent.renewals();
+    for _ in 0..30 {
+        agent.now_ms += 10;
+        agent.flush();
+        earlier.extend(agent.renewals());
+    }
+    assert!(earlier.len() >= 3, "{}", earlier.len());
+    agent.now_ms += 5;
+    agent.heartbeat(2);
+    agent.flush();
+    agent.answer_renewals(2);
+    let start = agent.order("0000000000000002").expect("a start");
+    agent.accept_start(start);
+    for call in earlier {
+        agent.refuse_renewal(call);
+    }
+    agent.flush();
+    assert_eq!(agent.ended("0000000000000002"), None);
+}
