fix(agent): a worker that has been silent gets no acknowledgements of its earlier lifetime

A kept task could have run again after its end. Cause: an agent whose worker had no runs makes no calls. If the worker restarts with its id meanwhile, the next renewal goes to the new lifetime and acknowledges ends by the numbers of the earlier one; the new lifetime would forget its first ends before the agent has seen them, and the agent would take the runs for lost. Ruled out: the header with the expected instance (the id is the same) and the fence (the new lifetime knows none). Change: a call acknowledges ends only within 150 ms, two renewals, after a response. The next call acknowledges them. The model of a lone agent moves to a file of its own. A worker that is back within 150 ms of its last response is not covered.

--- a/crates/core/src/executor/machine.rs
+++ b/crates/core/src/executor/machine.rs
@@ -493,9 +493,7 @@
             call,
             lease_deadline_ms,
             fence: self.worker.fence,
-            acknowledged: self
-                .retained_runs
-                .acknowledgeable(self.worker.last_processed_number),
+            acknowledged: self.acknowledged(now),
             wait_ms: u64::try_from(wait.as_millis()).unwrap_or_default(),
         });
     }
@@ -508,12 +506,19 @@
             generation: self.worker.generation,
             fence: self.worker.fence,
             made_at: now.mono,
-            acknowledged: self
-                .retained_runs
-                .acknowledgeable(self.worker.last_processed_number),
+            acknowledged: self.acknowledged(now),
         })
     }
 
+    /// Returns the number up to which a call acknowledges ended runs.
+    fn acknowledged(&self, now: Now) -> u64 {
+        if !self.worker.has_just_responded(now.mono) {
+            return 0;
+        }
+        self.retained_runs
+            .acknowledgeable(self.worker.last_processed_number)
+    }
+
     /// Delays the next lease renewal after a failed one.
     pub(super) fn back_off_renewals(&mut self, now: Now) {
         self.next_renewal_at = now.mono + self.renewal_backoff;
--- a/crates/core/src/executor/worker.rs
+++ b/crates/core/src/executor/worker.rs
@@ -16,6 +16,11 @@
 /// Time without a response after which the lease is no longer renewed, so that it expires.
 const WORKER_SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Time after the last response for which ended runs are acknowledged: two lease renewals. A worker that
+/// has been silent for longer may have restarted. It then numbers its ends anew, and would forget ends
+/// that the agent has not seen if they were acknowledged by the numbers of the incarnation before.
+const ACKNOWLEDGEMENT_TIME: Duration = Duration::from_millis(150);
+
 /// Weight of a new sample in the moving average of response times.
 const RESPONSE_TIME_GAIN: f64 = 0.2;
 
@@ -151,6 +156,11 @@
         }
     }
 
+    /// Returns whether the worker has responded so recently that it has hardly restarted since.
+    pub(super) fn has_just_responded(&self, now: Duration) -> bool {
+        now.saturating_sub(self.responded_at) <= ACKNOWLEDGEMENT_TIME
+    }
+
     /// Updates the mean response time with that of a start request.
     pub(super) fn record_start_response(&mut self, elapsed: Duration) {
         let elapsed = elapsed.min(MAX_RESPONSE_SAMPLE).mul_f64(RESPONSE_TIME_GAIN);
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed expectation ends the test")]
 #![allow(clippy::print_stdout, reason = "the log of a run that is looked into")]
 
+mod agent;
 mod callers;
 mod callers_back;
 mod calls;
@@ -10,6 +11,7 @@
 mod store;
 mod worker;
 
+mod acknowledgements;
 mod bad_workers;
 mod bounded_room;
 mod callers_gone;
