--- a/crates/lab/src/standin_endpoint/run.rs
+++ b/crates/lab/src/standin_endpoint/run.rs
@@ -30,6 +30,9 @@
         Ok(body) => body,
         Err(reason) => return refuse(&state, reason),
     };
+    if ignores(&state) {
+        return std::future::pending().await;
+    }
     let arrived = Instant::now();
     let payload = Payload::parse(&body);
     let Some((running, plan)) = start(&state, task, &payload) else {
@@ -62,6 +65,12 @@
     text(StatusCode::BAD_REQUEST, reason)
 }
 
+/// Whether the present request is never taken up.
+fn ignores(state: &State) -> bool {
+    let inner = &mut *state.lock();
+    inner.controls.ignore.draw(&mut inner.rng)
+}
+
 /// Records the start of a task and decides about its course.
 fn start(state: &Arc<State>, task: Task, payload: &Payload) -> Option<(Running, Plan)> {
     let inner = &mut *state.lock();
--- a/crates/lab/src/standin_endpoint/settings.rs
+++ b/crates/lab/src/standin_endpoint/settings.rs
@@ -128,6 +128,8 @@
     pub stall: Stall,
     /// Whether connections are refused.
     pub refuse: bool,
+    /// Tasks whose request is received and never taken up: they do not start.
+    pub ignore: Chance,
     /// Tasks that fail at once.
     pub fail: Chance,
     /// Tasks that run and whose connection is then reset.
@@ -154,6 +156,7 @@
             run_time: Duration::from_millis(10),
             stall: Stall::default(),
             refuse: false,
+            ignore: Chance::default(),
             fail: Chance::default(),
             reset: Chance::default(),
             hang: Chance::default(),
--- a/crates/lab/tests/endpoint/faults.rs
+++ b/crates/lab/tests/endpoint/faults.rs
@@ -9,7 +9,7 @@
 use rstest::rstest;
 use tokio::net::TcpStream;
 
-use crate::client::{Client, endpoint, until, until_running};
+use crate::client::{Client, call, endpoint, until, until_running};
 
 /// Guards against a failure that is not recorded as a start, or that takes its run time.
 #[rstest]
@@ -44,6 +44,29 @@
     assert_eq!(client.run(1, 1, "{}").await.0, 200);
 }
 
+/// Guards against an ignored request that is answered or recorded as a start.
+#[rstest]
+#[tokio::test]
+async fn ignored_request_does_not_start() {
+    let endpoint = endpoint(1, Controls::default()).await;
+    endpoint.change(|c| c.ignore = Chance::next(1)).await;
+    let mut ignored = Client::open(endpoint.address()).await;
+    ignored.send(1, 0, "{}").await;
+    // The fault is used up once the request has arrived.
+    while call(endpoint.control_address(), "GET /control", "")
+        .await
+        .1
+        .contains(r#""ignore":{"next":1"#)
+    {
+        tokio::task::yield_now().await;
+    }
+    let mut other = Client::open(endpoint.address()).await;
+    assert_eq!(other.run(1, 1, "{}").await.0, 200);
+    drop(ignored);
+    let starts = endpoint.ledger();
+    assert_eq!(starts.iter().map(|s| s.index).collect::<Vec<_>>(), [1]);
+}
+
 /// Guards against garbage that a client could take for an answer.
 #[rstest]
 #[tokio::test]
