test(soak): workers that restart with their ids beside paused and busy agents

Change: `--mix restarts`. A worker crashes with runs or just after its last one has ended, refuses connections for 10 ms to 5 s, and starts again with its id: without runs, fences, ends and clock, and with a first heartbeat 1 to 18 ms later. Several crash at once and in series. Their agents are paused for 5 to 50 ms, once or again and again, or get up to 300 malformed heartbeats, so that refused calls, orders and the heartbeat meet in one batch. A third of the other faults is played beside. A call of a worker's earlier lifetime has no effect in the next one. Seeds of the usual mix keep their plans. The witness knows the crashes of workers: a job may be shown as failed after two crashes under one of its tasks, the last without other jobs beside it, or four, as design.md 7.9 says; before, it held each such answer for wrong. Runs whose end nobody has learned of count as lost in the crash.

--- a/crates/lab/src/site/mod.rs
+++ b/crates/lab/src/site/mod.rs
@@ -3,6 +3,7 @@
 //! advice, which the product does not use, are left out.
 
 mod clock;
+mod lives;
 mod rows;
 mod runs;
 mod store;
--- a/crates/lab/src/site/runs.rs
+++ b/crates/lab/src/site/runs.rs
@@ -227,6 +227,11 @@
             .collect()
     }
 
+    /// Runs whose end was not acknowledged.
+    pub fn unacknowledged(&self) -> impl Iterator<Item = RunKey> {
+        self.ended.iter().map(|end| end.run.clone())
+    }
+
     /// Whether an end was not acknowledged.
     #[must_use]
     pub fn has_ends(&self) -> bool {
--- a/crates/lab/src/soak/args.rs
+++ b/crates/lab/src/soak/args.rs
@@ -2,6 +2,8 @@
 
 use clap::Parser;
 
+use super::plan::Mix;
+
 /// Plays random faults against the real processes, one seed after another or several at a time.
 #[derive(Debug, Clone, Parser)]
 #[command(name = "knapweedwall-soak", version)]
@@ -34,6 +36,10 @@
     #[arg(long, default_value_t = 12)]
     pub seconds: u64,
 
+    /// Which faults are played.
+    #[arg(long, value_enum, default_value_t)]
+    pub mix: Mix,
+
     /// Shows the plan of each seed.
     #[arg(long)]
     pub plan: bool,
--- a/crates/lab/src/soak/faults.rs
+++ b/crates/lab/src/soak/faults.rs
@@ -85,6 +85,7 @@
             | Fault::StoreSlow
             | Fault::StoreLost
             | Fault::StoreForgets => self.disturb_store(step).await,
+            Fault::WorkerRestarts(restart) => self.restart(restart, step.span).await,
             Fault::WorkerCrash { .. }
             | Fault::WorkerFails(_)
             | Fault::WorkerHangs(_)
--- a/crates/lab/src/soak/fleet.rs
+++ b/crates/lab/src/soak/fleet.rs
@@ -41,6 +41,8 @@
 pub(super) struct Host {
     pub(super) node: Node,
     pub(super) worker: SiteWorker,
+    /// Address for the worker's heartbeats.
+    pub(super) control: SocketAddr,
     /// On the agent's way to the store.
     pub(super) store: Proxy,
     _ports: Vec<Port>,
@@ -198,6 +200,7 @@
     Ok(Host {
         node: Node::new(launch),
         worker,
+        control,
         store,
         _ports: ports,
     })
--- a/crates/lab/src/soak/job.rs
+++ b/crates/lab/src/soak/job.rs
@@ -18,6 +18,10 @@
 /// Runs of a task that may fail.
 pub const ATTEMPTS: u32 = 2;
 
+/// Crashes of its workers after which a task may be given up: when it was alone on the last one, and
+/// in any case.
+pub const CRASHES: (u32, u32) = (2, 4);
+
 /// Equal tasks.
 #[derive(Debug, Clone)]
 pub struct Phase {
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use clap::ValueEnum;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::restarts::{self, Restart};
 use crate::site::Outage;
 
 /// Mean time between the beginnings of two faults or series of faults.
@@ -19,6 +21,9 @@
 /// Bounds of the pause between the faults of a series, in milliseconds.
 const SERIES_GAP_MS: (u64, u64) = (50, 1_500);
 
+/// One of how many other faults is played beside restarts.
+const BESIDE_RESTARTS: usize = 3;
+
 /// A process: an entry process or an agent, by position.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Target {
@@ -77,6 +82,8 @@
         /// Whether it keeps its id.
         keep_id: bool,
     },
+    /// A worker's process ends; it starts again with its id.
+    WorkerRestarts(Restart),
     /// Everything fails that a worker starts.
     WorkerFails(usize),
     /// Nothing ends that a worker starts.
@@ -117,6 +124,16 @@
     pub fault: Fault,
 }
 
+/// Which faults a plan holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, ValueEnum)]
+pub enum Mix {
+    /// All but [`Fault::WorkerRestarts`].
+    #[default]
+    All,
+    /// Restarts of workers, beside a part of the others.
+    Restarts,
+}
+
 /// All faults of a soak, in the order of their begin.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Plan {
@@ -125,6 +142,21 @@
 }
 
 impl Plan {
+    /// Draws faults of a mix that begin within `length`.
+    #[must_use]
+    pub fn draw_mix(mix: Mix, seed: u64, counts: (usize, usize), length: Duration) -> Self {
+        let (entries, workers) = counts;
+        let mut plan = Self::draw(seed, entries, workers, length);
+        if mix == Mix::Restarts {
+            let others = plan.steps.into_iter().step_by(BESIDE_RESTARTS);
+            plan.steps = others
+                .chain(restarts::draw(seed, workers, length))
+                .collect();
+            plan.steps.sort_by_key(|step| step.at);
+        }
+        plan
+    }
+
     /// Draws faults that begin within `length`.
     #[must_use]
     pub fn draw(seed: u64, entries: usize, workers: usize, length: Duration) -> Self {
--- a/crates/lab/tests/site/main.rs
+++ b/crates/lab/tests/site/main.rs
@@ -2,5 +2,6 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
+mod restarts;
 mod row_rules;
 mod run_rules;
--- a/crates/lab/tests/soak/short_soak.rs
+++ b/crates/lab/tests/soak/short_soak.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use knapweedwall_lab::soak::{Outcome, Sizes, soak};
+use knapweedwall_lab::soak::{Mix, Outcome, Sizes, soak};
 use rstest::rstest;
 
 const SIZES: Sizes = Sizes {
@@ -10,6 +10,7 @@
     workers: 6,
     callers: 16,
     length: Duration::from_secs(4),
+    mix: Mix::All,
 };
 
 fn play(seed: u64, sizes: Sizes) -> Outcome {
@@ -37,6 +38,7 @@
     workers: 8,
     callers: 24,
     length: Duration::from_secs(12),
+    mix: Mix::All,
 };
 
 /// Seeds that have broken a promise, each with its cause.
