test(jobs): faults around restarts that the soak has found, still red

A start that breaks off, because the worker had crashed before, is reported as a crash under a run that was alone on its worker and 0 to 2 ms old. A renewal that was made for the lifetime before carries its cursor. If it arrives at a new lifetime with the same id, that forgets its own ends up to the cursor; they count, the agent does not learn of them, and the tasks run again. Ruled out: a wrong witness for these cases: workers.log shows that no run had started, and that the ends were forgotten between 57.64 and 57.71 s, while the agent knew of the restart from 57.445 s on. Conclusion: open.

--- a/crates/lab/src/soak/restarts.rs
+++ b/crates/lab/src/soak/restarts.rs
@@ -8,6 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use hyper::Method;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
@@ -57,7 +58,10 @@
 const PAUSES: u32 = 8;
 
 /// Most malformed heartbeats that keep an agent busy.
-const PINGS: usize = 300;
+const PINGS: usize = 200;
+
+/// Length of such a heartbeat: reading it keeps an agent busy for some 0.1 ms.
+const PING_BYTES: usize = 16 * 1024;
 
 /// Bounds of the time from these heartbeats to the restart, in milliseconds.
 const PING_LEAD_MS: (u64, u64) = (1, 40);
@@ -146,11 +150,11 @@
     }
 }
 
-/// Half of the agents are busy.
+/// Three of four agents are busy.
 fn draw_flood(rng: &mut ChaCha8Rng) -> Option<Flood> {
     let lead = Duration::from_millis(rng.random_range(PING_LEAD_MS.0..PING_LEAD_MS.1));
     let pings = rng.random_range(1..=PINGS);
-    rng.random_ratio(1, 2).then_some(Flood { lead, pings })
+    rng.random_ratio(3, 4).then_some(Flood { lead, pings })
 }
 
 /// A third of the agents are paused once, a third again and again, the others not at all.
@@ -222,11 +226,12 @@
     fn send(self, control: SocketAddr) {
         let http = Http::default();
         let url = format!("http://{control}/-/instances/other/heartbeat");
+        let body = Bytes::from(format!("{{{:PING_BYTES$}", ""));
         for _ in 0..self.pings {
-            let (http, url) = (http.clone(), url.clone());
+            let (http, url, body) = (http.clone(), url.clone(), body.clone());
             tokio::spawn(async move {
                 // The answer is a refusal.
-                let _refused = http.send(Method::POST, &url, "{}", PING_LIMIT).await;
+                let _refused = http.send(Method::POST, &url, body, PING_LIMIT).await;
             });
         }
     }
--- a/crates/lab/tests/soak/short_soak.rs
+++ b/crates/lab/tests/soak/short_soak.rs
@@ -50,3 +50,22 @@
     let outcome = play(seed, FULL_SIZES);
     assert!(outcome.violations.is_empty(), "{outcome}");
 }
+
+/// Seeds of restarts that have broken a promise, each with its cause.
+#[rstest]
+// A job was given up although none of its tasks had run: starts that broke off at workers that had
+// crashed before counted as crashes.
+#[case::starts_that_broke_off(6403)]
+#[case::starts_that_broke_off_again(6405)]
+#[case::one_crash_beside_it(6407)]
+// A late renewal that was meant for the lifetime before acknowledged ends of the new one, and their tasks
+// ran again.
+#[case::late_acknowledgement(6410)]
+fn failed_restarts_hold(#[case] seed: u64) {
+    let sizes = Sizes {
+        mix: Mix::Restarts,
+        ..FULL_SIZES
+    };
+    let outcome = play(seed, sizes);
+    assert!(outcome.violations.is_empty(), "{outcome}");
+}
