fix(lab): a stand-in that refuses connections keeps its port while processes start

Cause: a process that is being started inherits all sockets until it runs its program. A listener that is closed then still listens for a moment, binding its address again fails, and the server of the stand-in ended for good. Ruled out: too many files (1,409 of 20,000 open), and a port that the system gave to somebody else: it stays reserved by a socket of its own. Change: the server tries again while the address is in use, for 10 s at most.

--- a/crates/lab/src/http/server.rs
+++ b/crates/lab/src/http/server.rs
@@ -4,9 +4,11 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::{Instant, sleep};
 
 use super::Gate;
 use super::connection::{Handler, serve};
@@ -14,6 +16,13 @@
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
 
+/// Longest time for which the address of a closed listener may be in use: a process that is being started
+/// inherits the listener until it runs its program, seconds later on a busy machine.
+const IN_USE_LIMIT: Duration = Duration::from_secs(10);
+
+/// Pause between two attempts to bind the address.
+const BIND_PAUSE: Duration = Duration::from_millis(2);
+
 /// A running server; dropping it closes the listener and all connections.
 #[derive(Debug)]
 pub struct Server {
@@ -69,6 +78,19 @@
     Ok(socket)
 }
 
+/// Binds the address of a listener that has been closed.
+async fn reserve_again(address: SocketAddr) -> io::Result<TcpSocket> {
+    let until = Instant::now() + IN_USE_LIMIT;
+    loop {
+        match reserve(address) {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse && Instant::now() < until => {
+                sleep(BIND_PAUSE).await;
+            }
+            reserved => return reserved,
+        }
+    }
+}
+
 /// Alternates between accepting and refusing connections.
 async fn run<H: Handler>(
     address: SocketAddr,
@@ -79,7 +101,7 @@
     loop {
         gate.report(true);
         accept_until_closed(listener, &handler, &gate).await;
-        let Ok(socket) = reserve(address) else {
+        let Ok(socket) = reserve_again(address).await else {
             return;
         };
         gate.report(false);
@@ -115,7 +137,7 @@
     match accepted {
         Ok((stream, _)) => Some(stream),
         Err(_) => {
-            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+            sleep(Duration::from_millis(5)).await;
             None
         }
     }
