fix(scheduler): unanswered starts are no proof of a crash under a task

Cause: an agent blames all runs that may have been on a crashed worker, also those whose start request had neither been answered nor listed, and the owner counted each of them as a crash under the task. Ruled out: one crash that is counted twice (each attempt counts once, and the two counts come from different workers); lists of a new incarnation that lack the run (`close_missing`, `carry_over`: such runs had been confirmed); a count after a take-over. Change: the evidence says whether the start is unconfirmed. Such crashes are counted apart (`crash_count.rs`, stored with the job): they isolate the job as before, but proof needs two confirmed ones, and their ages are not compared. They still count for the bound of four in any case: a task that crashes its workers before they answer would have no bound otherwise. Evidence and rows of older processes count as confirmed, as before. A run that had ended when its worker crashed, and whose end the agent had not read, still counts as confirmed.

--- a/crates/core/src/executor/crashes.rs
+++ b/crates/core/src/executor/crashes.rs
@@ -114,6 +114,7 @@
                 suspect: weight >= highest * SUSPECT_SHARE,
                 alone: jobs.len() == 1,
                 age_ms: u32::try_from(age(run, crashed_at).as_millis()).unwrap_or(u32::MAX),
+                unconfirmed: run.is_unconfirmed(),
             };
             Some((id.clone(), evidence))
         });
--- a/crates/core/src/executor/runs.rs
+++ b/crates/core/src/executor/runs.rs
@@ -75,6 +75,14 @@
         !matches!(self.state, RunState::Waiting(_))
     }
 
+    /// Returns whether the worker has neither answered the start request nor listed the run.
+    pub(super) fn is_unconfirmed(&self) -> bool {
+        matches!(
+            self.state,
+            RunState::Starting(..) | RunState::Unconfirmed(_)
+        )
+    }
+
     /// Returns for how long the worker's lists have shown the same progress.
     pub(super) fn unchanged_for(&self) -> Duration {
         self.progress_times.1.saturating_sub(self.progress_times.0)
--- a/crates/core/src/scheduler/crashes.rs
+++ b/crates/core/src/scheduler/crashes.rs
@@ -5,7 +5,7 @@
 //! jobs, so that a further crash harms nobody else and shows which job is to blame. A job of which a
 //! task has crashed two workers, the second one in isolation and as long after its start as the first
 //! one, is given up. If the times differ, the workers may have crashed by themselves, and the task gets
-//! two more chances.
+//! two more chances; so it does if a worker had not confirmed that it started the task.
 //!
 //! A queue whose jobs keep crashing workers is confined: its jobs share no worker with those of other
 //! queues, and use a bounded share of the workers.
@@ -26,18 +26,6 @@
 use crate::deterministic::{DeterministicMap, DeterministicSet};
 use crate::job::RunId;
 
-/// Number of crashed workers after which a task is given up if the last crash came in isolation, and all
-/// of them as long after the start.
-const MAX_CRASHES: u32 = 2;
-
-/// Number of crashed workers after which a task is given up in any case. Two more starts would be
-/// permitted; one is left for a crash that was not counted.
-const MAX_UNPROVED_CRASHES: u32 = 4;
-
-/// Tolerance with which crashes came as long after the start of a run: a constant part, and a part
-/// of the time.
-const AGE_TOLERANCE: (f64, f64) = (30.0, 0.1);
-
 /// Time after the first crash in which crashes of other workers are taken to have the same cause, such
 /// as the loss of a rack, and are not added to the blame unless a single isolated job was on them.
 const COMMON_CAUSE_TIME: Duration = Duration::from_millis(60);
@@ -127,23 +115,17 @@
         let Some(task) = job.task_mut(run.task.phase, run.task.index) else {
             return;
         };
-        if closed || run.attempt <= task.last_crashed_attempt {
+        if closed || !task.crashes.add(run.attempt, evidence) {
             return;
         }
-        let age_ms = evidence.age_ms;
-        let (shortest, longest) = task.crash_ages.unwrap_or((age_ms, age_ms));
-        let ages = (shortest.min(age_ms), longest.max(age_ms));
-        let alike = is_alike(ages);
-        task.crashes += 1;
-        task.last_crashed_attempt = run.attempt;
-        task.crash_ages = Some(ages);
         let crashes = task.crashes;
         let proved = job.isolated && evidence.alone;
-        job.isolated |= evidence.suspect || crashes >= MAX_CRASHES;
+        job.isolated |= evidence.suspect || crashes.is_suspect();
         job.crashed_at = now.mono;
         let fields = vec![
             ("run", run.to_string()),
-            ("crashes", crashes.to_string()),
+            ("crashes", crashes.total().to_string()),
+            ("unconfirmed", crashes.unconfirmed().to_string()),
             ("blame", evidence.blame.to_string()),
             ("isolated", job.isolated.to_string()),
             ("alone", evidence.alone.to_string()),
@@ -166,8 +148,7 @@
             }
         }
         self.mark_dirty(now, key, Duration::ZERO);
-        let given_up = crashes >= MAX_CRASHES && evidence.alone && alike;
-        if given_up || crashes >= MAX_UNPROVED_CRASHES {
+        if crashes.is_exhausted(evidence) {
             self.metrics.crashing.inc();
             self.close_job(now, key, Answer::Failed, "crashes workers", out);
         }
@@ -391,10 +372,3 @@
         best.map(|(_, _, worker)| worker)
     }
 }
-
-/// Returns whether the shortest and the longest time from the start of a run to a crash are about the
-/// same.
-fn is_alike((shortest_ms, longest_ms): (u32, u32)) -> bool {
-    let (constant, part) = AGE_TOLERANCE;
-    f64::from(longest_ms - shortest_ms) <= constant + part * f64::from(longest_ms)
-}
--- a/crates/core/src/scheduler/jobs.rs
+++ b/crates/core/src/scheduler/jobs.rs
@@ -6,6 +6,7 @@
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
+use super::crash_count::CrashCount;
 use super::io::CallKey;
 use super::stored_job::DurableState;
 use super::workers::WorkerKey;
@@ -40,12 +41,8 @@
     pub(super) failures: u32,
     /// Number of the latest failed attempt.
     pub(super) last_failed_attempt: u32,
-    /// Number of runs whose worker crashed.
-    pub(super) crashes: u32,
-    /// Number of the latest attempt whose worker crashed.
-    pub(super) last_crashed_attempt: u32,
-    /// Shortest and longest time from the start of a run to the crash of its worker, in milliseconds.
-    pub(super) crash_ages: Option<(u32, u32)>,
+    /// Crashes of workers under its runs.
+    pub(super) crashes: CrashCount,
     /// Workers on which the task failed or stalled; used only if no other worker is suitable.
     pub(super) avoided_workers: SmallVec<[WorkerKey; 2]>,
 }
@@ -131,9 +128,7 @@
                 attempt: 0,
                 failures: 0,
                 last_failed_attempt: 0,
-                crashes: 0,
-                last_crashed_attempt: 0,
-                crash_ages: None,
+                crashes: CrashCount::default(),
                 avoided_workers: SmallVec::new(),
             };
             phases.push(Phase {
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -10,6 +10,7 @@
 mod admission;
 mod blame;
 mod configuration;
+mod crash_count;
 mod crashes;
 mod durable_jobs;
 mod forwarding;
--- a/crates/core/src/scheduler/stored_job.rs
+++ b/crates/core/src/scheduler/stored_job.rs
@@ -8,6 +8,7 @@
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 
+use super::crash_count::CrashCount;
 use super::io::CallKey;
 use super::jobs::{Job, Progress, TaskState, to_u32};
 use crate::ids::Shard;
@@ -116,16 +117,15 @@
         if task.state == TaskState::Done {
             done[index / 8] |= 1 << (index % 8);
         }
-        if task.failures > 0 || task.crashes > 0 {
-            failures.push(wire::TaskFailures {
+        if task.failures > 0 || task.crashes.total() > 0 {
+            let mut failed = wire::TaskFailures {
                 index: to_u32(index),
                 runs: task.failures,
                 attempt: task.last_failed_attempt,
-                crashes: task.crashes,
-                crash_attempt: task.last_crashed_attempt,
-                min_age_ms: task.crash_ages.unwrap_or_default().0,
-                max_age_ms: task.crash_ages.unwrap_or_default().1,
-            });
+                ..wire::TaskFailures::default()
+            };
+            task.crashes.encode(&mut failed);
+            failures.push(failed);
         }
     }
     wire::StoredPhase {
@@ -211,16 +211,14 @@
             }
         }
         for failure in &phase.failures {
+            let crashes = CrashCount::decode(failure);
             if let Some(task) = job.task_mut(phase_at, failure.index) {
                 task.failures = failure.runs;
-                task.attempt = failure.attempt.max(failure.crash_attempt);
+                task.attempt = failure.attempt.max(crashes.last_attempt());
                 task.last_failed_attempt = failure.attempt;
-                task.crashes = failure.crashes;
-                task.last_crashed_attempt = failure.crash_attempt;
-                let ages = (failure.min_age_ms, failure.max_age_ms);
-                task.crash_ages = (failure.crashes > 0).then_some(ages);
+                task.crashes = crashes;
             }
-            if failure.crashes > 0 {
+            if crashes.total() > 0 {
                 job.isolated = true;
                 job.crashed_at = now;
             }
--- a/crates/core/tests/jobs/callers.rs
+++ b/crates/core/tests/jobs/callers.rs
@@ -67,6 +67,12 @@
         self
     }
 
+    /// The same, before the worker answers.
+    pub fn deadly_at_once(mut self) -> Self {
+        self.ending = Ending::DeadlyAtOnce;
+        self
+    }
+
     /// A job whose tasks fail.
     pub fn failing(mut self) -> Self {
         self.ending = Ending::Failed;
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -30,4 +30,5 @@
 mod registrations;
 mod silent_owners;
 mod slow_answers;
+mod unanswered_starts;
 mod worker_lives;
--- a/crates/core/tests/jobs/malformed_messages.rs
+++ b/crates/core/tests/jobs/malformed_messages.rs
@@ -130,8 +130,9 @@
     fn run_report()(
         run in run(), outcome in 0..12_i32, run_ms in small(), kept in any::<bool>(),
         blame in small(), suspect in any::<bool>(), alone in any::<bool>(),
+        unconfirmed in any::<bool>(),
     ) -> wire::RunReport {
-        let crash = wire::CrashEvidence { blame, suspect, alone, age_ms: run_ms };
+        let crash = wire::CrashEvidence { blame, suspect, alone, age_ms: run_ms, unconfirmed };
         wire::RunReport { run: Some(run), outcome, run_ms, kept, crash: Some(crash) }
     }
 }
--- a/crates/core/tests/jobs/worker.rs
+++ b/crates/core/tests/jobs/worker.rs
@@ -33,6 +33,8 @@
     Failed = 1,
     /// The first task crashes its worker, the others are done.
     Deadly = 2,
+    /// The same, before the worker answers the start request.
+    DeadlyAtOnce = 3,
 }
 
 /// What a specification of the tests asks for: processor, run time at speed 1, ending.
@@ -282,6 +284,10 @@
             self.faults
                 .push(format!("{now_ms} ms: {used} of {} in use", self.cpu));
         }
+        if ending == 3 && run.task.index == 0 {
+            self.crash(now_ms);
+            return StartOutcome::NoAnswer("connection closed".into());
+        }
         StartOutcome::Started
     }
 
