fix(executor): crashes before the answer are counted on quick restarts

Cause: a worker that crashes before it answers a start request and is back with its instance id before two connections are refused keeps its unconfirmed runs. The lists of the new incarnation lack them, so the agent took the requests for not carried out and sent them again at once, to the same worker and with the same attempt number, without a count. Ruled out: runs whose start was confirmed, which were counted already; workers that are back later or with another instance id.

--- a/crates/core/src/executor/crashes.rs
+++ b/crates/core/src/executor/crashes.rs
@@ -141,11 +141,10 @@
         };
         self.runs.update(id, |run| {
             run.listed = false;
-            match state {
-                // A call with a higher fence prevents a later start.
-                RunState::Starting(fence, _) => run.state = RunState::Unconfirmed(fence),
-                RunState::Running(_) | RunState::Stopping(_) => run.crash = evidence,
-                RunState::Waiting(_) | RunState::Unconfirmed(_) => {}
+            run.crash = evidence;
+            // A call with a higher fence prevents a later start.
+            if let RunState::Starting(fence, _) = state {
+                run.state = RunState::Unconfirmed(fence);
             }
         });
         match self.runs.get(id).map(|run| run.state) {
--- a/crates/core/src/executor/run_lists.rs
+++ b/crates/core/src/executor/run_lists.rs
@@ -219,7 +219,8 @@
     }
 
     /// Closes runs that the worker no longer lists: those whose start or stop it had confirmed before
-    /// the call was made. Requeues unconfirmed runs that are not listed and can no longer be started.
+    /// the call was made. Requeues unconfirmed runs that are not listed and can no longer be started,
+    /// unless the worker has crashed since the start request was sent.
     fn close_missing(&mut self, now: Now, call: &PendingCall, listed: &DeterministicSet<RunId>) {
         let mut missing: Vec<(RunId, wire::RunOutcome)> = Vec::new();
         let mut not_started: Vec<RunId> = Vec::new();
@@ -230,8 +231,12 @@
             let outcome = match run.state {
                 // The worker rejects start requests with a lower fence than that of this call.
                 RunState::Unconfirmed(fence) if fence < call.fence => {
-                    not_started.push(id.clone());
-                    continue;
+                    // An earlier incarnation may have started the run, and the run may have crashed it.
+                    if run.crash.is_none() {
+                        not_started.push(id.clone());
+                        continue;
+                    }
+                    wire::RunOutcome::Crashed
                 }
                 RunState::Running(since) if since < call.made_at => wire::RunOutcome::Lost,
                 RunState::Stopping(Some(since)) if since < call.made_at => {
--- a/crates/core/src/executor/runs.rs
+++ b/crates/core/src/executor/runs.rs
@@ -63,7 +63,7 @@
     /// Whether the current incarnation of the worker has listed the run.
     pub(super) listed: bool,
     /// Set when the worker has restarted and may have accepted the run before or after that. The next
-    /// run lists show which; if it was before, the run has ended in the crash.
+    /// run lists show which: a run that they lack is counted as ended in the crash.
     pub(super) crash: Option<wire::CrashEvidence>,
     /// If not empty, the run shares the worker with runs of this group only.
     pub(super) group: SmolStr,
--- a/crates/core/tests/jobs/unanswered_starts.rs
+++ b/crates/core/tests/jobs/unanswered_starts.rs
@@ -145,3 +145,33 @@
     );
     fleet.assert_rules();
 }
+
+/// Guards against a task that is started without a bound on a worker that it crashes before the answer
+/// and that is back at once, with its instance id.
+#[rstest]
+fn crashes_of_quick_restarts_are_bounded(
+    #[values(1, 4)] tasks: u32,
+    #[values(1, 5, 15)] down_ms: u64,
+    #[values(false, true)] kept: bool,
+) {
+    let mut fleet = Fleet::new(2, &[(16_000, 1.0); 4], 1);
+    fleet.run(CLAIM_MS);
+    let job = Job::new(tasks, 1_600, 90).deadly_at_once();
+    let fatal = fleet.submit(0, "patient", if kept { job.durable() } else { job });
+    let mut gone_ms = [0; 4];
+    for _ in 0..3_000 {
+        fleet.run(1);
+        let now_ms = fleet.now_ms;
+        for (at, gone_ms) in gone_ms.iter_mut().enumerate() {
+            *gone_ms += u64::from(fleet.worker(at).is_gone());
+            if *gone_ms >= down_ms {
+                fleet.worker(at).restart_with_id(now_ms);
+                *gone_ms = 0;
+            }
+        }
+    }
+    let crashes = most_crashes(&fleet, fatal);
+    assert!(crashes <= MAX_STARTS, "{crashes} crashes");
+    assert_eq!(outcome(&mut fleet, fatal), Some(Answer::Failed));
+    fleet.assert_rules();
+}
