--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -35,4 +35,5 @@
 mod restarts;
 mod silent_owners;
 mod slow_answers;
+mod unanswered_starts;
 mod worker_lives;
