fix(agent): what is known of one lifetime of a worker is not applied to another

Cause: a run could still be reported as ended on evidence of another lifetime of the worker under its id: a deregistration that is handled late, the first heartbeat after the description from a registration had expired (no id to compare with), and the end of the lease while the start call had not been sent by a process that stood still. Starts went by the capacity and labels of the lifetime before until the new heartbeat came. Change: a deregistration names the lifetime if the worker does; an unknown id may be the same; a start call without an outcome outlives the lease for one lease more; a worker is usable only by the description of its lifetime; a start whose call has failed before the refusals ends with them, with the evidence of the crash; an idle agent keeps its state until the worker is back. The clock of the model's worker starts anew with each lifetime.

--- a/crates/core/src/executor/crashes.rs
+++ b/crates/core/src/executor/crashes.rs
@@ -19,6 +19,10 @@
 /// have ended.
 const REFUSALS_OF_ENDED_WORKER: u32 = 2;
 
+/// Number of leases from the order of a run after which a start call without an outcome is given up. A
+/// call ends after half a second at most; its outcome is dropped only if the input queue is full.
+const MAX_OPEN_LEASES: u32 = 2;
+
 /// Added to the age of a run, in milliseconds. Bounds the blame of a run that has just started
 /// relative to the others.
 const BLAME_AGE_OFFSET_MS: f64 = 20.0;
@@ -63,11 +67,14 @@
 pub(super) enum Proof {
     /// Nothing that was sent so far can be running, or start later.
     AllEnded,
+    /// The lease has expired, so nothing runs. A start call that was decided on before that may still be
+    /// sent, by a process that stood still.
+    LeaseExpired,
     /// A new incarnation with the same instance id is known. It may have accepted runs already.
     Restarted,
-    /// The worker refused connections that were tried after its last response, so the incarnation that
-    /// gave that response has ended. A new one may be there by now.
-    Refused,
+    /// The worker refused connections that were tried after its last response, and after this time, so
+    /// the incarnation that gave that response has ended. A new one may be there by now.
+    Refused(Duration),
 }
 
 impl Machine {
@@ -84,13 +91,14 @@
         }
         self.worker.record_failure(now.mono);
         self.worker.record_refusal(now.mono, made_at);
-        if self.worker.refusals < REFUSALS_OF_ENDED_WORKER || !self.worker.lists_read {
+        let ended = self.worker.refusals >= REFUSALS_OF_ENDED_WORKER;
+        if !ended || self.runs.is_idle() || !self.worker.lists_read {
             return false;
         }
         let loss = Loss {
             cause: "the worker does not accept connections",
             crashed: !self.worker.leaving,
-            proof: Proof::Refused,
+            proof: Proof::Refused(made_at),
         };
         self.reset_worker(now, None, loss, out);
         true
@@ -139,13 +147,19 @@
     }
 
     /// Returns whether the run has not certainly ended with the incarnation that was known.
-    pub(super) fn may_have_survived(&self, run: &Run, proof: Proof) -> bool {
+    pub(super) fn may_have_survived(&self, now: Now, run: &Run, proof: Proof) -> bool {
         match proof {
             Proof::AllEnded => false,
+            Proof::LeaseExpired => {
+                let waits = now.since(run.ordered_at) < self.settings.lease * MAX_OPEN_LEASES;
+                run.is_unconfirmed() && run.start_failed_at.is_none() && waits
+            }
             Proof::Restarted => self.may_be_on_successor(run),
-            // The worker responded to all other runs, so they were on the incarnation that has ended.
-            Proof::Refused => {
-                matches!(run.state, RunState::Starting(..) | RunState::Unconfirmed(_))
+            // The worker responded to all other runs, or their calls failed on its connections, so they
+            // were on the incarnation that has ended.
+            Proof::Refused(since) => {
+                let failed = run.start_failed_at.is_some_and(|at| at <= since);
+                run.is_unconfirmed() && !failed
             }
         }
     }
--- a/crates/core/src/executor/io.rs
+++ b/crates/core/src/executor/io.rs
@@ -177,8 +177,13 @@
 pub enum Input {
     /// The worker sent a heartbeat.
     Heartbeat(Heartbeat),
-    /// The worker with this instance id has deregistered.
-    WorkerLeft(SmolStr),
+    /// The worker has deregistered.
+    WorkerLeft {
+        /// Instance id.
+        instance: SmolStr,
+        /// Start time of the worker, if the request named it. See [`Heartbeat::incarnation`].
+        incarnation: Option<u64>,
+    },
     /// The last description of the worker that an earlier run of this agent stored, see
     /// [`Action::StoreRegistration`].
     RegistrationFound(Heartbeat),
--- a/crates/core/src/executor/machine.rs
+++ b/crates/core/src/executor/machine.rs
@@ -120,7 +120,10 @@
         match input {
             Input::Heartbeat(heartbeat) => self.handle_heartbeat(now, heartbeat, out),
             Input::RegistrationFound(heartbeat) => self.handle_registration(now, heartbeat, out),
-            Input::WorkerLeft(instance) => self.handle_worker_left(now, &instance, out),
+            Input::WorkerLeft {
+                instance,
+                incarnation,
+            } => self.handle_worker_left(now, &instance, incarnation, out),
             Input::LinkUp {
                 link,
                 peer,
@@ -206,7 +209,7 @@
             let loss = Loss {
                 cause: "the worker restarted",
                 crashed: !self.worker.leaving,
-                proof: if self.worker.instance() == heartbeat.instance {
+                proof: if self.worker.may_be(&heartbeat.instance) {
                     Proof::Restarted
                 } else {
                     Proof::AllEnded
@@ -254,8 +257,16 @@
         self.worker.heartbeat = Some(heartbeat);
     }
 
-    fn handle_worker_left(&mut self, now: Now, instance: &str, out: &mut Vec<Action>) {
-        if self.worker.instance() == instance {
+    fn handle_worker_left(
+        &mut self,
+        now: Now,
+        instance: &str,
+        incarnation: Option<u64>,
+        out: &mut Vec<Action>,
+    ) {
+        let known = self.worker.incarnation;
+        let earlier = known.is_some_and(|known| incarnation.is_some_and(|left| left < known));
+        if self.worker.instance() == instance && !earlier {
             let loss = Loss {
                 cause: "the worker has left",
                 crashed: false,
@@ -279,7 +290,7 @@
         let carried = self
             .runs
             .iter()
-            .filter(|(_, run)| self.may_have_survived(run, loss.proof));
+            .filter(|(_, run)| self.may_have_survived(now, run, loss.proof));
         let carried: Vec<RunId> = carried.map(|(id, _)| id.clone()).collect();
         let evidence = self.crash_evidence(now);
         self.close_lost_runs(now, loss, out);
@@ -312,10 +323,9 @@
 
     /// Closes all runs that may have been on the worker, except those that have not certainly ended.
     pub(super) fn close_lost_runs(&mut self, now: Now, loss: Loss, out: &mut Vec<Action>) {
-        let lost = self
-            .runs
-            .iter()
-            .filter(|(_, run)| run.may_be_on_worker() && !self.may_have_survived(run, loss.proof));
+        let lost = self.runs.iter().filter(|(_, run)| {
+            run.may_be_on_worker() && !self.may_have_survived(now, run, loss.proof)
+        });
         let lost: Vec<RunId> = lost.map(|(id, _)| id.clone()).collect();
         if lost.is_empty() {
             return;
@@ -343,7 +353,8 @@
             fields,
         );
         for id in lost {
-            match evidence.remove(&id) {
+            let kept = self.runs.get(&id).and_then(|run| run.crash);
+            match evidence.remove(&id).or(kept) {
                 Some(evidence) => self.close_crashed_run(now, &id, evidence),
                 None => self.close_run(now, &id, wire::RunOutcome::Lost),
             }
--- a/crates/core/src/executor/run_lists.rs
+++ b/crates/core/src/executor/run_lists.rs
@@ -219,6 +219,7 @@
             progress_percent: listed_run.percent,
             progress_times: (now.mono, now.mono),
             stop_cause: None,
+            start_failed_at: None,
             listed: true,
             crash: None,
             group: SmolStr::default(),
--- a/crates/core/src/executor/runs.rs
+++ b/crates/core/src/executor/runs.rs
@@ -60,6 +60,8 @@
     pub(super) progress_times: (Duration, Duration),
     /// Why the run is to be stopped, if it is.
     pub(super) stop_cause: Option<StopCause>,
+    /// When the call that was to start the run ended without a valid response, if it did.
+    pub(super) start_failed_at: Option<Duration>,
     /// Whether the current incarnation of the worker has listed the run.
     pub(super) listed: bool,
     /// Set when the worker has restarted and may have accepted the run before or after that. The next
--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -114,6 +114,7 @@
                 progress_percent: 0,
                 progress_times: (now.mono, now.mono),
                 stop_cause: None,
+                start_failed_at: None,
                 listed: false,
                 crash: None,
                 group: group.clone(),
@@ -157,8 +158,10 @@
             spec: run.spec.clone(),
         };
         let fence = self.worker.fence;
-        self.runs
-            .update(id, |run| run.state = RunState::Starting(fence, now.mono));
+        self.runs.update(id, |run| {
+            run.state = RunState::Starting(fence, now.mono);
+            run.start_failed_at = None;
+        });
         let call = self.record_call(now, Purpose::Start(id.clone()));
         out.push(Action::StartRun {
             call,
@@ -204,7 +207,11 @@
         }
         match outcome {
             StartOutcome::Started => self.confirm_start(now, &id, call.made_at, out),
-            StartOutcome::NoAnswer(cause) => self.mark_unconfirmed(&id, &cause, out),
+            StartOutcome::NoAnswer(cause) => {
+                self.mark_unconfirmed(&id, &cause, out);
+                self.runs
+                    .update(&id, |run| run.start_failed_at = Some(now.mono));
+            }
             StartOutcome::Refused(refusal) => {
                 self.handle_refusal(now, &id, &refusal, call.fence, out);
             }
--- a/crates/core/src/executor/timeouts.rs
+++ b/crates/core/src/executor/timeouts.rs
@@ -32,7 +32,7 @@
             let loss = Loss {
                 cause: "the lease expired",
                 crashed: false,
-                proof: Proof::AllEnded,
+                proof: Proof::LeaseExpired,
             };
             self.close_lost_runs(now, loss, out);
         }
--- a/crates/core/src/executor/worker.rs
+++ b/crates/core/src/executor/worker.rs
@@ -218,10 +218,11 @@
 
     /// Returns whether the worker accepts new runs.
     pub(super) fn is_usable(&self, now: Duration) -> bool {
+        let described = |heartbeat: &Heartbeat| Some(heartbeat.incarnation) == self.incarnation;
         let ready = self
             .heartbeat
             .as_ref()
-            .is_some_and(|heartbeat| !heartbeat.draining);
+            .is_some_and(|heartbeat| !heartbeat.draining && described(heartbeat));
         let state_known = self.lists_read && self.clock.is_some();
         let available = !self.leaving && !self.lease_withheld && !self.unreachable;
         ready
@@ -259,6 +260,12 @@
         })
     }
 
+    /// Returns whether a worker with this instance id may be the one that the runs were sent to.
+    pub(super) fn may_be(&self, instance: &str) -> bool {
+        let known = self.instance();
+        known.is_empty() || known == instance
+    }
+
     /// Returns the instance id of the worker; empty before the first heartbeat.
     pub(super) fn instance(&self) -> SmolStr {
         let heartbeat = self.heartbeat.as_ref();
--- a/crates/core/tests/jobs/agent.rs
+++ b/crates/core/tests/jobs/agent.rs
@@ -18,7 +18,7 @@
 pub struct Agent {
     machine: Machine,
     pub now_ms: u64,
-    out: Vec<Action>,
+    pub out: Vec<Action>,
     orders: u64,
     beats: u64,
     /// Last state that was reported to the entry process.
@@ -28,8 +28,27 @@
 }
 
 impl Agent {
-    /// An agent that has read the lists of a worker of lifetime 1.
+    /// An agent that has read the lists of a worker of lifetime 1 and has had a heartbeat.
     pub fn new() -> Self {
+        let mut agent = Self::unread();
+        agent.heartbeat(1);
+        agent.flush();
+        agent.answer_renewals(1);
+        agent
+    }
+
+    /// The same, but it has resumed from the registration of the worker.
+    pub fn resumed(found: Heartbeat) -> Self {
+        let mut agent = Self::unread();
+        agent.input(Input::RegistrationFound(found));
+        agent.flush();
+        agent.answer_renewals(1);
+        agent.now_ms += 300;
+        agent.flush();
+        agent
+    }
+
+    fn unread() -> Self {
         let settings = Settings {
             worker: Some("127.0.0.1:1".into()),
             zone: "z".into(),
@@ -63,9 +82,6 @@
             peer,
             entries: Vec::new(),
         });
-        agent.heartbeat(1);
-        agent.flush();
-        agent.answer_renewals(1);
         agent
     }
 
@@ -76,7 +92,7 @@
         }
     }
 
-    fn input(&mut self, input: Input) {
+    pub fn input(&mut self, input: Input) {
         self.machine.step(self.now(), input, &mut self.out);
     }
 
--- a/crates/core/tests/jobs/calls.rs
+++ b/crates/core/tests/jobs/calls.rs
@@ -5,7 +5,6 @@
 use smol_str::SmolStr;
 
 use crate::fleet::{Fleet, WAY_MS};
-use crate::worker::Worker;
 
 /// Pause of a worker's heartbeat.
 const HEARTBEAT_MS: u64 = 500;
@@ -160,7 +159,7 @@
                 }
                 continue;
             }
-            let clock_ms = Some(Worker::clock(now_ms));
+            let clock_ms = Some(host.worker.clock(now_ms));
             let (key, lost) = (pending.key, pending.lost);
             let input = match &pending.call {
                 Call::Start(request, lease_deadline_ms, fence) => executor::Input::StartCompleted {
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -21,6 +21,7 @@
 mod config_repair;
 mod crashing_tasks;
 mod durable_jobs;
+mod lifetimes;
 mod lost_agents;
 mod lost_starts;
 mod malformed_messages;
--- a/crates/core/tests/jobs/worker.rs
+++ b/crates/core/tests/jobs/worker.rs
@@ -127,8 +127,8 @@
         format!("w-{}", self.id)
     }
 
-    pub fn clock(now_ms: u64) -> u64 {
-        now_ms + CLOCK_OFFSET_MS
+    pub fn clock(&self, now_ms: u64) -> u64 {
+        now_ms - self.born + CLOCK_OFFSET_MS
     }
 
     /// Ends the lifetime and begins another.
@@ -179,7 +179,7 @@
     }
 
     fn extend(&mut self, now_ms: u64, lease_ms: Option<u64>) {
-        let longest = Self::clock(now_ms) + LEASE_MS;
+        let longest = self.clock(now_ms) + LEASE_MS;
         if let Some(lease_ms) = lease_ms {
             self.lease_ms = self.lease_ms.max(lease_ms.min(longest));
         }
@@ -209,7 +209,7 @@
         if self.crash_ms.take_if(|at| now_ms >= *at).is_some() && self.up {
             self.crash(now_ms);
         }
-        let lapsed = Self::clock(now_ms) > self.lease_ms;
+        let lapsed = self.clock(now_ms) > self.lease_ms;
         for end in self.done.values_mut() {
             end.2 |= lapsed;
         }
@@ -263,7 +263,7 @@
             self.extend(now_ms, Some(lease_ms));
             return StartOutcome::Refused(Refusal::OldAttempt);
         }
-        if lease_ms < Self::clock(now_ms) {
+        if lease_ms < self.clock(now_ms) {
             return StartOutcome::Refused(Refusal::Late);
         }
         self.extend(now_ms, Some(lease_ms));
