fix(executor): runs kept over a crash are counted when they are lost later

Cause: a run that a new incarnation may have accepted is kept over a crash until the lists of that incarnation are known. If the lease expires or the worker is replaced before, the run was closed as lost, and the crash that it may have caused was not counted. Change: `close_lost_runs` uses the evidence of the crash over which a run was kept, as an unconfirmed crash, since it is not known on which incarnation the run was; `carry_over` keeps that of the first crash, when all runs that shared the worker were known.

--- a/crates/core/src/executor/crashes.rs
+++ b/crates/core/src/executor/crashes.rs
@@ -134,6 +134,16 @@
         }
     }
 
+    /// Returns the evidence against a run that was kept over a crash and has now been lost. It is not
+    /// known whether the run was on the crashed incarnation.
+    pub(super) fn kept_evidence(&self, id: &RunId) -> Option<wire::CrashEvidence> {
+        let evidence = self.runs.get(id)?.crash?;
+        Some(wire::CrashEvidence {
+            unconfirmed: true,
+            ..evidence
+        })
+    }
+
     /// Keeps a run that a new incarnation may have accepted until its run lists are known.
     pub(super) fn carry_over(&mut self, id: &RunId, evidence: Option<wire::CrashEvidence>) {
         let Some(state) = self.runs.get(id).map(|run| run.state) else {
@@ -141,7 +151,7 @@
         };
         self.runs.update(id, |run| {
             run.listed = false;
-            run.crash = evidence;
+            run.crash = run.crash.or(evidence);
             // A call with a higher fence prevents a later start.
             if let RunState::Starting(fence, _) = state {
                 run.state = RunState::Unconfirmed(fence);
--- a/crates/core/src/executor/machine.rs
+++ b/crates/core/src/executor/machine.rs
@@ -321,7 +321,7 @@
             fields,
         );
         for id in lost {
-            match evidence.remove(&id) {
+            match self.kept_evidence(&id).or(evidence.remove(&id)) {
                 Some(evidence) => self.close_crashed_run(now, &id, evidence),
                 None => self.close_run(now, &id, wire::RunOutcome::Lost),
             }
--- a/crates/core/tests/jobs/unanswered_starts.rs
+++ b/crates/core/tests/jobs/unanswered_starts.rs
@@ -14,6 +14,9 @@
 /// Most starts of a task that crashes every worker: three, and two more after the third crash.
 const MAX_STARTS: usize = 5;
 
+/// Longer than a lease.
+const SILENCE_MS: u64 = 1_500;
+
 /// Time in which shards have owners after the start.
 const CLAIM_MS: u64 = 3_000;
 
@@ -175,3 +178,36 @@
     assert_eq!(outcome(&mut fleet, fatal), Some(Answer::Failed));
     fleet.assert_rules();
 }
+
+/// Guards against a task that is started without a bound because the worker that it crashed before the
+/// answer is silent after its restart, until the lease of its runs has expired.
+#[rstest]
+fn crashes_before_a_silence_are_bounded(
+    #[values(1, 4)] tasks: u32,
+    #[values(false, true)] kept: bool,
+) {
+    let mut fleet = Fleet::new(2, &[(16_000, 1.0); 4], 1);
+    fleet.run(CLAIM_MS);
+    let job = Job::new(tasks, 1_600, 90).deadly_at_once();
+    let fatal = fleet.submit(0, "patient", if kept { job.durable() } else { job });
+    let mut silent_ms = [0; 4];
+    for _ in 0..20_000 {
+        fleet.run(1);
+        let now_ms = fleet.now_ms;
+        for (at, silent_ms) in silent_ms.iter_mut().enumerate() {
+            if fleet.worker(at).is_gone() {
+                fleet.worker(at).restart_with_id(now_ms);
+                fleet.hosts[at].next_beat_ms = now_ms;
+                fleet.heartbeat(at);
+                fleet.worker(at).up = false;
+                *silent_ms = SILENCE_MS;
+            }
+            *silent_ms -= u64::from(*silent_ms > 0);
+            fleet.worker(at).up |= *silent_ms == 0;
+        }
+    }
+    let crashes = most_crashes(&fleet, fatal);
+    assert!(crashes <= MAX_STARTS, "{crashes} crashes");
+    assert_eq!(outcome(&mut fleet, fatal), Some(Answer::Failed));
+    fleet.assert_rules();
+}
