--- a/crates/core/src/executor/machine.rs
+++ b/crates/core/src/executor/machine.rs
@@ -353,8 +353,7 @@
             fields,
         );
         for id in lost {
-            let kept = self.runs.get(&id).and_then(|run| run.crash);
-            match evidence.remove(&id).or(kept) {
+            match self.kept_evidence(&id).or(evidence.remove(&id)) {
                 Some(evidence) => self.close_crashed_run(now, &id, evidence),
                 None => self.close_run(now, &id, wire::RunOutcome::Lost),
             }
