fix(agent): an earlier owner of a shard does not take its runs back

Cause: a process that has given its shards up keeps their jobs for another second. If its connection to an agent is made anew in that second, it claims the runs that the agent lists (`RunClaim`), and the agent made it their owner although the next owner had claimed the shard before. The end of the run, or its stop at the end of that second, was then reported to the earlier owner only, which may not record it. The present owner waited for a run that nobody reports any more; the worker kept its end and all later ones. Ruled out: an end that was recorded and not stored, and a row that was written and not confirmed: a print of the job's state at each step shows task 0.3 as placed at the present owner from 71,775 ms to the end, and as done at the earlier owner at 72,291 ms, 11 ms after that one had listed the agent's runs again. Change: an agent ignores a claim of a durable run by a process that is not the known owner of the run's shard. The owner sends its claim of the shard first on each connection, so its own claims of runs are never ignored.

--- a/crates/core/src/executor/durable_runs.rs
+++ b/crates/core/src/executor/durable_runs.rs
@@ -104,6 +104,12 @@
         *known == (epoch, owner)
     }
 
+    /// Returns whether a process other than this one is known to own the shard of the job.
+    pub(super) fn is_owned_by_other(&self, owner: Instance, job: &str) -> bool {
+        let known = shard_of(job).and_then(|shard| self.owners.get(&shard));
+        known.is_some_and(|known| known.1 != owner)
+    }
+
     /// Returns whether the process owns the shard of the run's job.
     fn is_owner(&self, owner: Instance, run: &wire::RunRef) -> bool {
         let shard = shard_of(&run.job);
--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -35,6 +35,11 @@
             let Some(run) = claim.run else {
                 continue;
             };
+            // An earlier owner of the shard that still knows the job claims the run when it reconnects.
+            // The end of the run would then not be reported to the present owner.
+            if claim.durable && self.shard_claims.is_owned_by_other(owner, &run.job) {
+                continue;
+            }
             let resources = claim.room.map(Resources::from);
             self.runs.update(&run.into(), |run| {
                 run.owner = Some(owner);
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -28,6 +28,7 @@
 mod random_faults;
 mod refusal_log_values;
 mod registrations;
+mod shard_handovers;
 mod silent_owners;
 mod slow_answers;
 mod worker_lives;
--- /dev/null
+++ b/crates/core/tests/jobs/shard_handovers.rs
@@ -0,0 +1,59 @@
+//! Runs of durable jobs while their shard changes hands, or while its owner may not act.
+
+use knapweedwall_core::scheduler::Answer;
+use rstest::rstest;
+
+use crate::callers::Job;
+use crate::fleet::Fleet;
+
+/// Time in which shards have owners after the start.
+const CLAIM_MS: u64 = 3_000;
+
+/// Event of a shard that its owner gives up without the store.
+const RELINQUISHED: u16 = 326;
+
+/// Time in which the next owner claims a shard and asks the agents for its runs.
+const HANDOVER_MS: u64 = 100;
+
+/// Two entry processes with one worker, and durable jobs of both.
+fn fleet(seed: u64, run_ms: u64) -> Fleet {
+    let mut fleet = Fleet::new(2, &[(32_000, 1.0)], seed);
+    fleet.run(CLAIM_MS);
+    for round in 0..16 {
+        let job = Job::new(1, 1_000, run_ms).durable();
+        fleet.submit(round % 2, "patient", job);
+    }
+    fleet.run(100);
+    fleet
+}
+
+/// Checks that all jobs end, and that the worker need not keep any of their ends.
+fn assert_ended(fleet: &mut Fleet, ms: u64) {
+    fleet.run(ms);
+    for at in 0..fleet.callers.len() {
+        assert_eq!(fleet.answer_to(at), Some(&Answer::Accepted), "job {at}");
+        let state = fleet.query(at % 2, at);
+        assert_eq!(state, Some(Answer::Completed), "job {at}");
+    }
+    assert_eq!(fleet.worker(0).listed_ends(), 0);
+    fleet.assert_rules();
+}
+
+/// Guards against runs whose end only an earlier owner of the shard is told, because it has asked
+/// for them on a new connection after the next owner: their jobs never end.
+#[rstest]
+#[case::ends_soon(1_500)]
+#[case::ends_late(4_000)]
+fn an_earlier_owner_takes_no_runs(#[case] run_ms: u64) {
+    let mut fleet = fleet(1, run_ms);
+    fleet.store.cut.push(0);
+    while fleet.count(RELINQUISHED) == 0 {
+        fleet.run(1);
+    }
+    fleet.run(HANDOVER_MS);
+    fleet.reset_link(0, 0);
+    fleet.run(500);
+    fleet.store.cut.clear();
+    assert_ended(&mut fleet, run_ms + 2_000);
+    assert_eq!(fleet.starts(), 16);
+}
--- a/crates/core/tests/jobs/worker.rs
+++ b/crates/core/tests/jobs/worker.rs
@@ -298,6 +298,11 @@
         StopOutcome::Accepted
     }
 
+    /// Number of ends that the worker keeps until they are acknowledged.
+    pub fn listed_ends(&self) -> usize {
+        self.ended.len()
+    }
+
     /// Whether a hold would be answered without waiting.
     pub fn has_news(&self, acknowledged: u64) -> bool {
         self.last_end > acknowledged
