fix(scheduler): ends that arrive without a lease are asked for again

Callers saw: nothing at once. After an outage of the store of over 4 s a worker keeps ends of runs for ever, and all later ones, since they are acknowledged in order; at 350 of them its agent takes no more orders (MAX_RETAINED_RUNS; read from the code, not played). Cause: an owner without a lease, or with an ownership that is not confirmed, does not record the end of a run, and the agent reports an end once per connection. When the owner had its lease back it kept the shard, and nobody told it of the end again. Change: an end that is not recorded for lack of a lease makes the ownership unconfirmed, and a write that confirms it is followed by a claim of the shard in the same epoch, to which the agents answer with their runs and retained ends as after a takeover.

--- a/crates/core/src/scheduler/durable_jobs.rs
+++ b/crates/core/src/scheduler/durable_jobs.rs
@@ -121,10 +121,11 @@
             return;
         };
         // A process that may have lost the shard may not know its newer jobs, so it must not settle
-        // their runs.
-        let state = self.shards.get(shard);
-        let owned = state.ownership == Ownership::Owned && state.ownership_confirmed;
-        if !owned || !self.shards.has_lease(now.mono) {
+        // their runs. It asks for their ends again once it has confirmed its ownership.
+        let has_lease = self.shards.has_lease(now.mono);
+        let state = self.shards.get_mut(shard);
+        state.ownership_confirmed &= has_lease;
+        if state.ownership != Ownership::Owned || !state.ownership_confirmed {
             return;
         }
         let Some(worker) = self.workers.get_mut(from) else {
--- a/crates/core/src/scheduler/shard_claims.rs
+++ b/crates/core/src/scheduler/shard_claims.rs
@@ -205,13 +205,18 @@
         state.ownership = Ownership::Owned;
         state.claim_number = claim;
         state.runs_known = false;
-        let epoch = state.epoch;
+        self.request_runs(shard, out);
+        self.send_peer_beats(now, out);
+    }
+
+    /// Asks all agents for their runs of a shard, and for the ends that they retain.
+    pub(super) fn request_runs(&self, shard: Shard, out: &mut Vec<Action>) {
+        let state = self.shards.get(shard);
         let shards = vec![wire::ShardEpoch {
             shard: shard.0,
-            epoch,
+            epoch: state.epoch,
         }];
-        self.send_shard_claims(None, claim, shards, out);
-        self.send_peer_beats(now, out);
+        self.send_shard_claims(None, state.claim_number, shards, out);
     }
 
     /// Sets `runs_known` once all connected agents have reported their runs of the shard's jobs and
@@ -232,7 +237,7 @@
 
     /// Sends a claim of shards to one agent, or to all if `to` is `None`.
     pub(super) fn send_shard_claims(
-        &mut self,
+        &self,
         to: Option<WorkerKey>,
         number: u64,
         shards: Vec<wire::ShardEpoch>,
--- a/crates/core/src/scheduler/shard_writes.rs
+++ b/crates/core/src/scheduler/shard_writes.rs
@@ -140,9 +140,13 @@
     /// Completes a successful write, and the release of the shard if the write included it.
     pub(super) fn finish_write(&mut self, now: Now, shard: Shard, out: &mut Vec<Action>) {
         let state = self.shards.get_mut(shard);
-        state.ownership_confirmed = true;
+        let was_confirmed = std::mem::replace(&mut state.ownership_confirmed, true);
         state.runs_stopped = false;
         state.written_sequence = state.sequence;
+        if !was_confirmed && state.ownership == Ownership::Owned {
+            self.request_runs(shard, out);
+        }
+        let state = self.shards.get_mut(shard);
         let Some(batch) = state.batch.take() else {
             return;
         };
--- a/crates/core/src/scheduler/shards.rs
+++ b/crates/core/src/scheduler/shards.rs
@@ -118,8 +118,8 @@
     pub(super) claim_number: u64,
     /// Whether agents have reported all runs of the loaded jobs that may still be active.
     pub(super) runs_known: bool,
-    /// Whether a write confirmed the ownership since the lease last expired or another process
-    /// reported a later epoch.
+    /// Whether a write confirmed the ownership since the lease last expired, another process reported
+    /// a later epoch, or the end of a run could not be recorded for lack of a lease.
     pub(super) ownership_confirmed: bool,
     /// Whether active runs were stopped after the lease expired.
     pub(super) runs_stopped: bool,
--- a/crates/core/tests/jobs/shard_handovers.rs
+++ b/crates/core/tests/jobs/shard_handovers.rs
@@ -57,3 +57,17 @@
     assert_ended(&mut fleet, run_ms + 2_000);
     assert_eq!(fleet.starts(), 16);
 }
+
+/// Guards against ends that are never settled because they arrived while the owner had no lease:
+/// the worker keeps them and all later ones, until its agent declines every order.
+#[rstest]
+#[case(3_900)]
+#[case(4_200)]
+#[case(4_600)]
+fn ends_without_a_lease_are_settled(#[case] run_ms: u64) {
+    let mut fleet = fleet(2, run_ms);
+    fleet.store.down = true;
+    fleet.run(4_800);
+    fleet.store.down = false;
+    assert_ended(&mut fleet, 8_000);
+}
