fix(scheduler): an answer from before a standstill confirms no ownership

Callers saw: nothing so far; found by reading, after reports on similar systems of processes that act on a permission that has run out while they stood still. Cause: an owner that stood still for seconds doubts its ownership until a write confirms it. Any answer to a write did, also one that the store had sent before the standstill and that was read after it. If the processes do not reach each other then, the earlier owner places tasks again, and an agent that is connected to it only starts them beside the runs of the next owner. Ruled out: the lease: it is judged by the time at which a heartbeat was sent, and was renewed properly. Change: only a call that was sent after the last doubt confirms an ownership.

--- a/crates/core/src/scheduler/durable_jobs.rs
+++ b/crates/core/src/scheduler/durable_jobs.rs
@@ -124,7 +124,9 @@
         // their runs. It asks for their ends again once it has confirmed its ownership.
         let has_lease = self.shards.has_lease(now.mono);
         let state = self.shards.get_mut(shard);
-        state.ownership_confirmed &= has_lease;
+        if !has_lease {
+            state.doubt_ownership();
+        }
         if state.ownership != Ownership::Owned || !state.ownership_confirmed {
             return;
         }
--- a/crates/core/src/scheduler/shard_claims.rs
+++ b/crates/core/src/scheduler/shard_claims.rs
@@ -115,7 +115,9 @@
                 continue;
             }
             let state = self.shards.get_mut(Shard(claimed.shard));
-            state.ownership_confirmed &= claimed.epoch <= state.epoch;
+            if claimed.epoch > state.epoch {
+                state.doubt_ownership();
+            }
         }
         for at in 0..SHARD_COUNT {
             let shard = Shard(at);
@@ -185,7 +187,7 @@
         state.claimed_at = now.mono;
         state.written_sequence = state.sequence;
         state.relinquished = false;
-        state.ownership_confirmed = true;
+        state.ownership_confirmed = state.call_confirms;
         state.last_read_job = SmolStr::default();
         // `before` is the previous owner.
         let fields = vec![
--- a/crates/core/src/scheduler/shard_writes.rs
+++ b/crates/core/src/scheduler/shard_writes.rs
@@ -140,10 +140,11 @@
     /// Completes a successful write, and the release of the shard if the write included it.
     pub(super) fn finish_write(&mut self, now: Now, shard: Shard, out: &mut Vec<Action>) {
         let state = self.shards.get_mut(shard);
-        let was_confirmed = std::mem::replace(&mut state.ownership_confirmed, true);
+        let confirms = !state.ownership_confirmed && state.call_confirms;
+        state.ownership_confirmed |= confirms;
         state.runs_stopped = false;
         state.written_sequence = state.sequence;
-        if !was_confirmed && state.ownership == Ownership::Owned {
+        if confirms && state.ownership == Ownership::Owned {
             self.request_runs(shard, out);
         }
         let state = self.shards.get_mut(shard);
--- a/crates/core/src/scheduler/shards.rs
+++ b/crates/core/src/scheduler/shards.rs
@@ -121,6 +121,10 @@
     /// Whether a write confirmed the ownership since the lease last expired, another process reported
     /// a later epoch, or the end of a run could not be recorded for lack of a lease.
     pub(super) ownership_confirmed: bool,
+    /// Whether the success of the call in flight confirms the ownership: the call was sent after the
+    /// last doubt. The answer to an earlier one may have waited here while the process stood still
+    /// and another one claimed the shard.
+    pub(super) call_confirms: bool,
     /// Whether active runs were stopped after the lease expired.
     pub(super) runs_stopped: bool,
     /// Time since which the shard can be claimed.
@@ -154,6 +158,7 @@
             claim_number: 0,
             runs_known: false,
             ownership_confirmed: false,
+            call_confirms: false,
             runs_stopped: false,
             claimable_since: None,
             owner_heartbeat: None,
@@ -163,6 +168,12 @@
         }
     }
 
+    /// Requires a write to confirm the ownership before tasks are placed.
+    pub(super) fn doubt_ownership(&mut self) {
+        self.ownership_confirmed = false;
+        self.call_confirms = false;
+    }
+
     /// Sets a new ownership and clears the state that belongs to the previous one.
     pub(super) fn reset_ownership(&mut self, ownership: Ownership) {
         self.ownership = ownership;
@@ -323,8 +334,8 @@
         }
     }
 
-    /// Stops the runs of owned shards [`LEASE_LAPSE_GRACE`] after the lease expired, since another
-    /// process may claim the shards.
+    /// Doubts the ownership of all shards while there is no lease, since another process may claim
+    /// them. Stops the runs of owned ones [`LEASE_LAPSE_GRACE`] after the lease expired.
     pub(super) fn check_lease(&mut self, now: Now) {
         let expired_for = self
             .shards
@@ -335,10 +346,10 @@
         }
         for at in 0..SHARD_COUNT {
             let state = self.shards.get_mut(Shard(at));
+            state.doubt_ownership();
             if state.ownership != Ownership::Owned {
                 continue;
             }
-            state.ownership_confirmed = false;
             if !state.runs_stopped && expired_for.is_none_or(|elapsed| elapsed >= LEASE_LAPSE_GRACE)
             {
                 state.runs_stopped = true;
@@ -381,7 +392,9 @@
         call: StoreCall,
         out: &mut Vec<Action>,
     ) {
-        self.shards.get_mut(shard).call_in_flight = true;
+        let state = self.shards.get_mut(shard);
+        state.call_in_flight = true;
+        state.call_confirms = true;
         self.shards
             .send_call(now, CallPurpose::Shard(shard), call, out);
     }
--- a/crates/core/tests/jobs/shard_handovers.rs
+++ b/crates/core/tests/jobs/shard_handovers.rs
@@ -71,3 +71,30 @@
     fleet.store.down = false;
     assert_ended(&mut fleet, 8_000);
 }
+
+/// Two entry processes that do not reach each other, and two workers, of which the second process
+/// reaches one only.
+fn split_fleet(seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(2, &[(32_000, 1.0), (32_000, 1.0)], seed);
+    fleet.run(CLAIM_MS);
+    fleet.cut_peers(0, 1, true);
+    fleet.cut(1, 0, true);
+    fleet.cut(0, 1, true);
+    fleet
+}
+
+/// Guards against an owner that stood still until its shards had another owner, and takes the answer
+/// to a write from before for a proof that it still owns them.
+#[rstest]
+fn an_old_answer_confirms_no_ownership() {
+    let mut fleet = split_fleet(3);
+    for _ in 0..16 {
+        fleet.submit(0, "patient", Job::new(1, 1_000, 6_000).durable());
+    }
+    fleet.run(2);
+    fleet.freeze_entry(0, true);
+    fleet.run(14_000);
+    fleet.freeze_entry(0, false);
+    fleet.run(2_000);
+    fleet.assert_rules();
+}
