fix(scheduler): a job whose row may be written is not refused

Callers saw: a submission refused as not run, and its task run five seconds later; a cancellation without an answer. Cause: a durable job that is cancelled before its row is known to be written is marked for a second write. Once the store had failed for 250 ms, jobs marked for a write and not stored were refused as certainly not written, also those whose first row was in a write without an outcome. That write was repeated and carried out without the end of the job, which was not in memory any more; the next owner of the shard found an open job and ran it. Calls that waited for the cancellation were dropped. Ruled out: jobs that were not cancelled: nothing else marks an unstored job twice. The cancellation of a refused job is answered: there is no such job.

--- a/crates/core/src/scheduler/shard_writes.rs
+++ b/crates/core/src/scheduler/shard_writes.rs
@@ -244,8 +244,11 @@
                 self.requeue_batch(now, batch);
             }
             let state = self.shards.get(shard);
+            // The row of a job that was cancelled before it was stored may be in an earlier write, too.
+            let sent = state.batch.as_ref();
+            let sent = |key: &JobKey| sent.is_some_and(|batch| batch.jobs.contains(key));
             let late = |key: &&JobKey| {
-                let job = self.jobs.get(**key);
+                let job = self.jobs.get(**key).filter(|_| !sent(key));
                 job.is_some_and(|job| {
                     let unstored = |durable: &DurableState| durable.stored == StoredState::Nothing;
                     let unstored = job.durable.as_ref().is_some_and(unstored);
@@ -257,10 +260,15 @@
                 let Some(job) = self.jobs.remove(key) else {
                     continue;
                 };
-                let submit_calls = job.durable.map(|durable| durable.submit_calls);
-                for call in submit_calls.unwrap_or_default() {
+                let Some(durable) = job.durable else {
+                    continue;
+                };
+                for call in durable.submit_calls {
                     self.refuse(call, &job.request.id, "the store does not answer", out);
                 }
+                for call in durable.cancel_calls {
+                    self.reply(call, Answer::NoJob, out);
+                }
             }
         }
     }
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -31,4 +31,5 @@
 mod shard_handovers;
 mod silent_owners;
 mod slow_answers;
+mod unstored_jobs;
 mod worker_lives;
