fix(scheduler): a process that stops releases shards that it was claiming

Callers saw: durable submissions without an answer for seconds when processes are replaced one after the other, in planned work. Cause: a process that is told to stop while it claims or loads a shard, as the successor of one that has just stopped, neither released that shard nor waited for the claim. It ended as its owner, and the others waited until its heartbeat was old. Ruled out: a claim by the stopping process after it was told to stop: it sends none. Change: a shard that is being loaded is released; one that is being claimed is released when the claim is known to have succeeded, without loading its jobs, and the process waits for that up to stop_limit.

--- a/crates/core/src/scheduler/shard_claims.rs
+++ b/crates/core/src/scheduler/shard_claims.rs
@@ -238,11 +238,16 @@
         self.call_store(now, shard, call, out);
     }
 
-    /// Starts to read the jobs of a shard after its claim was written.
+    /// Starts to read the jobs of a shard after its claim was written, or releases it again in a
+    /// graceful shutdown.
     pub(super) fn begin_loading(&mut self, now: Now, shard: Shard, out: &mut Vec<Action>) {
         let state = self.shards.get_mut(shard);
         let last_owner = state.owner_row.take().map(|row| row.name);
-        state.reset_ownership(Ownership::Loading);
+        state.reset_ownership(if self.stop_requested_at.is_some() {
+            Ownership::Releasing
+        } else {
+            Ownership::Loading
+        });
         state.claimed_at = now.mono;
         state.written_sequence = state.sequence;
         state.relinquished = false;
--- a/crates/core/src/scheduler/shard_release.rs
+++ b/crates/core/src/scheduler/shard_release.rs
@@ -60,14 +60,13 @@
         }
     }
 
-    /// Starts the release of all shards in a graceful shutdown.
+    /// Starts the release of all shards in a graceful shutdown. Those that are being claimed are
+    /// released once the claim is known to have succeeded.
     pub(super) fn release_shards(&mut self) {
         for at in 0..SHARD_COUNT {
             let state = self.shards.get_mut(Shard(at));
-            match state.ownership {
-                Ownership::Owned => state.ownership = Ownership::Releasing,
-                Ownership::Claiming => state.ownership = Ownership::Unknown,
-                _ => {}
+            if matches!(state.ownership, Ownership::Owned | Ownership::Loading) {
+                state.ownership = Ownership::Releasing;
             }
         }
     }
--- a/crates/core/src/scheduler/shards.rs
+++ b/crates/core/src/scheduler/shards.rs
@@ -521,13 +521,17 @@
         }
     }
 
-    /// Returns whether any shard is owned or its release is not complete.
+    /// Returns whether any shard is owned, or its claim or release is not complete.
     pub(super) fn holds_any_shard(&self) -> bool {
         let mut shards = self.shards.list.iter();
         shards.any(|state| {
             matches!(
                 state.ownership,
-                Ownership::Owned | Ownership::Releasing | Ownership::Released(_)
+                Ownership::Claiming
+                    | Ownership::Loading
+                    | Ownership::Owned
+                    | Ownership::Releasing
+                    | Ownership::Released(_)
             )
         })
     }
