--- a/crates/core/tests/jobs/unstored_jobs.rs
+++ b/crates/core/tests/jobs/unstored_jobs.rs
@@ -52,3 +52,25 @@
     }
     fleet.assert_rules();
 }
+
+/// Guards against a refusal, for lack of an owner, of a submission whose first attempt the owner has
+/// taken: its answer was lost, and the caller is told that the job never runs.
+#[rstest]
+fn a_repeated_submission_is_not_refused_and_run() {
+    let mut fleet = Fleet::new(2, &[(16_000, 1.0)], 1);
+    fleet.run(CLAIM_MS);
+    let jobs: Vec<usize> = (0..16)
+        .map(|_| fleet.submit(1, "patient", Job::new(1, 500, 50).durable()))
+        .collect();
+    fleet.run(2);
+    fleet.freeze_entry(0, true);
+    fleet.run(4_500);
+    fleet.freeze_entry(0, false);
+    fleet.run(6_000);
+    for job in jobs {
+        if matches!(fleet.answer_to(job), Some(Answer::NotRun { .. })) {
+            assert!(!fleet.has_started(job), "job {job} was refused and has run");
+        }
+    }
+    fleet.assert_rules();
+}
