--- a/crates/core/tests/jobs/lost_agents.rs
+++ b/crates/core/tests/jobs/lost_agents.rs
@@ -90,3 +90,19 @@
     fleet.run(300);
     fleet.assert_rules();
 }
+
+/// Guards against runs of a closed job that go on after their agent has restarted, although the
+/// process that knows the job orders their stop.
+#[rstest]
+fn a_restarted_agent_stops_runs_of_closed_jobs() {
+    let mut fleet = Fleet::new(1, &[(16_000, 1.0)], 1);
+    let job = fleet.submit(0, "patient", Job::new(4, 1_000, 5_000));
+    fleet.run(200);
+    fleet.kill_agent(0);
+    fleet.run(50);
+    fleet.leave(job);
+    fleet.run(50);
+    fleet.start_agent(0);
+    fleet.run(300);
+    assert_eq!(fleet.running(0), 0);
+}
