--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -35,6 +35,11 @@
             let Some(run) = claim.run else {
                 continue;
             };
+            // An earlier owner of the shard that still knows the job claims the run when it reconnects.
+            // The end of the run would then not be reported to the present owner.
+            if claim.durable && self.shard_claims.is_owned_by_other(owner, &run.job) {
+                continue;
+            }
             let resources = claim.room.map(Resources::from);
             self.runs.update(&run.into(), |run| {
                 run.owner = Some(owner);
@@ -45,8 +50,12 @@
         for stop in orders.stops {
             let id = RunId::from(stop);
             let known = self.runs.get(&id);
-            // The owner of a durable run may have changed since the stop was sent.
-            let owned_by_other = known.is_some_and(|run| run.durable && run.owner != Some(owner));
+            // The owner of a durable run may have changed since the stop was sent. A run that was found
+            // on the worker has none until it is claimed, and may belong to a job that nobody keeps.
+            let owned_by_other = known.is_some_and(|run| match run.owner {
+                Some(other) => run.durable && other != owner,
+                None => self.shard_claims.is_owned_by_other(owner, &id.task.job),
+            });
             if !owned_by_other {
                 self.stop_run(now, &id, StopCause::Owner);
             }
--- a/crates/core/src/scheduler/shards.rs
+++ b/crates/core/src/scheduler/shards.rs
@@ -20,10 +20,11 @@
 use super::io::Action;
 use super::jobs::JobKey;
 use super::machine::Machine;
+use super::shard_claims::HeartbeatReading;
 use super::store::{StoreCall, StoreKey, StoreOutcome, StoreRow};
 use crate::clock::Now;
 use crate::deterministic::DeterministicMap;
-use crate::ids::Shard;
+use crate::ids::{Instance, Shard};
 use crate::job::SHARD_COUNT;
 
 /// Time for which a process may place tasks of its shards after it has sent a heartbeat that was
@@ -118,15 +119,19 @@
     pub(super) claim_number: u64,
     /// Whether agents have reported all runs of the loaded jobs that may still be active.
     pub(super) runs_known: bool,
-    /// Whether a write confirmed the ownership since the lease last expired or another process
-    /// reported a later epoch.
+    /// Whether a write confirmed the ownership since the lease last expired, another process reported
+    /// a later epoch, or the end of a run could not be recorded for lack of a lease.
     pub(super) ownership_confirmed: bool,
+    /// Whether the success of the call in flight confirms the ownership: the call was sent after the
+    /// last doubt. The answer to an earlier one may have waited here while the process stood still
+    /// and another one claimed the shard.
+    pub(super) call_confirms: bool,
     /// Whether active runs were stopped after the lease expired.
     pub(super) runs_stopped: bool,
     /// Time since which the shard can be claimed.
     pub(super) claimable_since: Option<Duration>,
-    /// Version of the owner's heartbeat as last read, and when that version was first read.
-    pub(super) owner_heartbeat: Option<(u64, Duration)>,
+    /// The owner's heartbeat as last read.
+    pub(super) owner_heartbeat: Option<HeartbeatReading>,
     /// Id of the last job read while loading.
     pub(super) last_read_job: SmolStr,
     /// Name of the process that the shard is released to; empty for any.
@@ -154,6 +159,7 @@
             claim_number: 0,
             runs_known: false,
             ownership_confirmed: false,
+            call_confirms: false,
             runs_stopped: false,
             claimable_since: None,
             owner_heartbeat: None,
@@ -163,6 +169,12 @@
         }
     }
 
+    /// Requires a write to confirm the ownership before tasks are placed.
+    pub(super) fn doubt_ownership(&mut self) {
+        self.ownership_confirmed = false;
+        self.call_confirms = false;
+    }
+
     /// Sets a new ownership and clears the state that belongs to the previous one.
     pub(super) fn reset_ownership(&mut self, ownership: Ownership) {
         self.ownership = ownership;
@@ -171,7 +183,6 @@
         self.write_at = None;
         self.runs_known = false;
         self.claimable_since = None;
-        self.owner_heartbeat = None;
     }
 }
 
@@ -180,8 +191,8 @@
 pub(super) enum CallPurpose {
     /// Reads or writes rows of a shard.
     Shard(Shard),
-    /// Reads the heartbeat of the shard's owner.
-    OwnerHeartbeat(Shard),
+    /// Reads the heartbeat of this owner of the shard.
+    OwnerHeartbeat(Shard, Instance),
     /// Writes the heartbeat of this process, sent at this time.
     Heartbeat(Duration),
 }
@@ -323,8 +334,8 @@
         }
     }
 
-    /// Stops the runs of owned shards [`LEASE_LAPSE_GRACE`] after the lease expired, since another
-    /// process may claim the shards.
+    /// Doubts the ownership of all shards while there is no lease, since another process may claim
+    /// them. Stops the runs of owned ones [`LEASE_LAPSE_GRACE`] after the lease expired.
     pub(super) fn check_lease(&mut self, now: Now) {
         let expired_for = self
             .shards
@@ -335,10 +346,10 @@
         }
         for at in 0..SHARD_COUNT {
             let state = self.shards.get_mut(Shard(at));
+            state.doubt_ownership();
             if state.ownership != Ownership::Owned {
                 continue;
             }
-            state.ownership_confirmed = false;
             if !state.runs_stopped && expired_for.is_none_or(|elapsed| elapsed >= LEASE_LAPSE_GRACE)
             {
                 state.runs_stopped = true;
@@ -381,7 +392,9 @@
         call: StoreCall,
         out: &mut Vec<Action>,
     ) {
-        self.shards.get_mut(shard).call_in_flight = true;
+        let state = self.shards.get_mut(shard);
+        state.call_in_flight = true;
+        state.call_confirms = true;
         self.shards
             .send_call(now, CallPurpose::Shard(shard), call, out);
     }
@@ -417,12 +430,10 @@
                 self.shards.get_mut(shard).call_in_flight = false;
                 self.handle_shard_outcome(now, shard, outcome, out);
             }
-            Some((CallPurpose::OwnerHeartbeat(shard), _)) => {
+            Some((CallPurpose::OwnerHeartbeat(shard, owner), sent)) => {
                 if let StoreOutcome::Rows(rows, _) = outcome {
                     let version = rows.first().map_or(0, |row| row.version);
-                    let state = self.shards.get_mut(shard);
-                    let known = state.owner_heartbeat.filter(|(seen, _)| *seen == version);
-                    state.owner_heartbeat = known.or(Some((version, now.mono)));
+                    self.record_owner_heartbeat(now, shard, owner, version, sent);
                 }
             }
             Some((CallPurpose::Heartbeat(sent), _)) => {
@@ -481,12 +492,17 @@
         let state = self.shards.get_mut(shard);
         let decoded = row.and_then(|row| wire::ShardOwner::decode(row.value.clone()).ok());
         let changed = state.owner_row != decoded;
+        let instance = |row: &Option<wire::ShardOwner>| row.as_ref().map(|row| row.instance);
+        let same_owner = instance(&state.owner_row) == instance(&decoded);
         state.relinquished &= decoded.as_ref().is_some_and(|row| row.epoch <= state.epoch);
         state.owner_row = decoded;
         state.owner_row_version = row.map_or(0, |row| row.version);
         if changed {
             state.claimable_since = None;
-            state.owner_heartbeat = None;
+            // The owner may have confirmed its ownership by this write, after a heartbeat that has not
+            // been read yet.
+            let reading = state.owner_heartbeat.take_if(|_| same_owner);
+            state.owner_heartbeat = reading.map(HeartbeatReading::outdated);
         }
     }
 
@@ -505,13 +521,17 @@
         }
     }
 
-    /// Returns whether any shard is owned or its release is not complete.
+    /// Returns whether any shard is owned, or its claim or release is not complete.
     pub(super) fn holds_any_shard(&self) -> bool {
         let mut shards = self.shards.list.iter();
         shards.any(|state| {
             matches!(
                 state.ownership,
-                Ownership::Owned | Ownership::Releasing | Ownership::Released(_)
+                Ownership::Claiming
+                    | Ownership::Loading
+                    | Ownership::Owned
+                    | Ownership::Releasing
+                    | Ownership::Released(_)
             )
         })
     }
