test(core): durable jobs of a confined queue that wait beside free workers

Idle workers wait for a demand that is remembered for 4 s, a process adds tasks only to workers on which it has runs itself, and late jobs of a burst crash the only worker that serves new ones.

Change: the property that no accepted durable job waits for 3 s while two workers have room for it and less than half of the room was in use, with crashing tasks in bursts, workers that crash, lost entry processes and agents, labels and spreads.

Conclusion: not mended.

--- a/crates/core/tests/jobs/callers.rs
+++ b/crates/core/tests/jobs/callers.rs
@@ -4,6 +4,7 @@
 
 use knapweedwall_core::job::{JobRequest, PhaseSpec, Resources, TaskId};
 use knapweedwall_core::scheduler::{self, Answer, CallKey};
+use smol_str::SmolStr;
 
 use crate::fleet::Fleet;
 use crate::worker::{Ending, spec};
@@ -34,6 +35,10 @@
     pub durable: bool,
     /// Phases, each after the one before it.
     pub phases: u32,
+    /// Label that a worker must have.
+    pub label: Option<&'static str>,
+    /// Most tasks of a phase on one worker.
+    pub spread: Option<u32>,
 }
 
 impl Job {
@@ -46,6 +51,8 @@
             wait_ms: None,
             durable: false,
             phases: 1,
+            label: None,
+            spread: None,
         }
     }
 
@@ -55,6 +62,18 @@
         self
     }
 
+    /// A job for workers with a label.
+    pub fn label(mut self, label: &'static str) -> Self {
+        self.label = Some(label);
+        self
+    }
+
+    /// A job with at most so many tasks of a phase on one worker.
+    pub fn spread(mut self, most: u32) -> Self {
+        self.spread = Some(most);
+        self
+    }
+
     /// A job that must be kept.
     pub fn durable(mut self) -> Self {
         self.durable = true;
@@ -99,6 +118,8 @@
             },
             estimate: Duration::from_millis(estimate_ms),
             after: at.checked_sub(1).into_iter().collect(),
+            label: job.label.map(SmolStr::from),
+            spread: job.spread,
             ..PhaseSpec::default()
         });
         let request = JobRequest {
--- a/crates/core/tests/jobs/calls.rs
+++ b/crates/core/tests/jobs/calls.rs
@@ -217,7 +217,7 @@
             incarnation: host.worker.born,
             service: "desk".into(),
             address: format!("127.0.0.1:{at}").into(),
-            labels: vec!["a".into()],
+            labels: host.labels.clone(),
             capacity: Resources {
                 cpu: host.worker.cpu,
                 memory: 64_000,
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -1,6 +1,6 @@
 //! Entry processes, agents, workers and callers in simulated time, in steps of one millisecond.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -28,6 +28,9 @@
 /// Start of the simulated time: zero stands for "never" in the decisions.
 const START_MS: u64 = 60_000;
 
+/// Event of a job that has ended.
+const JOB_ENDED: u16 = 304;
+
 /// A host with a worker and its agent.
 pub struct Host {
     pub agent: Option<executor::Machine>,
@@ -38,6 +41,8 @@
     pub beats: u64,
     pub draining: bool,
     pub frozen: bool,
+    /// Labels of the worker.
+    pub labels: Vec<SmolStr>,
     /// Description of the worker in the store.
     pub registration: Option<executor::Heartbeat>,
     /// Lifetime of the worker that calls are meant for.
@@ -90,6 +95,8 @@
     pub caller_limits: Vec<(SmolStr, Duration)>,
     pub faults: Vec<String>,
     pub events: Vec<u16>,
+    /// Jobs that have ended, by id.
+    pub ended: BTreeSet<SmolStr>,
     /// Calls that were made to workers.
     pub calls: u64,
 }
@@ -111,6 +118,7 @@
             beats: 0,
             draining: false,
             frozen: false,
+            labels: vec!["a".into()],
             registration: None,
             life: SmolStr::default(),
             backlog: Vec::new(),
@@ -133,6 +141,7 @@
             caller_limits: Vec::new(),
             faults: Vec::new(),
             events: Vec::new(),
+            ended: BTreeSet::new(),
             calls: 0,
         };
         for at in 0..entries {
@@ -464,6 +473,10 @@
                 scheduler::Action::Log(event) => {
                     self.trace(&format!("entry-{at}"), &event);
                     self.events.push(event.number);
+                    if event.number == JOB_ENDED {
+                        let job = event.fields.iter().find(|(name, _)| *name == "job");
+                        self.ended.extend(job.map(|(_, id)| id.into()));
+                    }
                 }
                 _ => {}
             }
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -19,6 +19,7 @@
 mod config_repair;
 mod crashing_tasks;
 mod durable_jobs;
+mod kept_jobs;
 mod lost_agents;
 mod lost_starts;
 mod malformed_messages;
