fix(agent): starts outlive two restarts, and end with the lease once their call has failed

Cause: the time of the last run lists was set anew with each lifetime, so a run that had been kept over one restart was taken for ended at the next, which may have accepted it. The failure of a start call was ignored if the agent knew of the restart by then, so its run was kept for a second lease. Ruled out: runs that a lifetime had listed: these end with it as before. Change: the time of the last lists is kept over restarts; the failure of a start counts whichever lifetime it was sent to.

--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -197,8 +197,7 @@
         let Purpose::Start(id) = call.purpose else {
             return;
         };
-        // That a start was not sent is certain whatever became of the worker since.
-        if !current && !matches!(outcome, StartOutcome::NotSent { .. }) {
+        if !current && matches!(outcome, StartOutcome::Started | StartOutcome::Refused(_)) {
             return;
         }
         if matches!(outcome, StartOutcome::Started | StartOutcome::Refused(_)) {
@@ -217,7 +216,9 @@
         match outcome {
             StartOutcome::Started => self.confirm_start(now, &id, call.made_at, out),
             StartOutcome::NoAnswer(cause) => {
-                self.mark_unconfirmed(&id, &cause, out);
+                if current {
+                    self.mark_unconfirmed(&id, &cause, out);
+                }
                 self.runs
                     .update(&id, |run| run.start_failed_at = Some(now.mono));
             }
--- a/crates/core/src/executor/worker.rs
+++ b/crates/core/src/executor/worker.rs
@@ -64,7 +64,7 @@
     unanswered_since: Option<Duration>,
     /// Time of the last response, of this or an earlier incarnation.
     pub(super) responded_at: Duration,
-    /// When the last run lists of this incarnation were requested.
+    /// When the last run lists were requested, of this or an earlier incarnation.
     pub(super) lists_requested_at: Duration,
     /// Time of the first failed lease renewal since the last response.
     pub(super) failing_since: Option<Duration>,
@@ -122,7 +122,6 @@
         self.starts_paused_until = Duration::ZERO;
         self.clock = None;
         self.unanswered_since = None;
-        self.lists_requested_at = now;
         self.failing_since = None;
         self.unreachable = false;
         self.refusals = 0;
--- a/crates/core/tests/jobs/lifetimes.rs
+++ b/crates/core/tests/jobs/lifetimes.rs
@@ -256,3 +256,39 @@
     agent.flush();
     assert_eq!(agent.ended(JOB), None);
 }
+
+/// Guards against a run that is reported as ended because its worker has restarted twice, although only
+/// the last lifetime may have accepted it: the heartbeats of both are handled after its start.
+#[rstest]
+fn starts_outlive_two_restarts() {
+    let mut agent = Agent::new();
+    agent.now_ms += 100;
+    let start = agent.order(JOB).expect("a start");
+    agent.now_ms += 2;
+    agent.accept_start(start);
+    agent.now_ms += 1;
+    for incarnation in [2, 3] {
+        agent.input(Input::Heartbeat(beat(incarnation, 1)));
+        agent.now_ms += 1;
+    }
+    agent.flush();
+    assert_eq!(agent.ended(JOB), None);
+}
+
+/// Guards against a start without a response that is kept for a second lease although its call has
+/// failed: the failure is handled after the agent knows that the worker has restarted.
+#[rstest]
+fn failed_starts_end_with_the_lease() {
+    let mut agent = Agent::new();
+    let start = agent.order(JOB).expect("a start");
+    agent.now_ms += 1;
+    agent.input(Input::Heartbeat(beat(2, 1)));
+    agent.flush();
+    agent.input(Input::StartCompleted {
+        call: start,
+        outcome: StartOutcome::NoAnswer("connection reset".into()),
+        clock_ms: None,
+    });
+    agent.run(1_200);
+    assert!(agent.ended(JOB).is_some());
+}
