refactor(agent): the ends of the worker's lifetimes in a file of their own

Change: executor/lifetimes.rs holds the proofs, the reset and the runs that are kept; no logic changes.

--- a/crates/core/src/executor/machine.rs
+++ b/crates/core/src/executor/machine.rs
@@ -1,14 +1,15 @@
 //! The state machine of an agent. Module `starts` handles orders, starts and stops; `run_lists`
-//! handles lease renewals and the worker's run lists.
+//! handles lease renewals and the worker's run lists, `lifetimes` the ends of the worker.
 
 use std::time::Duration;
 
 use knapweedwall_wire as wire;
 use knapweedwall_wire::frame::Body;
 
-use super::crashes::{CrashedRuns, Loss, Proof};
+use super::crashes::CrashedRuns;
 use super::durable_runs::{RetainedRuns, ShardClaims};
 use super::io::{Action, Heartbeat, Input, Settings};
+use super::lifetimes::{Loss, Proof};
 use super::metrics::Metrics;
 use super::owners::Owners;
 use super::pending_calls::{PendingCall, PendingCalls, Purpose};
@@ -16,7 +17,6 @@
 use super::runs::{Run, RunState, Runs, StopCause, run_report};
 use super::worker::Worker;
 use crate::clock::Now;
-use crate::deterministic::DeterministicMap;
 use crate::event::Event;
 use crate::ids::Instance;
 use crate::job::{Resources, RunId};
@@ -72,7 +72,7 @@
     /// Backoff after the next failed lease renewal.
     renewal_backoff: Duration,
     /// Whether the worker has deregistered. The lease is not renewed until a heartbeat arrives.
-    worker_left: bool,
+    pub(super) worker_left: bool,
     /// When the worker's run lists became known.
     pub(super) lists_read_at: Option<Duration>,
     shutdown_requested_at: Option<Duration>,
@@ -260,110 +260,6 @@
         self.worker.heartbeat = Some(heartbeat);
     }
 
-    fn handle_worker_left(
-        &mut self,
-        now: Now,
-        instance: &str,
-        incarnation: Option<u64>,
-        out: &mut Vec<Action>,
-    ) {
-        let known = self.worker.incarnation;
-        let earlier = known.is_some_and(|known| incarnation.is_some_and(|left| left < known));
-        if self.worker.instance() == instance && !earlier {
-            let loss = Loss {
-                cause: "the worker has left",
-                crashed: false,
-                proof: Proof::AllEnded,
-            };
-            self.reset_worker(now, None, loss, out);
-            self.worker.leaving = true;
-            self.worker_left = true;
-            self.withdraw_registration(out);
-        }
-    }
-
-    /// Resets the state of the worker after the end of its incarnation. All runs on it ended as well.
-    pub(super) fn reset_worker(
-        &mut self,
-        now: Now,
-        incarnation: Option<u64>,
-        loss: Loss,
-        out: &mut Vec<Action>,
-    ) {
-        let carried = self
-            .runs
-            .iter()
-            .filter(|(_, run)| self.may_have_survived(now, run, loss.proof));
-        let carried: Vec<RunId> = carried.map(|(id, _)| id.clone()).collect();
-        let evidence = self.crash_evidence(now);
-        self.close_lost_runs(now, loss, out);
-        self.worker.begin_incarnation(now.mono, incarnation);
-        self.pending_calls.reset_counts();
-        self.probe_needed = false;
-        self.pending_stops.clear();
-        if let Some(first) = carried.first() {
-            let fields = vec![
-                ("runs", carried.len().to_string()),
-                ("first", first.to_string()),
-                ("cause", loss.cause.to_owned()),
-            ];
-            log(
-                out,
-                425,
-                "runs kept because a new incarnation may have accepted them",
-                false,
-                fields,
-            );
-        }
-        for id in carried {
-            let evidence = evidence.get(&id).copied().filter(|_| loss.crashed);
-            self.carry_over(&id, evidence);
-        }
-        self.retained_runs.clear();
-        self.lists_read_at = None;
-        self.reset_renewal_backoff(now);
-    }
-
-    /// Closes all runs that may have been on the worker, except those that have not certainly ended.
-    pub(super) fn close_lost_runs(&mut self, now: Now, loss: Loss, out: &mut Vec<Action>) {
-        let lost = self.runs.iter().filter(|(_, run)| {
-            run.may_be_on_worker() && !self.may_have_survived(now, run, loss.proof)
-        });
-        let lost: Vec<RunId> = lost.map(|(id, _)| id.clone()).collect();
-        if lost.is_empty() {
-            return;
-        }
-        let mut evidence = if loss.crashed {
-            self.crash_evidence(now)
-        } else {
-            DeterministicMap::default()
-        };
-        let suspects = evidence.values().filter(|evidence| evidence.suspect);
-        let response_age = now.since(self.worker.responded_at);
-        let fields = vec![
-            ("runs", lost.len().to_string()),
-            ("first", lost[0].to_string()),
-            ("cause", loss.cause.to_owned()),
-            ("response_age_ms", response_age.as_millis().to_string()),
-            ("crashed", loss.crashed.to_string()),
-            ("suspects", suspects.count().to_string()),
-        ];
-        log(
-            out,
-            403,
-            "runs lost because their worker or lease ended",
-            true,
-            fields,
-        );
-        for id in lost {
-            match self.kept_evidence(&id).or(evidence.remove(&id)) {
-                Some(evidence) => self.close_crashed_run(now, &id, evidence),
-                None => self.close_run(now, &id, wire::RunOutcome::Lost),
-            }
-        }
-        self.decline_waiting(now);
-    }
-
     /// Closes a run and reports its outcome.
     pub(super) fn close_run(&mut self, now: Now, id: &RunId, outcome: wire::RunOutcome) {
         let started = self.runs.get(id).and_then(|run| run.started_at);
--- a/crates/core/src/executor/mod.rs
+++ b/crates/core/src/executor/mod.rs
@@ -12,6 +12,7 @@
 mod crashes;
 mod durable_runs;
 mod io;
+mod lifetimes;
 mod machine;
 mod metrics;
 mod owners;
--- a/crates/core/src/executor/run_lists.rs
+++ b/crates/core/src/executor/run_lists.rs
@@ -3,8 +3,8 @@
 use knapweedwall_wire as wire;
 use smol_str::SmolStr;
 
-use super::crashes::{Loss, Proof};
 use super::io::{Action, CallKey, EndCause, EndedRun, RenewalOutcome, RunLists, RunningRun};
+use super::lifetimes::{Loss, Proof};
 use super::machine::{Machine, log};
 use super::pending_calls::{PendingCall, Purpose};
 use super::runs::{Run, RunState, StopCause, run_report};
--- a/crates/core/src/executor/timeouts.rs
+++ b/crates/core/src/executor/timeouts.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use super::crashes::{Loss, Proof};
 use super::io::Action;
+use super::lifetimes::{Loss, Proof};
 use super::machine::{Machine, log};
 use super::owners::OWNER_SILENCE_TIMEOUT;
 use super::runs::{RunState, StopCause};
