--- a/crates/lab/tests/ports/main.rs
+++ b/crates/lab/tests/ports/main.rs
@@ -3,7 +3,10 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed step of a test ends the test")]
 
-#[allow(dead_code, reason = "the tests of the endpoint use the rest of the client")]
+#[allow(
+    dead_code,
+    reason = "the tests of the endpoint use the rest of the client"
+)]
 #[path = "../endpoint/client.rs"]
 mod client;
 mod refused_ports;
