--- a/crates/core/tests/jobs/lifetimes.rs
+++ b/crates/core/tests/jobs/lifetimes.rs
@@ -292,3 +292,26 @@
     agent.run(1_200);
     assert!(agent.ended(JOB).is_some());
 }
+
+/// Guards against a kept start that is reported as ended because of a heartbeat of a lifetime before the
+/// last one, under another id, that is handled late.
+#[rstest]
+fn old_heartbeats_end_no_kept_starts() {
+    let mut agent = Agent::new();
+    agent.heartbeat(5);
+    agent.flush();
+    agent.answer_renewals(5);
+    agent.order(JOB).expect("a start");
+    for _ in 0..10 {
+        agent.now_ms += 5;
+        agent.flush();
+        for call in agent.renewals() {
+            agent.refuse_renewal(call);
+        }
+    }
+    let mut old = beat(3, 900);
+    old.instance = "v".into();
+    agent.input(Input::Heartbeat(old));
+    agent.flush();
+    assert_eq!(agent.ended(JOB), None);
+}
