--- a/crates/core/src/executor/machine.rs
+++ b/crates/core/src/executor/machine.rs
@@ -1,5 +1,6 @@
-//! The state machine of an agent. Module `starts` handles orders, starts and stops; `run_lists`
-//! handles lease renewals and the worker's run lists, `lifetimes` the ends of the worker.
+//! The state machine of an agent: its inputs, its turns and its messages to entry processes. Module
+//! `starts` handles orders, starts and stops, `heartbeats` the descriptions of the worker, `renewals`
+//! and `run_lists` its lease and its run lists, `lifetimes` its ends.
 
 use std::time::Duration;
 
@@ -8,12 +9,12 @@
 
 use super::crashes::CrashedRuns;
 use super::durable_runs::{RetainedRuns, ShardClaims};
-use super::io::{Action, Heartbeat, Input, Settings};
-use super::lifetimes::{Loss, Proof};
+use super::io::{Action, Input, Settings};
 use super::metrics::Metrics;
 use super::owners::Owners;
-use super::pending_calls::{PendingCall, PendingCalls, Purpose};
+use super::pending_calls::PendingCalls;
 use super::registration::Registration;
+use super::renewals::RENEWAL_BACKOFF;
 use super::runs::{Run, RunState, Runs, StopCause, run_report};
 use super::worker::Worker;
 use crate::clock::Now;
@@ -22,26 +23,11 @@
 use crate::job::{Resources, RunId};
 use crate::peer::LinkKey;
 
-/// Maximum duration of the long poll by which the lease is renewed. Every response lists the ended
-/// runs that are not acknowledged, so if a response is lost, the agent learns of these runs from the
-/// next one. Shorter polls reduce that delay.
-const RENEWAL_WAIT: Duration = Duration::from_millis(60);
-
-/// Minimum time after which the response to a lease renewal is considered lost.
-const MIN_RENEWAL_TIMEOUT: Duration = Duration::from_millis(85);
-
 /// Number of ended runs retained by the worker at which the agent declines further orders. Must be
 /// below 500, the maximum number of ended runs that the worker lists: the agent does not learn of the
 /// end of any run beyond those.
 const MAX_RETAINED_RUNS: u64 = 350;
 
-/// Minimum interval between lease renewals while the worker retains ended runs, because it responds
-/// to such a renewal without waiting.
-const MIN_RENEWAL_INTERVAL_WITH_RETAINED_RUNS: Duration = Duration::from_millis(5);
-
-/// Minimum and maximum backoff after a failed lease renewal.
-const RENEWAL_BACKOFF: (Duration, Duration) = (Duration::from_millis(10), Duration::from_secs(1));
-
 /// Minimum interval between checks of the timeouts.
 const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_millis(15);
 
@@ -51,7 +37,7 @@
     pub(super) settings: Settings,
     pub(super) worker: Worker,
     /// Description of the worker that is sent to entry processes.
-    profile: wire::WorkerProfile,
+    pub(super) profile: wire::WorkerProfile,
     pub(super) runs: Runs,
     pub(super) owners: Owners,
     pub(super) pending_calls: PendingCalls,
@@ -70,7 +56,7 @@
     /// Earliest time of the next lease renewal or probe, delayed after a failure.
     pub(super) next_renewal_at: Duration,
     /// Backoff after the next failed lease renewal.
-    renewal_backoff: Duration,
+    pub(super) renewal_backoff: Duration,
     /// Whether the worker has deregistered. The lease is not renewed until a heartbeat arrives.
     pub(super) worker_left: bool,
     /// When the worker's run lists became known.
@@ -193,73 +179,6 @@
             || self.worker.unreachable
     }
 
-    fn handle_heartbeat(&mut self, now: Now, heartbeat: Heartbeat, out: &mut Vec<Action>) {
-        if self.worker.is_stale(&heartbeat) {
-            return;
-        }
-        let same_incarnation = self.worker.incarnation == Some(heartbeat.incarnation);
-        let first_heartbeat = self
-            .worker
-            .heartbeat
-            .as_ref()
-            .is_none_or(|last| last.incarnation != heartbeat.incarnation);
-        self.worker_left = false;
-        if self.worker.awaits_response() {
-            // The worker is reachable, so an earlier failure is no reason to delay the next renewal.
-            self.reset_renewal_backoff(now);
-        }
-        if !same_incarnation {
-            let loss = Loss {
-                cause: "the worker restarted",
-                crashed: !self.worker.leaving,
-                proof: if self.worker.may_be(&heartbeat.instance) {
-                    Proof::Restarted
-                } else {
-                    Proof::AllEnded
-                },
-            };
-            self.reset_worker(now, Some(heartbeat.incarnation), loss, out);
-        }
-        self.update_registration(&heartbeat, first_heartbeat, out);
-        if first_heartbeat {
-            self.use_worker(&heartbeat, out);
-            let fields = vec![
-                ("worker", heartbeat.instance.to_string()),
-                ("service", heartbeat.service.to_string()),
-                ("cpu", heartbeat.capacity.cpu.to_string()),
-                ("labels", heartbeat.labels.join(",")),
-                ("incarnation", heartbeat.incarnation.to_string()),
-            ];
-            log(out, 401, "worker registered", false, fields);
-        }
-        if heartbeat.draining && !self.worker.leaving {
-            self.worker.leaving = true;
-            let fields = vec![("worker", heartbeat.instance.to_string())];
-            log(out, 402, "worker is draining", false, fields);
-            self.decline_waiting(now);
-        }
-        self.describe_worker(heartbeat);
-    }
-
-    /// Directs calls to the worker that a heartbeat describes.
-    pub(super) fn use_worker(&self, heartbeat: &Heartbeat, out: &mut Vec<Action>) {
-        out.push(Action::UseWorker {
-            address: heartbeat.address.clone(),
-            instance: heartbeat.instance.clone(),
-        });
-    }
-
-    /// Takes over a description of the worker.
-    pub(super) fn describe_worker(&mut self, heartbeat: Heartbeat) {
-        self.profile = wire::WorkerProfile {
-            instance: heartbeat.instance.to_string(),
-            service: heartbeat.service.to_string(),
-            labels: heartbeat.labels.iter().map(ToString::to_string).collect(),
-            capacity: Some(heartbeat.capacity.into()),
-        };
-        self.worker.heartbeat = Some(heartbeat);
-    }
-
     /// Closes a run and reports its outcome.
     pub(super) fn close_run(&mut self, now: Now, id: &RunId, outcome: wire::RunOutcome) {
         let started = self.runs.get(id).and_then(|run| run.started_at);
@@ -349,97 +268,6 @@
         }
     }
 
-    fn send_calls(&mut self, now: Now, out: &mut Vec<Action>) {
-        for run in std::mem::take(&mut self.pending_stops) {
-            if self.runs.get(&run).is_none() {
-                continue;
-            }
-            let call = self.record_call(now, Purpose::Stop(run.clone()));
-            let fence = self.worker.fence;
-            out.push(Action::StopRun { call, run, fence });
-        }
-        if self.probe_needed && !self.pending_calls.is_probing() && now.mono >= self.next_renewal_at
-        {
-            self.probe_needed = false;
-            self.renew_lease(now, Purpose::Probe, Duration::ZERO, out);
-        }
-        let worker_known = self.worker.heartbeat.is_some() || self.settings.worker.is_some();
-        let has_worker = worker_known && !self.worker_left;
-        let lists_unread = !self.worker.lists_read;
-        let acknowledgeable = self
-            .retained_runs
-            .acknowledgeable(self.worker.last_processed_number);
-        let unacknowledged = acknowledgeable > self.worker.last_acknowledged_number;
-        let awaiting_response = self.worker.awaits_response();
-        let needed = lists_unread || !self.runs.is_idle() || unacknowledged || awaiting_response;
-        let timeout = MIN_RENEWAL_TIMEOUT.max(RENEWAL_WAIT + self.worker.late_response_limit());
-        let expired_before = now.mono.saturating_sub(timeout);
-        let renewing = self.pending_calls.is_renewing(expired_before);
-        // While the worker retains ended runs, it responds without waiting.
-        let pausing = !self.retained_runs.is_empty()
-            && now.since(self.pending_calls.last_renewal_at())
-                < MIN_RENEWAL_INTERVAL_WITH_RETAINED_RUNS;
-        if has_worker && needed && !renewing && !pausing && now.mono >= self.next_renewal_at {
-            let long_poll = !lists_unread && !self.runs.is_idle();
-            let wait = if long_poll {
-                RENEWAL_WAIT
-            } else {
-                Duration::ZERO
-            };
-            self.renew_lease(now, Purpose::RenewLease, wait, out);
-        }
-    }
-
-    fn renew_lease(&mut self, now: Now, purpose: Purpose, wait: Duration, out: &mut Vec<Action>) {
-        let lease = self.settings.lease;
-        let lease_deadline_ms = if self.runs.is_idle() {
-            None
-        } else {
-            self.worker.lease_deadline_ms(now.mono, lease)
-        };
-        let call = self.record_call(now, purpose);
-        out.push(Action::RenewLease {
-            call,
-            lease_deadline_ms,
-            fence: self.worker.fence,
-            acknowledged: self.acknowledged(now),
-            wait_ms: u64::try_from(wait.as_millis()).unwrap_or_default(),
-        });
-    }
-
-    /// Registers a call to the worker and returns its key.
-    pub(super) fn record_call(&mut self, now: Now, purpose: Purpose) -> super::io::CallKey {
-        self.worker.record_call(now.mono);
-        self.pending_calls.add(PendingCall {
-            purpose,
-            generation: self.worker.generation,
-            fence: self.worker.fence,
-            made_at: now.mono,
-            acknowledged: self.acknowledged(now),
-        })
-    }
-
-    /// Returns the number up to which a call acknowledges ended runs.
-    fn acknowledged(&self, now: Now) -> u64 {
-        if !self.worker.has_just_responded(now.mono) {
-            return 0;
-        }
-        self.retained_runs
-            .acknowledgeable(self.worker.last_processed_number)
-    }
-
-    /// Delays the next lease renewal after a failed one.
-    pub(super) fn back_off_renewals(&mut self, now: Now) {
-        self.next_renewal_at = now.mono + self.renewal_backoff;
-        self.renewal_backoff = (self.renewal_backoff * 2).min(RENEWAL_BACKOFF.1);
-    }
-
-    /// Allows the next lease renewal immediately.
-    pub(super) fn reset_renewal_backoff(&mut self, now: Now) {
-        self.next_renewal_at = now.mono;
-        self.renewal_backoff = RENEWAL_BACKOFF.0;
-    }
-
     fn send_messages(&mut self, now: Now, out: &mut Vec<Action>) {
         let state = self.worker_state(now);
         self.answer_shard_claims(out);
--- a/crates/core/src/executor/mod.rs
+++ b/crates/core/src/executor/mod.rs
@@ -11,6 +11,7 @@
 
 mod crashes;
 mod durable_runs;
+mod heartbeats;
 mod io;
 mod lifetimes;
 mod machine;
@@ -18,6 +19,7 @@
 mod owners;
 mod pending_calls;
 mod registration;
+mod renewals;
 mod run_lists;
 mod runs;
 mod starts;
--- /dev/null
+++ b/crates/core/src/executor/renewals.rs
@@ -0,0 +1,118 @@
+//! Calls to the worker that renew the lease and read its run lists.
+
+use std::time::Duration;
+
+use super::io::{Action, CallKey};
+use super::machine::Machine;
+use super::pending_calls::{PendingCall, Purpose};
+use crate::clock::Now;
+
+/// Maximum duration of the long poll by which the lease is renewed. Every response lists the ended
+/// runs that are not acknowledged, so if a response is lost, the agent learns of these runs from the
+/// next one. Shorter polls reduce that delay.
+const RENEWAL_WAIT: Duration = Duration::from_millis(60);
+
+/// Minimum time after which the response to a lease renewal is considered lost.
+const MIN_RENEWAL_TIMEOUT: Duration = Duration::from_millis(85);
+
+/// Minimum interval between lease renewals while the worker retains ended runs, because it responds
+/// to such a renewal without waiting.
+const MIN_RENEWAL_INTERVAL_WITH_RETAINED_RUNS: Duration = Duration::from_millis(5);
+
+/// Minimum and maximum backoff after a failed lease renewal.
+pub(super) const RENEWAL_BACKOFF: (Duration, Duration) =
+    (Duration::from_millis(10), Duration::from_secs(1));
+
+impl Machine {
+    /// Sends the calls to the worker that are due.
+    pub(super) fn send_calls(&mut self, now: Now, out: &mut Vec<Action>) {
+        for run in std::mem::take(&mut self.pending_stops) {
+            if self.runs.get(&run).is_none() {
+                continue;
+            }
+            let call = self.record_call(now, Purpose::Stop(run.clone()));
+            let fence = self.worker.fence;
+            out.push(Action::StopRun { call, run, fence });
+        }
+        if self.probe_needed && !self.pending_calls.is_probing() && now.mono >= self.next_renewal_at
+        {
+            self.probe_needed = false;
+            self.renew_lease(now, Purpose::Probe, Duration::ZERO, out);
+        }
+        let worker_known = self.worker.heartbeat.is_some() || self.settings.worker.is_some();
+        let has_worker = worker_known && !self.worker_left;
+        let lists_unread = !self.worker.lists_read;
+        let acknowledgeable = self
+            .retained_runs
+            .acknowledgeable(self.worker.last_processed_number);
+        let unacknowledged = acknowledgeable > self.worker.last_acknowledged_number;
+        let awaiting_response = self.worker.awaits_response();
+        let needed = lists_unread || !self.runs.is_idle() || unacknowledged || awaiting_response;
+        let timeout = MIN_RENEWAL_TIMEOUT.max(RENEWAL_WAIT + self.worker.late_response_limit());
+        let expired_before = now.mono.saturating_sub(timeout);
+        let renewing = self.pending_calls.is_renewing(expired_before);
+        // While the worker retains ended runs, it responds without waiting.
+        let pausing = !self.retained_runs.is_empty()
+            && now.since(self.pending_calls.last_renewal_at())
+                < MIN_RENEWAL_INTERVAL_WITH_RETAINED_RUNS;
+        if has_worker && needed && !renewing && !pausing && now.mono >= self.next_renewal_at {
+            let long_poll = !lists_unread && !self.runs.is_idle();
+            let wait = if long_poll {
+                RENEWAL_WAIT
+            } else {
+                Duration::ZERO
+            };
+            self.renew_lease(now, Purpose::RenewLease, wait, out);
+        }
+    }
+
+    fn renew_lease(&mut self, now: Now, purpose: Purpose, wait: Duration, out: &mut Vec<Action>) {
+        let lease = self.settings.lease;
+        let lease_deadline_ms = if self.runs.is_idle() {
+            None
+        } else {
+            self.worker.lease_deadline_ms(now.mono, lease)
+        };
+        let call = self.record_call(now, purpose);
+        out.push(Action::RenewLease {
+            call,
+            lease_deadline_ms,
+            fence: self.worker.fence,
+            acknowledged: self.acknowledged(now),
+            wait_ms: u64::try_from(wait.as_millis()).unwrap_or_default(),
+        });
+    }
+
+    /// Registers a call to the worker and returns its key.
+    pub(super) fn record_call(&mut self, now: Now, purpose: Purpose) -> CallKey {
+        self.worker.record_call(now.mono);
+        self.pending_calls.add(PendingCall {
+            purpose,
+            generation: self.worker.generation,
+            fence: self.worker.fence,
+            made_at: now.mono,
+            acknowledged: self.acknowledged(now),
+        })
+    }
+
+    /// Returns the number up to which a call acknowledges ended runs.
+    fn acknowledged(&self, now: Now) -> u64 {
+        if !self.worker.has_just_responded(now.mono) {
+            return 0;
+        }
+        self.retained_runs
+            .acknowledgeable(self.worker.last_processed_number)
+    }
+
+    /// Delays the next lease renewal after a failed one.
+    pub(super) fn back_off_renewals(&mut self, now: Now) {
+        self.next_renewal_at = now.mono + self.renewal_backoff;
+        self.renewal_backoff = (self.renewal_backoff * 2).min(RENEWAL_BACKOFF.1);
+    }
+
+    /// Allows the next lease renewal immediately.
+    pub(super) fn reset_renewal_backoff(&mut self, now: Now) {
+        self.next_renewal_at = now.mono;
+        self.renewal_backoff = RENEWAL_BACKOFF.0;
+    }
+}
--- a/crates/core/tests/jobs/agent.rs
+++ b/crates/core/tests/jobs/agent.rs
@@ -128,23 +128,10 @@
         }
     }
 
+    /// Handles the next heartbeat of a lifetime.
     pub fn heartbeat(&mut self, incarnation: u64) {
         self.beats += 1;
-        let heartbeat = Heartbeat {
-            instance: "w".into(),
-            incarnation,
-            service: "desk".into(),
-            address: "127.0.0.1:1".into(),
-            labels: Vec::new(),
-            capacity: Resources {
-                cpu: 16_000,
-                memory: 64_000,
-                gpus: 0,
-            },
-            draining: false,
-            number: self.beats,
-        };
-        self.input(Input::Heartbeat(heartbeat));
+        self.input(Input::Heartbeat(beat(incarnation, self.beats)));
     }
 
     /// Orders a job of one task. Returns the key of the start that the agent makes, if it makes one.
@@ -197,14 +184,18 @@
 
     /// Answers the renewals that were made with empty lists of this lifetime.
     pub fn answer_renewals(&mut self, incarnation: u64) {
+        self.answer_lists(&RunLists {
+            incarnation: Some(incarnation),
+            ..RunLists::default()
+        });
+    }
+
+    /// Answers the renewals that were made with these lists.
+    pub fn answer_lists(&mut self, lists: &RunLists) {
         for call in self.renewals() {
-            let lists = RunLists {
-                incarnation: Some(incarnation),
-                ..RunLists::default()
-            };
             self.input(Input::RenewalCompleted {
                 call,
-                outcome: RenewalOutcome::Renewed(lists),
+                outcome: RenewalOutcome::Renewed(lists.clone()),
                 clock_ms: Some(self.now_ms),
             });
         }
@@ -225,29 +216,30 @@
     pub fn end_run(&mut self, job: &str, number: u64) {
         let ended = EndedRun {
             number,
-            run: RunId {
-                task: TaskId {
-                    job: job.into(),
-                    phase: 0,
-                    index: 0,
-                },
-                attempt: 1,
-            },
+            run: first_run(job),
             cause: EndCause::Done,
         };
-        for call in self.renewals() {
-            let lists = RunLists {
-                incarnation: Some(1),
-                ended: vec![ended.clone()],
-                ..RunLists::default()
-            };
-            self.input(Input::RenewalCompleted {
-                call,
-                outcome: RenewalOutcome::Renewed(lists),
-                clock_ms: Some(self.now_ms),
-            });
+        self.answer_lists(&RunLists {
+            incarnation: Some(1),
+            ended: vec![ended],
+            ..RunLists::default()
+        });
+    }
+
+    /// Lets time pass in turns of 5 ms, in which the worker refuses the renewals that were made. Returns
+    /// their number.
+    pub fn refuse_renewals(&mut self, turns: u32) -> usize {
+        let mut refused = 0;
+        for _ in 0..turns {
+            self.now_ms += 5;
+            self.input(Input::Tick);
+            self.flush();
+            for call in self.renewals() {
+                refused += 1;
+                self.refuse_renewal(call);
+            }
         }
-        self.flush();
+        refused
     }
 
     pub fn refuse_renewal(&mut self, call: CallKey) {
@@ -283,3 +275,33 @@
         ended.find(|(of, _)| of == job).map(|(_, outcome)| *outcome)
     }
 }
+
+/// First run of a job's only task.
+pub fn first_run(job: &str) -> RunId {
+    RunId {
+        task: TaskId {
+            job: job.into(),
+            phase: 0,
+            index: 0,
+        },
+        attempt: 1,
+    }
+}
+
+/// A heartbeat of the worker.
+pub fn beat(incarnation: u64, number: u64) -> Heartbeat {
+    Heartbeat {
+        instance: "w".into(),
+        incarnation,
+        service: "desk".into(),
+        address: "127.0.0.1:1".into(),
+        labels: Vec::new(),
+        capacity: Resources {
+            cpu: 16_000,
+            memory: 64_000,
+            gpus: 0,
+        },
+        draining: false,
+        number,
+    }
+}
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -3,28 +3,24 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use bytes::Bytes;
 use knapweedwall_core::executor;
-use knapweedwall_core::job::{QueueCatalog, QueueConfig, TaskId};
+use knapweedwall_core::job::TaskId;
 use knapweedwall_core::scheduler::{self, Answer};
-use knapweedwall_core::{Event, Instance, LinkKey, Now, PeerInfo, Role};
+use knapweedwall_core::{Event, LinkKey, Now};
 use knapweedwall_wire::frame::Body;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
 use smol_str::SmolStr;
 
-use crate::callers::{Caller, RESEND_MS};
+use crate::callers::Caller;
 use crate::calls::{LateAnswer, PendingCall};
 use crate::peers::PeerLink;
 use crate::store::Store;
-use crate::worker::{LEASE_MS, Worker};
+use crate::worker::Worker;
 
 /// Way between two processes.
 pub const WAY_MS: u64 = 1;
 
-/// Pause before a lost connection is made anew.
-const RELINK_MS: u64 = 60;
-
 /// Start of the simulated time: zero stands for "never" in the decisions.
 const START_MS: u64 = 60_000;
 
@@ -167,7 +163,7 @@
     }
 
     /// Zone of the entry process or host with this number.
-    fn zone(&self, at: usize) -> SmolStr {
+    pub fn zone(&self, at: usize) -> SmolStr {
         format!("z{}", at % self.zones).into()
     }
 
@@ -187,132 +183,6 @@
         }
     }
 
-    /// Starts an entry process.
-    pub fn start_entry(&mut self, at: usize) {
-        let instance = self.key();
-        let name = format!("entry-{at}");
-        let settings = scheduler::Settings {
-            name: name.into(),
-            zone: self.zone(at),
-            instance: Instance(instance),
-            shutdown_accept_time: Duration::from_secs(2),
-            stop_limit: Duration::from_secs(5),
-            config_limit: Duration::from_secs(2),
-        };
-        let mut machine = scheduler::Machine::new(settings, scheduler::Metrics::default());
-        let queue = |name: &str, attempts| QueueConfig {
-            name: name.into(),
-            service: "desk".into(),
-            attempts,
-            target: Duration::from_millis(60),
-            stretch: 1.6,
-        };
-        let catalog = QueueCatalog {
-            version: 1,
-            queues: vec![queue("checks", 2), queue("patient", 9)],
-        };
-        let document = Bytes::from_static(b"{}");
-        let input = scheduler::Input::Configure {
-            catalog,
-            document,
-            source: scheduler::ConfigSource::Peer,
-        };
-        machine.step(self.now(), input, &mut Vec::new());
-        self.confirm_config(&mut machine);
-        let limits = scheduler::Input::CallerLimitsFound(self.caller_limits.clone());
-        machine.step(self.now(), limits, &mut Vec::new());
-        self.entries[at] = Entry {
-            machine: Some(machine),
-            instance,
-            frozen: false,
-            backlog: Vec::new(),
-        };
-    }
-
-    /// Lets the store confirm the configuration of an entry process.
-    fn confirm_config(&self, machine: &mut scheduler::Machine) {
-        let input = scheduler::Input::ConfigConfirmed {
-            version: 1,
-            requested_at: self.now().mono,
-        };
-        machine.step(self.now(), input, &mut Vec::new());
-    }
-
-    /// Ends an entry process at once; callers lose their connections.
-    pub fn kill_entry(&mut self, at: usize) {
-        self.entries[at].machine = None;
-        self.entries[at].frozen = false;
-        self.entries[at].backlog.clear();
-        self.reset_links(|entry, _| entry == at);
-        self.reset_peers(|first, second| first == at || second == at);
-        let resend_ms = self.now_ms + RESEND_MS;
-        for caller in &mut self.callers {
-            if caller.entry == at && caller.answer.is_none() {
-                caller.resend_ms = Some(resend_ms);
-            }
-        }
-    }
-
-    /// Starts an agent.
-    pub fn start_agent(&mut self, at: usize) {
-        let instance = self.key();
-        let settings = executor::Settings {
-            worker: Some(format!("127.0.0.1:{at}").into()),
-            zone: self.zone(at),
-            lease: Duration::from_millis(LEASE_MS),
-            stop_limit: Duration::from_secs(5),
-        };
-        let metrics = executor::Metrics::default();
-        let machine = executor::Machine::new(self.now(), settings, metrics, &mut Vec::new());
-        self.hosts[at].life = SmolStr::default();
-        self.hosts[at].agent = Some(machine);
-        self.hosts[at].instance = instance;
-        self.hosts[at].next_beat_ms = self.now_ms + 100;
-        if let Some(registration) = self.hosts[at].registration.clone() {
-            self.agent_input(at, executor::Input::RegistrationFound(registration));
-        }
-    }
-
-    /// Ends an agent at once. Orders on their way to the worker are carried out.
-    pub fn kill_agent(&mut self, at: usize) {
-        self.hosts[at].agent = None;
-        self.hosts[at].frozen = false;
-        self.hosts[at].backlog.clear();
-        for call in &mut self.hosts[at].calls {
-            call.lost = true;
-        }
-        self.reset_links(|_, host| host == at);
-    }
-
-    /// Lets an entry process stand still or go on. Its decisions go on before what arrived
-    /// meanwhile has been read.
-    pub fn freeze_entry(&mut self, at: usize, frozen: bool) {
-        let thaws = self.entries[at].frozen && !frozen;
-        self.entries[at].frozen = frozen;
-        let now = self.now();
-        let mut out = Vec::new();
-        if let Some(machine) = self.entries[at].machine.as_mut().filter(|_| thaws) {
-            machine.flush(now, &mut out);
-        }
-        self.entry_actions(at, out);
-        for input in std::mem::take(&mut self.entries[at].backlog) {
-            self.entry_input(at, input);
-        }
-    }
-
-    pub fn freeze_agent(&mut self, at: usize, frozen: bool) {
-        self.hosts[at].frozen = frozen;
-        for input in std::mem::take(&mut self.hosts[at].backlog) {
-            self.agent_input(at, input);
-        }
-    }
-
-    /// Cuts or heals the way between an entry process and an agent; nothing is reset.
-    pub fn cut(&mut self, entry: usize, host: usize, cut: bool) {
-        let link = self.links.get_mut(&(entry, host)).unwrap();
-        link.cut = cut;
-    }
-
     pub fn worker(&mut self, at: usize) -> &mut Worker {
         &mut self.hosts[at].worker
     }
@@ -323,96 +193,6 @@
         self.hosts[at].next_beat_ms = self.now_ms;
     }
 
-    pub fn stop_entry(&mut self, at: usize) {
-        self.entry_input(at, scheduler::Input::Stop);
-    }
-
-    pub fn has_entry(&self, at: usize) -> bool {
-        self.entries[at].machine.is_some()
-    }
-
-    /// Run of an entry process.
-    pub fn instance_of(&self, at: usize) -> u64 {
-        self.entries[at].instance
-    }
-
-    /// Whether an entry process runs and does not stand still.
-    pub fn is_awake(&self, at: usize) -> bool {
-        self.entries[at].machine.is_some() && !self.entries[at].frozen
-    }
-
-    pub fn has_agent(&self, at: usize) -> bool {
-        self.hosts[at].agent.is_some()
-    }
-
-    pub fn reset_links(&mut self, which: impl Fn(usize, usize) -> bool) {
-        let keys: Vec<(usize, usize)> = self.links.keys().copied().collect();
-        for (entry, host) in keys {
-            if which(entry, host) {
-                self.reset_link(entry, host);
-            }
-        }
-    }
-
-    pub fn reset_link(&mut self, entry: usize, host: usize) {
-        let relink_ms = self.now_ms + RELINK_MS;
-        let link = self.links.get_mut(&(entry, host)).unwrap();
-        let Some(key) = link.key.take() else {
-            return;
-        };
-        link.up.clear();
-        link.down.clear();
-        link.relink_ms = relink_ms;
-        self.entry_input(entry, scheduler::Input::LinkDown(key));
-        self.agent_input(host, executor::Input::LinkDown(key));
-    }
-
-    pub fn relink(&mut self) {
-        let keys: Vec<(usize, usize)> = self.links.keys().copied().collect();
-        for (entry, host) in keys {
-            let link = &self.links[&(entry, host)];
-            let ready = link.key.is_none() && !link.cut && self.now_ms >= link.relink_ms;
-            let (process, agent) = (&self.entries[entry], &self.hosts[host]);
-            let alive = process.machine.is_some() && agent.agent.is_some();
-            if !ready || !alive || process.frozen || agent.frozen {
-                continue;
-            }
-            let key = LinkKey(self.key());
-            let peer = |role, name: String, zone, instance| PeerInfo {
-                role,
-                name: name.into(),
-                zone,
-                instance: Instance(instance),
-                address: "127.0.0.1:1".into(),
-                slots: 0,
-            };
-            let to_agent = peer(
-                Role::Entry,
-                format!("entry-{entry}"),
-                self.zone(entry),
-                self.entries[entry].instance,
-            );
-            let to_entry = peer(
-                Role::Agent,
-                format!("agent-{host}"),
-                self.zone(host),
-                self.hosts[host].instance,
-            );
-            self.links.get_mut(&(entry, host)).unwrap().key = Some(key);
-            let input = executor::Input::LinkUp {
-                link: key,
-                peer: to_agent,
-                entries: Vec::new(),
-            };
-            self.agent_input(host, input);
-            let input = scheduler::Input::LinkUp {
-                link: key,
-                peer: to_entry,
-            };
-            self.entry_input(entry, input);
-        }
-    }
-
     pub fn entry_input(&mut self, at: usize, input: scheduler::Input) {
         if self.entries[at].frozen {
             return self.entries[at].backlog.push(input);
@@ -437,13 +217,6 @@
         self.agent_actions(at, out);
     }
 
-    pub fn link_of(&mut self, key: LinkKey) -> Option<((usize, usize), &mut Link)> {
-        let mut links = self.links.iter_mut();
-        links
-            .find(|(_, link)| link.key == Some(key))
-            .map(|(at, link)| (*at, link))
-    }
-
     pub fn entry_actions(&mut self, at: usize, actions: Vec<scheduler::Action>) {
         let due = self.now_ms + WAY_MS;
         for action in actions {
@@ -493,32 +266,6 @@
         }
     }
 
-    pub fn deliver(&mut self) {
-        let keys: Vec<(usize, usize)> = self.links.keys().copied().collect();
-        for (entry, host) in keys {
-            loop {
-                let now_ms = self.now_ms;
-                let link = self.links.get_mut(&(entry, host)).unwrap();
-                let ready = !link.cut && link.down.front().is_some_and(|(due, _)| *due <= now_ms);
-                let Some(key) = link.key.filter(|_| ready) else {
-                    break;
-                };
-                let (_, body) = link.down.pop_front().unwrap();
-                self.agent_input(host, executor::Input::Frame(key, body));
-            }
-            loop {
-                let now_ms = self.now_ms;
-                let link = self.links.get_mut(&(entry, host)).unwrap();
-                let ready = !link.cut && link.up.front().is_some_and(|(due, _)| *due <= now_ms);
-                let Some(key) = link.key.filter(|_| ready) else {
-                    break;
-                };
-                let (_, body) = link.up.pop_front().unwrap();
-                self.entry_input(entry, scheduler::Input::Frame(key, body));
-            }
-        }
-    }
-
     pub fn flush(&mut self) {
         let now = self.now();
         for at in 0..self.entries.len() {
--- a/crates/core/tests/jobs/lifetimes.rs
+++ b/crates/core/tests/jobs/lifetimes.rs
@@ -1,15 +1,12 @@
 //! Evidence of one lifetime of a worker that is applied to runs of another one with the same id.
 
 use knapweedwall_core::LinkKey;
-use knapweedwall_core::executor::{
-    Action, Heartbeat, Input, RenewalOutcome, RunLists, StartOutcome,
-};
-use knapweedwall_core::job::Resources;
+use knapweedwall_core::executor::{Action, Input, RunLists, RunningRun, StartOutcome};
 use knapweedwall_wire as wire;
 use knapweedwall_wire::frame::Body;
 use rstest::rstest;
 
-use crate::agent::Agent;
+use crate::agent::{Agent, beat, first_run};
 use crate::callers::Job;
 use crate::fleet::Fleet;
 
@@ -74,12 +71,8 @@
     });
     let mut elapsed_ms = 0;
     while agent.ended(JOB).is_none() && elapsed_ms < 3_000 {
-        agent.now_ms += 5;
         elapsed_ms += 5;
-        agent.flush();
-        for call in agent.renewals() {
-            agent.refuse_renewal(call);
-        }
+        agent.refuse_renewals(1);
     }
     let ended = agent.ended(JOB);
     assert_eq!(
@@ -96,13 +89,7 @@
     let start = agent.order(JOB).expect("a start");
     agent.accept_start(start);
     agent.flush();
-    for _ in 0..20 {
-        agent.now_ms += 5;
-        agent.flush();
-        for call in agent.renewals() {
-            agent.refuse_renewal(call);
-        }
-    }
+    agent.refuse_renewals(20);
     agent.now_ms += 200;
     agent.flush();
     agent.answer_renewals(2);
@@ -153,36 +140,10 @@
     let start = agent.order(JOB).expect("a start");
     agent.refuse_start(start);
     agent.flush();
-    let mut calls = 0;
-    for _ in 0..1_000 {
-        agent.now_ms += 5;
-        agent.input(Input::Tick);
-        agent.flush();
-        for call in agent.renewals() {
-            calls += 1;
-            agent.refuse_renewal(call);
-        }
-    }
+    let calls = agent.refuse_renewals(1_000);
     assert!(calls <= 15, "{calls} calls in 5 s");
 }
 
-fn beat(incarnation: u64, number: u64) -> Heartbeat {
-    Heartbeat {
-        instance: "w".into(),
-        incarnation,
-        service: "desk".into(),
-        address: "127.0.0.1:1".into(),
-        labels: Vec::new(),
-        capacity: Resources {
-            cpu: 16_000,
-            memory: 64_000,
-            gpus: 0,
-        },
-        draining: false,
-        number,
-    }
-}
-
 /// Guards against runs of the next lifetime that are reported as ended because the description that the
 /// agent resumed from has expired, and with it the id by which the lifetimes are compared.
 #[rstest]
@@ -219,41 +180,21 @@
 fn refused_resets_keep_what_the_next_lifetime_lists() {
     let mut agent = Agent::new();
     let start = agent.order(JOB).expect("a start");
-    for _ in 0..30 {
-        agent.now_ms += 5;
-        agent.flush();
-        for call in agent.renewals() {
-            agent.refuse_renewal(call);
-        }
-    }
+    agent.refuse_renewals(30);
     assert_eq!(agent.ended(JOB), None);
     // The start was carried out by the next lifetime.
     agent.accept_start(start);
     agent.now_ms += 700;
     agent.flush();
-    for call in agent.renewals() {
-        let lists = RunLists {
-            incarnation: Some(2),
-            running: vec![knapweedwall_core::executor::RunningRun {
-                run: knapweedwall_core::job::RunId {
-                    task: knapweedwall_core::job::TaskId {
-                        job: JOB.into(),
-                        phase: 0,
-                        index: 0,
-                    },
-                    attempt: 1,
-                },
-                percent: 3,
-            }],
-            ended: Vec::new(),
-        };
-        agent.input(Input::RenewalCompleted {
-            call,
-            outcome: RenewalOutcome::Renewed(lists),
-            clock_ms: Some(5),
-        });
-    }
-    agent.flush();
+    let running = RunningRun {
+        run: first_run(JOB),
+        percent: 3,
+    };
+    agent.answer_lists(&RunLists {
+        incarnation: Some(2),
+        running: vec![running],
+        ..RunLists::default()
+    });
     assert_eq!(agent.ended(JOB), None);
 }
 
@@ -302,13 +243,7 @@
     agent.flush();
     agent.answer_renewals(5);
     agent.order(JOB).expect("a start");
-    for _ in 0..10 {
-        agent.now_ms += 5;
-        agent.flush();
-        for call in agent.renewals() {
-            agent.refuse_renewal(call);
-        }
-    }
+    agent.refuse_renewals(10);
     let mut old = beat(3, 900);
     old.instance = "v".into();
     agent.input(Input::Heartbeat(old));
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -7,7 +7,9 @@
 mod callers_back;
 mod calls;
 mod fleet;
+mod links;
 mod peers;
+mod processes;
 mod store;
 mod worker;
 
--- a/crates/core/tests/jobs/refused_connections.rs
+++ b/crates/core/tests/jobs/refused_connections.rs
@@ -70,13 +70,7 @@
     let start = agent.order("0000000000000001").expect("a start");
     agent.accept_start(start);
     agent.flush();
-    for _ in 0..20 {
-        agent.now_ms += 5;
-        agent.flush();
-        for call in agent.renewals() {
-            agent.refuse_renewal(call);
-        }
-    }
+    agent.refuse_renewals(20);
     agent.flush();
     let ended = agent.ended("0000000000000001");
     assert_eq!(ended, Some(wire::RunOutcome::Crashed));
