fix(agent): a heartbeat of an earlier lifetime does not end starts that are kept

Cause: while the lifetime is unknown after refused connections, any heartbeat counted as a restart; one that is two lifetimes old, under another id, ended the starts that are kept because the next lifetime may have accepted them. Ruled out: ignoring it by its start time at all times: a worker of a host whose clock went back would be shut out for good.

--- a/crates/core/src/executor/heartbeats.rs
+++ b/crates/core/src/executor/heartbeats.rs
@@ -15,7 +15,7 @@
         heartbeat: Heartbeat,
         out: &mut Vec<Action>,
     ) {
-        if self.worker.is_stale(&heartbeat) {
+        if self.worker.is_stale(&heartbeat) || self.may_precede_runs(&heartbeat) {
             return;
         }
         let same_incarnation = self.worker.incarnation == Some(heartbeat.incarnation);
@@ -62,6 +62,15 @@
         self.describe_worker(heartbeat);
     }
 
+    /// Returns whether a heartbeat may be from an incarnation before the one that the open runs were sent
+    /// to, so that it tells nothing of them. Only while the incarnation is unknown and runs are kept: a
+    /// start time may also be earlier because the clock of the host went back.
+    fn may_precede_runs(&self, heartbeat: &Heartbeat) -> bool {
+        let last = self.worker.heartbeat.as_ref();
+        let earlier = last.is_some_and(|last| heartbeat.incarnation < last.incarnation);
+        earlier && self.worker.incarnation.is_none() && !self.runs.is_idle()
+    }
+
     /// Directs calls to the worker that a heartbeat describes.
     pub(super) fn use_worker(&self, heartbeat: &Heartbeat, out: &mut Vec<Action>) {
         out.push(Action::UseWorker {
--- a/crates/core/src/scheduler/machine.rs
+++ b/crates/core/src/scheduler/machine.rs
@@ -1,8 +1,9 @@
 //! The state machine of an entry process.
 //!
 //! `requests` implements the transitions for caller requests, `placement` those that assign tasks
-//! to workers, `run_reports` those for ended runs, `links` those for connections to agents and other
-//! entry processes, and `configuration` those for changes of the configuration.
+//! to workers, `orders` their messages to agents, `run_reports` those for ended runs, `links` those
+//! for connections to agents and other entry processes, `shard_turns` those for shards of durable
+//! jobs, and `configuration` those for changes of the configuration.
 
 use std::collections::VecDeque;
 use std::time::Duration;
--- a/crates/core/tests/jobs/lifetimes.rs
+++ b/crates/core/tests/jobs/lifetimes.rs
@@ -250,3 +250,27 @@
     agent.flush();
     assert_eq!(agent.ended(JOB), None);
 }
+
+/// Guards against a worker that is shut out for good because the clock of its host went back before it
+/// started again, while a start was kept.
+#[rstest]
+fn earlier_clocks_shut_nobody_out() {
+    let mut agent = Agent::new();
+    agent.heartbeat(5);
+    agent.flush();
+    agent.answer_renewals(5);
+    agent.order(JOB).expect("a start");
+    agent.refuse_renewals(10);
+    for number in 1..4 {
+        let mut restarted = beat(3, number);
+        restarted.instance = "v".into();
+        agent.input(Input::Heartbeat(restarted));
+        agent.refuse_renewals(300);
+    }
+    let mut restarted = beat(3, 4);
+    restarted.instance = "v".into();
+    agent.input(Input::Heartbeat(restarted));
+    agent.flush();
+    agent.answer_renewals(3);
+    assert!(agent.order(OTHER).is_some());
+}
