Add review case 1: an end of a superseded run is settled after a hand-over

The number of a task's latest attempt is not stored, so the next owner of a shard does not know that a run was superseded.

--- /dev/null
+++ b/review/standins/cases.rs
@@ -0,0 +1,353 @@
+//! The cases.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::checks;
+use crate::fleet::{self, Client, Fleet, job};
+use crate::json::Json;
+use crate::record::Record;
+
+/// Time after the start in which the entry processes share their work.
+const SETTLE_TIME: Duration = Duration::from_secs(6);
+
+/// Number of entry processes in the cases in which one agent loses the path to one of them.
+const CUT_ENTRIES: usize = 4;
+
+/// Number of jobs in these cases. Each entry process owns about a quarter of them.
+const CUT_JOBS: usize = 14;
+
+/// Result of a case: whether the rule was broken, or why it could not run.
+type Outcome = Result<bool, String>;
+
+pub fn run(case: &str, trouble: bool, record: Arc<Record>) -> Outcome {
+    match case {
+        "done-twice" => done_twice(trouble, record),
+        "budget" => budget(trouble, record),
+        "two-runs" => two_runs(trouble, record),
+        "failed-without-cause" => failed_without_cause(trouble, record),
+        "wrong-kind" => wrong_kind(trouble, record),
+        _ => Err("unknown case".to_owned()),
+    }
+}
+
+fn start(
+    record: &Arc<Record>,
+    entries: usize,
+    labels: Vec<fleet::Labels>,
+    max_attempts: u64,
+) -> Result<Fleet, String> {
+    let fleet = Fleet::start(Arc::clone(record), entries, labels, max_attempts);
+    let mut fleet = fleet.map_err(|error| format!("the deployment did not start: {error}"))?;
+    if !fleet.wait_until_ready(SETTLE_TIME) {
+        fleet.end();
+        return Err("an entry process did not become ready".to_owned());
+    }
+    Ok(fleet)
+}
+
+fn finish(mut fleet: Fleet, outcome: Outcome) -> Outcome {
+    fleet::clean_up(&fleet.end());
+    outcome
+}
+
+fn sleep_ms(ms: u64) {
+    thread::sleep(Duration::from_millis(ms));
+}
+
+fn phase(count: u64, work_ms: u64) -> [(&'static str, Json); 4] {
+    [
+        ("Count", Json::number(count)),
+        ("Cpu", Json::number(500)),
+        ("MemMb", Json::number(64)),
+        ("EstimateMs", Json::number(work_ms)),
+    ]
+}
+
+/// Workers of the cases in which one agent loses the path to one entry process: the first one is alone on
+/// its rack and of its kind.
+fn cut_labels() -> Vec<fleet::Labels> {
+    vec![vec!["a", "r1"], vec!["b", "r2"], vec!["b", "r2"], vec!["b", "r2"], vec!["b", "r3"]]
+}
+
+/// A job of one task of `work_ms` whose data is on rack `r1`.
+fn job_on_first_rack(work_ms: u64, best_effort: bool, extra: &str) -> String {
+    let mut fields = phase(1, work_ms).to_vec();
+    fields.push(("Affinity", Json::text("r1")));
+    let phase = Json::Object(fields.into_iter().map(|(k, v)| (k.to_owned(), v)).collect());
+    job(&format!("work={work_ms} rack=r1{extra}"), best_effort, vec![phase])
+}
+
+fn job_id(at: usize) -> String {
+    format!("{:016x}", 0x5c0e_7a21_0000_0000_u64 + 7_919 * at as u64)
+}
+
+/// Waits until the first run of each task is active on a worker, or until `limit_ms` has passed.
+fn wait_for_starts(fleet: &Fleet, tasks: usize, limit_ms: u64) -> bool {
+    let deadline = Instant::now() + Duration::from_millis(limit_ms);
+    while Instant::now() < deadline {
+        if fleet.runs().len() >= tasks {
+            return true;
+        }
+        sleep_ms(2);
+    }
+    false
+}
+
+/// Asks for the jobs until all of them have the state, or until `limit_ms` has passed.
+fn wait_for_state(client: &Client, ids: &[String], state: &str, limit_ms: u64) -> bool {
+    let deadline = Instant::now() + Duration::from_millis(limit_ms);
+    let mut open: Vec<&String> = ids.iter().collect();
+    while !open.is_empty() && Instant::now() < deadline {
+        open.retain(|id| !client.call("GET", id, "", 1_500).1.contains(state));
+        sleep_ms(100);
+    }
+    open.is_empty()
+}
+
+/// Submits a job that keeps the first worker at work for a client of the second entry process, so that
+/// the lease of the worker goes on. The client waits for its answer in a thread.
+fn keep_first_worker_busy(fleet: &Fleet) {
+    let client = Client::of(fleet, 1);
+    let mut fields = phase(1, 22_000).to_vec();
+    fields.push(("Constraints", Json::text("a")));
+    let phase = Json::Object(fields.into_iter().map(|(k, v)| (k.to_owned(), v)).collect());
+    let body = job("work=22000", true, vec![phase]);
+    thread::spawn(move || client.call("POST", "00000000000000aa", &body, 40_000));
+}
+
+/// The first entry process loses the path to one agent, whose worker ends runs `done` in that time. The
+/// tasks are started again elsewhere. Then the entry process is stopped as planned and started again.
+fn done_twice(trouble: bool, record: Arc<Record>) -> Outcome {
+    let mut fleet = start(&record, CUT_ENTRIES, cut_labels(), 2)?;
+    keep_first_worker_busy(&fleet);
+    if !wait_for_starts(&fleet, 1, 5_000) {
+        return finish(fleet, Err("the first task did not start".to_owned()));
+    }
+    let client = Client::of(&fleet, 1);
+    let ids: Vec<String> = (0..CUT_JOBS).map(job_id).collect();
+    let body = job_on_first_rack(1_200, false, "");
+    for id in &ids {
+        if client.call("POST", id, &body, 1_500).0 != 200 {
+            return finish(fleet, Err("a job was not accepted".to_owned()));
+        }
+    }
+    if !wait_for_starts(&fleet, 1 + ids.len(), 3_000) {
+        return finish(fleet, Err("a task did not start".to_owned()));
+    }
+    let first_start = fleet.runs().iter().skip(1).map(|run| run.started).min();
+    let cut_at = first_start.unwrap_or_default() + 950;
+    sleep_ms(cut_at.saturating_sub(record.now_ms()));
+    if trouble {
+        record.line("frontend-zone-1 loses the path to side-zone-1");
+        fleet.entries[0].links.partition("side-zone-1");
+    }
+    let completed = wait_for_state(&client, &ids, "completed", 4_200);
+    record.line(&format!("all jobs are shown as completed: {completed}"));
+    if trouble {
+        sleep_ms((cut_at + 4_500).saturating_sub(record.now_ms()));
+        fleet.entries[0].process.stop(Duration::from_secs(6));
+        sleep_ms((cut_at + 5_500).saturating_sub(record.now_ms()));
+        record.line("the path is there again");
+        fleet.entries[0].links.heal();
+        sleep_ms(500);
+        if let Err(error) = fleet.entries[0].process.start() {
+            return finish(fleet, Err(error.to_string()));
+        }
+    }
+    sleep_ms(5_000);
+    let runs = fleet.runs();
+    let durable: Vec<_> = runs.into_iter().filter(|run| !run.task.starts_with("00000000")).collect();
+    let overlap = checks::runs_overlap(&record, &durable);
+    let repeated = checks::started_after_done(&record, &durable);
+    finish(fleet, Ok(overlap || repeated))
+}
+
+/// The first entry process loses the path to one agent, whose worker ends runs `failed` in that time.
+fn budget(trouble: bool, record: Arc<Record>) -> Outcome {
+    const MAX_ATTEMPTS: u64 = 2;
+    let fleet = start(&record, CUT_ENTRIES, cut_labels(), MAX_ATTEMPTS)?;
+    keep_first_worker_busy(&fleet);
+    if !wait_for_starts(&fleet, 1, 5_000) {
+        return finish(fleet, Err("the first task did not start".to_owned()));
+    }
+    let client = Client::of(&fleet, 1);
+    let ids: Vec<String> = (0..CUT_JOBS).map(job_id).collect();
+    let body = job_on_first_rack(1_200, false, " fails");
+    for id in &ids {
+        if client.call("POST", id, &body, 1_500).0 != 200 {
+            return finish(fleet, Err("a job was not accepted".to_owned()));
+        }
+    }
+    if !wait_for_starts(&fleet, 1 + ids.len(), 3_000) {
+        return finish(fleet, Err("a task did not start".to_owned()));
+    }
+    let first_start = fleet.runs().iter().skip(1).map(|run| run.started).min();
+    let cut_at = first_start.unwrap_or_default() + 950;
+    sleep_ms(cut_at.saturating_sub(record.now_ms()));
+    if trouble {
+        record.line("frontend-zone-1 loses the path to side-zone-1");
+        fleet.entries[0].links.partition("side-zone-1");
+    }
+    sleep_ms((cut_at + 5_500).saturating_sub(record.now_ms()));
+    if trouble {
+        record.line("the path is there again");
+        fleet.entries[0].links.heal();
+    }
+    wait_for_state(&client, &ids, "failed", 8_000);
+    sleep_ms(2_000);
+    let runs = fleet.runs();
+    let broken = checks::started_beyond_budget(&record, &runs, MAX_ATTEMPTS as usize);
+    finish(fleet, Ok(broken))
+}
+
+/// All processes are killed and start again, while the store answers slowly. Clients send their jobs again
+/// 1.3 s after their channels broke.
+fn two_runs(trouble: bool, record: Arc<Record>) -> Outcome {
+    const SLOWNESS: u64 = 60;
+    const SLOW_MS: u64 = 4_500;
+    const DOWN_MS: u64 = 600;
+    let labels = vec![vec!["a", "r1"], vec!["b", "r2"]];
+    let mut fleet = start(&record, 2, labels, 2)?;
+    let body = job_on_first_rack(4_000, true, "");
+    let (first, second) = (Client::of(&fleet, 0), Client::of(&fleet, 1));
+    let clients = (0..4).map(|at| {
+        let (first, second, body) = (first.clone(), second.clone(), body.clone());
+        thread::spawn(move || {
+            let id = job_id(at);
+            let (status, _) = first.call("POST", &id, &body, 9_000);
+            if matches!(status, 0 | 502 | 504) {
+                sleep_ms(fleet::RESEND_MS);
+                return second.call("POST", &id, &body, 9_000).0;
+            }
+            status
+        })
+    });
+    let clients: Vec<_> = clients.collect();
+    if !wait_for_starts(&fleet, clients.len(), 3_000) {
+        return finish(fleet, Err("a task did not start".to_owned()));
+    }
+    sleep_ms(500);
+    if trouble {
+        record.line(&format!("answers of the store take {SLOWNESS} times as long"));
+        fleet.store.set_slowness(SLOWNESS);
+        let slow_at = record.now_ms();
+        sleep_ms(300);
+        for entry in &mut fleet.entries {
+            entry.process.kill();
+        }
+        for side in &mut fleet.sides {
+            side.process.kill();
+        }
+        sleep_ms(DOWN_MS);
+        let entries = fleet.entries.iter_mut().map(|entry| &mut entry.process);
+        let sides = fleet.sides.iter_mut().map(|side| &mut side.process);
+        for process in entries.chain(sides) {
+            if let Err(error) = process.start() {
+                return Err(error.to_string());
+            }
+        }
+        sleep_ms((slow_at + SLOW_MS).saturating_sub(record.now_ms()));
+        record.line("answers of the store take their usual time again");
+        fleet.store.set_slowness(1);
+    }
+    let statuses: Vec<u16> = clients.into_iter().filter_map(|client| client.join().ok()).collect();
+    record.line(&format!("last answers: {statuses:?}"));
+    let runs = fleet.runs();
+    let broken = checks::runs_overlap(&record, &runs);
+    finish(fleet, Ok(broken))
+}
+
+/// One worker of seven goes down and up by turns, while a job runs whose only task may run there only and
+/// never fails.
+fn failed_without_cause(trouble: bool, record: Arc<Record>) -> Outcome {
+    const PERIOD_MS: u64 = 1_600;
+    const TURNS: u64 = 4;
+    let racks = ["r1", "r2", "r2", "r2", "r3", "r3", "r3"];
+    let labels = racks.map(|rack| vec!["a", rack]).to_vec();
+    let fleet = start(&record, 3, labels, 2)?;
+    let client = Client::of(&fleet, 1);
+    let ids = vec![job_id(0)];
+    let mut fields = phase(1, 2_500).to_vec();
+    fields.push(("Constraints", Json::text("r1")));
+    let phase = Json::Object(fields.into_iter().map(|(k, v)| (k.to_owned(), v)).collect());
+    let body = job("work=2500", false, vec![phase]);
+    if client.call("POST", &ids[0], &body, 1_500).0 != 200 {
+        return finish(fleet, Err("the job was not accepted".to_owned()));
+    }
+    if !wait_for_starts(&fleet, 1, 3_000) {
+        return finish(fleet, Err("the task did not start".to_owned()));
+    }
+    if trouble {
+        let worker = &fleet.sides[0].worker;
+        for _ in 0..TURNS {
+            sleep_ms(PERIOD_MS / 2);
+            worker.crash();
+            sleep_ms(PERIOD_MS / 2);
+            if let Err(error) = worker.start(vec!["a", "r1"]) {
+                return finish(fleet, Err(error.to_string()));
+            }
+        }
+    }
+    let completed = wait_for_state(&client, &ids, "completed", 14_000);
+    let (_, state) = client.call("GET", &ids[0], "", 1_500);
+    let runs = fleet.runs();
+    let failed = runs.iter().filter(|run| run.how == "failed").count();
+    record.line(&format!("state: {state}; runs: {}; runs that ended failed: {failed}", runs.len()));
+    let broken = state.contains("failed") && failed == 0;
+    if broken {
+        record.line("LOST: the job is shown as failed, and none of its runs ended failed");
+    }
+    if !completed && !broken {
+        return finish(fleet, Err("the job has not ended".to_owned()));
+    }
+    finish(fleet, Ok(broken))
+}
+
+/// An idle worker of kind `c` crashes and comes back as one of kind `a`. Jobs that need kind `c` come soon
+/// after its first heartbeat.
+fn wrong_kind(trouble: bool, record: Arc<Record>) -> Outcome {
+    const DOWN_MS: u64 = 4_500;
+    let kinds = [("c", "r1"), ("c", "r1"), ("a", "r1"), ("a", "r2"), ("a", "r2"), ("b", "r2"), ("b", "r3")];
+    let labels = kinds.map(|(kind, rack)| vec![kind, rack]).to_vec();
+    let fleet = start(&record, 3, labels, 2)?;
+    if trouble {
+        let worker = &fleet.sides[0].worker;
+        worker.crash();
+        sleep_ms(DOWN_MS);
+        if let Err(error) = worker.start(vec!["a", "r1"]) {
+            return finish(fleet, Err(error.to_string()));
+        }
+        sleep_ms(15);
+    }
+    let mut fields = phase(1, 300).to_vec();
+    fields.push(("Constraints", Json::text("c")));
+    let phase = Json::Object(fields.into_iter().map(|(k, v)| (k.to_owned(), v)).collect());
+    let body = job("work=300", false, vec![phase]);
+    let ids: Vec<String> = (0..6).map(job_id).collect();
+    let clients = ids.iter().enumerate().map(|(at, id)| {
+        let (client, id, body) = (Client::of(&fleet, at % 3), id.clone(), body.clone());
+        thread::spawn(move || client.call("POST", &id, &body, 1_500).0)
+    });
+    let clients: Vec<_> = clients.collect();
+    let mut statuses = clients.into_iter().map(|client| client.join());
+    if !statuses.all(|status| matches!(status, Ok(200))) {
+        return finish(fleet, Err("a job was not accepted".to_owned()));
+    }
+    sleep_ms(3_000);
+    let runs = fleet.runs();
+    let mut broken = false;
+    for run in runs.iter().filter(|run| !run.labels.contains(&"c")) {
+        broken = true;
+        record.line(&format!(
+            "ROUTE: {} attempt {} needs label c and started at {} ms on {}, whose labels are {}",
+            run.task,
+            run.attempt,
+            run.started,
+            run.worker,
+            run.labels.join(" ")
+        ));
+    }
+    finish(fleet, Ok(broken))
+}
