Add review case 2: jobs hang on a worker whose start time went back

Cause: lifetimes of a worker are ordered by the time of day of their starts, which may jump back. The agent then ignores the lists and heartbeats of the present lifetime, and goes on to start tasks there.

--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -8,6 +8,7 @@
 use crate::fleet::{self, Client, Fleet, job};
 use crate::json::Json;
 use crate::record::Record;
+use crate::worker;
 
 /// Time after the start in which the entry processes share their work.
 const SETTLE_TIME: Duration = Duration::from_secs(6);
@@ -27,6 +28,7 @@
         "budget" => budget(trouble, record),
         "two-runs" => two_runs(trouble, record),
         "failed-without-cause" => failed_without_cause(trouble, record),
+        "older-lifetime" => older_lifetime(trouble, record),
         "wrong-kind" => wrong_kind(trouble, record),
         _ => Err("unknown case".to_owned()),
     }
@@ -305,6 +307,76 @@
     finish(fleet, Ok(broken))
 }
 
+/// One worker of ten goes down and up twice, and the time of day on its machine jumps back between its two
+/// starts. Jobs are handed in when it is up for good.
+fn older_lifetime(trouble: bool, record: Arc<Record>) -> Outcome {
+    const PERIOD_MS: u64 = 1_400;
+    const CLOCK_STEP_MS: i64 = -2_000;
+    const CLOCK_STEP_FOR_MS: u64 = 6_000;
+    const FINISH_MS: u64 = 14_000;
+    const IDLE_MS: u64 = 3_000;
+    const JOBS: usize = 60;
+    let racks = ["r1", "r1", "r1", "r2", "r2", "r2", "r3", "r3", "r3", "r4"];
+    let labels = racks.map(|rack| vec!["a", rack]).to_vec();
+    let fleet = start(&record, 3, labels, 2)?;
+    if trouble {
+        let worker = &fleet.sides[0].worker;
+        let mut stepped_at = 0;
+        for turn in 0..2 {
+            worker.crash();
+            sleep_ms(PERIOD_MS / 2);
+            if let Err(error) = worker.start(vec!["a", racks[0]]) {
+                return finish(fleet, Err(error.to_string()));
+            }
+            sleep_ms(PERIOD_MS / 4);
+            if turn == 0 {
+                stepped_at = record.now_ms();
+                worker.step_clock(CLOCK_STEP_MS);
+            }
+            sleep_ms(PERIOD_MS / 4);
+        }
+        sleep_ms((stepped_at + CLOCK_STEP_FOR_MS).saturating_sub(record.now_ms()));
+        worker.step_clock(-CLOCK_STEP_MS);
+    }
+    sleep_ms(2_000);
+    let client = Client::of(&fleet, 1);
+    let ids: Vec<String> = (0..JOBS).map(job_id).collect();
+    let steps = (0..2_u64).map(|step| {
+        let mut fields = phase(1, 1_000).to_vec();
+        fields[1] = ("Cpu", Json::number(2_000));
+        if step > 0 {
+            fields.push(("After", Json::List(vec![Json::number(step - 1)])));
+        }
+        Json::Object(fields.into_iter().map(|(k, v)| (k.to_owned(), v)).collect())
+    });
+    let body = job("work=1000", false, steps.collect());
+    for id in &ids {
+        if client.call("POST", id, &body, 1_500).0 != 200 {
+            return finish(fleet, Err("a job was not accepted".to_owned()));
+        }
+    }
+    wait_for_state(&client, &ids, "completed", FINISH_MS);
+    let (now, runs) = (record.now_ms(), fleet.runs());
+    let mut broken = false;
+    for id in &ids {
+        let (_, state) = client.call("GET", id, "", 1_500);
+        let own: Vec<_> = runs.iter().filter(|run| run.task.starts_with(id.as_str())).collect();
+        let at_rest = |run: &&worker::Run| run.ended.is_some_and(|ended| ended + IDLE_MS < now);
+        if state.contains("completed") || !own.iter().all(at_rest) {
+            continue;
+        }
+        broken = true;
+        for run in own {
+            record.line(&format!(
+                "LOST: {id} is shown as {state}, and has had nothing running for {IDLE_MS} ms; {} attempt {} \
+                 on {} ended {} at {:?} ms",
+                run.task, run.attempt, run.worker, run.how, run.ended
+            ));
+        }
+    }
+    finish(fleet, Ok(broken))
+}
+
 /// An idle worker of kind `c` crashes and comes back as one of kind `a`. Jobs that need kind `c` come soon
 /// after its first heartbeat.
 fn wrong_kind(trouble: bool, record: Arc<Record>) -> Outcome {
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -68,6 +68,8 @@
     /// Instance id. A lifetime of another kind has a new one.
     id: String,
     born_ms: u64,
+    /// Difference of the time of day on the worker's machine from the true one.
+    clock_step_ms: i64,
     sequence: u64,
     up: bool,
 }
@@ -107,6 +109,7 @@
                 labels: labels.clone(),
                 id: format!("i-{name}"),
                 born_ms: 0,
+                clock_step_ms: 0,
                 sequence: 0,
                 up: false,
             }),
@@ -134,8 +137,10 @@
         }
         state.lifetime = Lifetime::default();
         let now = SystemTime::now().duration_since(UNIX_EPOCH);
-        state.born_ms = now.unwrap_or_default().as_millis() as u64;
+        let now_ms = now.unwrap_or_default().as_millis() as u64;
+        state.born_ms = now_ms.saturating_add_signed(state.clock_step_ms);
         state.sequence = 0;
+        let born_ms = state.born_ms;
         let server = Server::spawn(self.0.settings.address, move |request| inner.handle(&request))?;
         state.up = true;
         drop(state);
@@ -143,7 +148,7 @@
             *present = Some(server);
         }
         self.0.record.line(&format!(
-            "worker {} is up, labels {}",
+            "worker {} is up, labels {}, born {born_ms}",
             self.0.settings.name,
             labels.join(" ")
         ));
@@ -170,6 +175,13 @@
         self.0.record.line(&format!("worker {} crashes", self.0.settings.name));
     }
 
+    /// Sets the time of day on the worker's machine forward or back. The worker's own clock keeps running.
+    pub fn step_clock(&self, step_ms: i64) {
+        self.0.lock().clock_step_ms += step_ms;
+        let name = &self.0.settings.name;
+        self.0.record.line(&format!("the time of day on the machine of {name} jumps by {step_ms} ms"));
+    }
+
     pub fn runs(&self) -> Vec<Run> {
         self.0.lock().runs.clone()
     }
