--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -29,6 +29,7 @@
         "two-runs" => two_runs(trouble, record),
         "failed-without-cause" => failed_without_cause(trouble, record),
         "older-lifetime" => older_lifetime(trouble, record),
+        "foreign-heartbeat" => foreign_heartbeat(trouble, record),
         "wrong-kind" => wrong_kind(trouble, record),
         _ => Err("unknown case".to_owned()),
     }
@@ -377,6 +378,37 @@
     finish(fleet, Ok(broken))
 }
 
+/// An agent gets one heartbeat of another writer, which names a service that no configuration has, while its
+/// worker is at work.
+fn foreign_heartbeat(trouble: bool, record: Arc<Record>) -> Outcome {
+    const JOBS: usize = 8;
+    let labels = vec![vec!["a", "r1"], vec!["a", "r1"], vec!["a", "r2"]];
+    let fleet = start(&record, 2, labels, 2)?;
+    let client = Client::of(&fleet, 0);
+    let ids: Vec<String> = (0..JOBS).map(job_id).collect();
+    let body = job_on_first_rack(3_000, false, "");
+    for id in &ids {
+        if client.call("POST", id, &body, 1_500).0 != 200 {
+            return finish(fleet, Err("a job was not accepted".to_owned()));
+        }
+    }
+    if !wait_for_starts(&fleet, JOBS, 3_000) {
+        return finish(fleet, Err("a task did not start".to_owned()));
+    }
+    sleep_ms(700);
+    if trouble {
+        // Nothing listens at the address that the heartbeat names.
+        let address = fleet.unused_address().map_err(|error| error.to_string())?;
+        let busy = fleet.sides.iter().find(|side| !side.worker.runs().is_empty());
+        if let Some(side) = busy {
+            side.worker.send_foreign_heartbeat(address);
+        }
+    }
+    wait_for_state(&client, &ids, "completed", 14_000);
+    let broken = checks::runs_overlap(&record, &fleet.runs());
+    finish(fleet, Ok(broken))
+}
+
 /// An idle worker of kind `c` crashes and comes back as one of kind `a`. Jobs that need kind `c` come soon
 /// after its first heartbeat.
 fn wrong_kind(trouble: bool, record: Arc<Record>) -> Outcome {
--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -259,6 +259,12 @@
         true
     }
 
+    /// Returns a loopback address at which nothing listens.
+    pub fn unused_address(&self) -> io::Result<SocketAddr> {
+        let host = ip(200);
+        Ok(SocketAddr::new(host, free_port(&[host])?))
+    }
+
     /// All runs on all workers.
     pub fn runs(&self) -> Vec<worker::Run> {
         self.sides.iter().flat_map(|side| side.worker.runs()).collect()
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -182,6 +182,24 @@
         self.0.record.line(&format!("the time of day on the machine of {name} jumps by {step_ms} ms"));
     }
 
+    /// Sends one heartbeat of another writer on this machine to the agent: it names a service that the
+    /// configuration does not have.
+    pub fn send_foreign_heartbeat(&self, address: SocketAddr) {
+        let inner = &self.0;
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        let born_ms = now.unwrap_or_default().as_millis() as u64;
+        let labels = inner.lock().labels.clone();
+        let body = heartbeat("other", address, &labels, inner.clock_ms(), 1, born_ms);
+        let host = [("Host", inner.settings.agent.to_string())];
+        let (agent, path) = (inner.settings.agent, "/-/instances/i-other/heartbeat");
+        let limit = Duration::from_millis(1_000);
+        let answer = http::call(agent, "POST", path, &host, &body, limit);
+        let name = &inner.settings.name;
+        inner.record.line(&format!(
+            "a heartbeat of another writer, service `other`, is sent from the machine of {name}: {answer:?}"
+        ));
+    }
+
     pub fn runs(&self) -> Vec<Run> {
         self.0.lock().runs.clone()
     }
@@ -268,29 +286,12 @@
             state.sequence += 1;
             let id = state.id.clone();
             let labels = state.labels.clone();
-            let capacity = Json::object([
-                ("Cpu", Json::number(16_000)),
-                ("MemMb", Json::number(65_536)),
-                ("Gpu", Json::number(0)),
-            ]);
-            let body = Json::object([
-                ("Service", Json::text("desk")),
-                ("Address", Json::text(&self.settings.address.to_string())),
-                ("Zone", Json::text("zone-a")),
-                ("Version", Json::text("v1")),
-                ("Slots", Json::number(8)),
-                ("State", Json::text("ready")),
-                ("ColdLeftMs", Json::number(0)),
-                ("Capacity", capacity),
-                ("Labels", Json::List(labels.iter().map(|label| Json::text(label)).collect())),
-                ("ClockMs", Json::number(self.clock_ms())),
-                ("Seq", Json::number(state.sequence)),
-                ("born", Json::number(state.born_ms)),
-            ]);
+            let (clock_ms, sequence) = (self.clock_ms(), state.sequence);
+            let address = self.settings.address;
+            let body = heartbeat("desk", address, &labels, clock_ms, sequence, state.born_ms);
             drop(state);
             let path = format!("/-/instances/{id}/heartbeat");
             let host = [("Host", self.settings.agent.to_string())];
-            let body = body.to_string();
             let limit = Duration::from_millis(1_000);
             let sent = http::call(self.settings.agent, "POST", &path, &host, &body, limit);
             // A heartbeat that is not acknowledged is repeated soon.
@@ -489,3 +490,33 @@
     let factor = if remote { REMOTE_FACTOR } else { 100 };
     (work_ms * factor / 100, spec.split(' ').any(|word| word == "fails"))
 }
+
+fn heartbeat(
+    service: &str,
+    address: SocketAddr,
+    labels: &[&str],
+    clock_ms: u64,
+    sequence: u64,
+    born_ms: u64,
+) -> String {
+    let capacity = Json::object([
+        ("Cpu", Json::number(16_000)),
+        ("MemMb", Json::number(65_536)),
+        ("Gpu", Json::number(0)),
+    ]);
+    Json::object([
+        ("Service", Json::text(service)),
+        ("Address", Json::text(&address.to_string())),
+        ("Zone", Json::text("zone-a")),
+        ("Version", Json::text("v1")),
+        ("Slots", Json::number(8)),
+        ("State", Json::text("ready")),
+        ("ColdLeftMs", Json::number(0)),
+        ("Capacity", capacity),
+        ("Labels", Json::List(labels.iter().map(|label| Json::text(label)).collect())),
+        ("ClockMs", Json::number(clock_ms)),
+        ("Seq", Json::number(sequence)),
+        ("born", Json::number(born_ms)),
+    ])
+    .to_string()
+}
