--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -36,7 +36,10 @@
     };
     let record = Arc::new(record);
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    record.line(&format!("case {case}, disruption: {}", if trouble { "yes" } else { "no" }));
+    record.line(&format!(
+        "case {case}, disruption: {}",
+        if trouble { "yes" } else { "no" }
+    ));
     let (done, finished) = std::sync::mpsc::channel();
     let case_record = Arc::clone(&record);
     thread::spawn(move || {
