Add review case 4: requests are dropped at the end of a planned stop

Cause: while all entry processes are being stopped in turn, requests for stored jobs wait for an owner, and a process ends at its stop limit without answering them. The scenarios kill their processes also when they are given up.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -6,4 +6,4 @@
     echo "run review/build.sh first" >&2
     exit 2
 fi
-exec target/review/scenario two-runs review/4/record.txt
+exec target/review/scenario planned-stops review/4/record.txt
--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -6,7 +6,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -36,6 +36,21 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
+/// Processes that were started and not waited for.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+fn running() -> MutexGuard<'static, Vec<u32>> {
+    RUNNING.lock().unwrap_or_else(|error| error.into_inner())
+}
+
+/// Kills all processes that are running.
+pub fn kill_all() {
+    for id in running().drain(..) {
+        // Safety: `kill` only takes integers; the process is a child that was not waited for.
+        unsafe { kill(id as i32, SIGKILL) };
+    }
+}
+
 /// A process of the project, and how it is started.
 pub struct Process {
     pub name: String,
@@ -60,6 +75,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        running().push(child.id());
         self.child = Some(child);
         self.record.line(&format!("process {} starts", self.name));
         Ok(())
@@ -72,14 +88,20 @@
         }
     }
 
+    /// Waits for the process, which has ended or was killed.
+    fn forget(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.wait();
+            running().retain(|id| *id != child.id());
+        }
+    }
+
     /// Kills the process at once.
     pub fn kill(&mut self) {
         self.signal(SIGKILL);
         self.record
             .line(&format!("process {} is killed", self.name));
-        if let Some(mut child) = self.child.take() {
-            let _ = child.wait();
-        }
+        self.forget();
     }
 
     /// Sends SIGTERM, and SIGKILL if the process does not end within `grace`.
@@ -92,7 +114,7 @@
             if matches!(child.try_wait(), Ok(Some(_))) {
                 self.record
                     .line(&format!("process {} has ended", self.name));
-                self.child = None;
+                self.forget();
             } else if Instant::now() >= deadline {
                 self.kill();
             } else {
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -63,5 +63,6 @@
             2
         }
     };
+    fleet::kill_all();
     exit(code);
 }
