fix(agent): a heartbeat ends no runs, only the worker's answers do

Cause: the agent took any heartbeat with a later start time for proof that the incarnation before had ended, and reported its runs as lost while they went on for up to a second. The worker's own heartbeats and lists then counted as outdated, since incarnations were put in order by start time. A heartbeat with the right service and another instance or start time did the same. Change: a heartbeat of an incarnation that the worker has not named waits until the worker answers a call; the answer applies or drops it (event 426). Until then nothing is acknowledged and the lease is not extended. Incarnations are told apart, not ordered. A deregistration of an incarnation that the worker has not named makes the agent ask as well. Silence from such a heartbeat to the end of the lease counts as a crash. A heartbeat that copies instance, start time, service and address can't be told from one of the worker.

--- a/crates/core/src/executor/heartbeats.rs
+++ b/crates/core/src/executor/heartbeats.rs
@@ -1,49 +1,81 @@
 //! Heartbeats of the worker, which describe it.
 
+use std::time::Duration;
+
 use knapweedwall_wire as wire;
+use smol_str::SmolStr;
 
 use super::io::{Action, Heartbeat};
-use super::lifetimes::{Loss, Proof};
 use super::machine::{Machine, log};
 use crate::clock::Now;
 
 impl Machine {
-    /// Handles a heartbeat of the worker.
+    /// Handles a heartbeat. Anyone who reaches the control address can send one, and it may arrive late,
+    /// so it is no evidence of what runs on the worker. One of an incarnation that the worker has not
+    /// named in a response takes effect only when it does.
     pub(super) fn handle_heartbeat(
         &mut self,
         now: Now,
         heartbeat: Heartbeat,
         out: &mut Vec<Action>,
     ) {
-        if self.worker.is_stale(&heartbeat) || self.may_precede_runs(&heartbeat) {
+        if self.worker.is_superseded(&heartbeat) {
+            return;
+        }
+        self.worker_left = false;
+        if self.worker.awaits_response() {
+            // The worker may be reachable, so an earlier failure is no reason to delay the next renewal.
+            self.reset_renewal_backoff(now);
+        }
+        if self.worker.incarnation == Some(heartbeat.incarnation) {
+            return self.apply_heartbeat(now, heartbeat, out);
+        }
+        self.worker.announced.add(now.mono, heartbeat);
+        self.probe_needed = true;
+    }
+
+    /// Applies or drops the heartbeats that wait for a response of the worker, after one to a call that
+    /// was made at `made_at`.
+    pub(super) fn resolve_announced(&mut self, now: Now, made_at: Duration, out: &mut Vec<Action>) {
+        let Some(current) = self.worker.incarnation else {
+            return;
+        };
+        if let Some(heartbeat) = self.worker.announced.take_of(current) {
+            self.apply_heartbeat(now, heartbeat, out);
+        }
+        for heartbeat in self.worker.announced.take_before(made_at) {
+            let fields = vec![
+                ("worker", heartbeat.instance.to_string()),
+                ("incarnation", heartbeat.incarnation.to_string()),
+                ("current", current.to_string()),
+            ];
+            log(
+                out,
+                426,
+                "heartbeat ignored, the worker has another incarnation",
+                true,
+                fields,
+            );
+        }
+        self.probe_needed |= !self.worker.announced.is_empty();
+    }
+
+    /// Applies a heartbeat of the incarnation that the worker has named.
+    fn apply_heartbeat(&mut self, now: Now, heartbeat: Heartbeat, out: &mut Vec<Action>) {
+        if self.worker.is_superseded(&heartbeat) {
             return;
         }
-        let same_incarnation = self.worker.incarnation == Some(heartbeat.incarnation);
         let first_heartbeat = self
             .worker
             .heartbeat
             .as_ref()
             .is_none_or(|last| last.incarnation != heartbeat.incarnation);
-        self.worker_left = false;
-        if self.worker.awaits_response() {
-            // The worker is reachable, so an earlier failure is no reason to delay the next renewal.
-            self.reset_renewal_backoff(now);
-        }
-        if !same_incarnation {
-            let loss = Loss {
-                cause: "the worker restarted",
-                crashed: !self.worker.leaving,
-                proof: if self.worker.may_be(&heartbeat.instance) {
-                    Proof::Restarted
-                } else {
-                    Proof::AllEnded
-                },
-            };
-            self.reset_worker(now, Some(heartbeat.incarnation), loss, out);
+        if first_heartbeat {
+            self.worker.leaving = false;
         }
         self.update_registration(&heartbeat, first_heartbeat, out);
         if first_heartbeat {
-            self.use_worker(&heartbeat, out);
+            self.use_worker(heartbeat.instance.clone(), out);
             let fields = vec![
                 ("worker", heartbeat.instance.to_string()),
                 ("service", heartbeat.service.to_string()),
@@ -62,20 +94,11 @@
         self.describe_worker(heartbeat);
     }
 
-    /// Returns whether a heartbeat may be from an incarnation before the one that the open runs were sent
-    /// to, so that it tells nothing of them. Only while the incarnation is unknown and runs are kept: a
-    /// start time may also be earlier because the clock of the host went back.
-    fn may_precede_runs(&self, heartbeat: &Heartbeat) -> bool {
-        let last = self.worker.heartbeat.as_ref();
-        let earlier = last.is_some_and(|last| heartbeat.incarnation < last.incarnation);
-        earlier && self.worker.incarnation.is_none() && !self.runs.is_idle()
-    }
-
-    /// Directs calls to the worker that a heartbeat describes.
-    pub(super) fn use_worker(&self, heartbeat: &Heartbeat, out: &mut Vec<Action>) {
+    /// Addresses calls to an instance of the worker; to any, if the id is empty.
+    pub(super) fn use_worker(&self, instance: SmolStr, out: &mut Vec<Action>) {
         out.push(Action::UseWorker {
-            address: heartbeat.address.clone(),
-            instance: heartbeat.instance.clone(),
+            address: self.settings.worker.clone(),
+            instance,
         });
     }
 
--- a/crates/core/src/executor/io.rs
+++ b/crates/core/src/executor/io.rs
@@ -17,8 +17,8 @@
 /// Settings of the state machine.
 #[derive(Debug, Clone)]
 pub struct Settings {
-    /// Address of the worker, if it is known before the first heartbeat.
-    pub worker: Option<SmolStr>,
+    /// Address of the worker on the agent's host.
+    pub worker: SmolStr,
     /// Zone of the host.
     pub zone: SmolStr,
     /// Duration of the lease; the maximum that the worker grants.
@@ -37,8 +37,6 @@
     pub incarnation: u64,
     /// Service that the worker belongs to.
     pub service: SmolStr,
-    /// Address at which the worker accepts calls.
-    pub address: SmolStr,
     /// Labels, such as the worker's kind and rack.
     pub labels: Vec<SmolStr>,
     /// Total resources of the worker.
--- a/crates/core/src/executor/lifetimes.rs
+++ b/crates/core/src/executor/lifetimes.rs
@@ -53,7 +53,8 @@
 }
 
 impl Machine {
-    /// Handles a deregistration, unless it is from an earlier incarnation.
+    /// Handles a deregistration. One of an incarnation that the worker has not named tells nothing of the
+    /// runs; the worker's next response does.
     pub(super) fn handle_worker_left(
         &mut self,
         now: Now,
@@ -62,8 +63,12 @@
         out: &mut Vec<Action>,
     ) {
         let known = self.worker.incarnation;
-        let earlier = known.is_some_and(|known| incarnation.is_some_and(|left| left < known));
-        if self.worker.instance() == instance && !earlier {
+        let other = known.is_some_and(|known| incarnation.is_some_and(|left| left != known));
+        if other {
+            self.probe_needed = true;
+            return;
+        }
+        if self.worker.instance() == instance {
             let loss = Loss {
                 cause: "the worker has left",
                 crashed: false,
--- a/crates/core/src/executor/machine.rs
+++ b/crates/core/src/executor/machine.rs
@@ -70,12 +70,10 @@
     /// Creates the state machine of an agent that starts at `now`.
     #[must_use]
     pub fn new(now: Now, settings: Settings, metrics: Metrics, out: &mut Vec<Action>) -> Self {
-        if let Some(address) = settings.worker.clone() {
-            out.push(Action::UseWorker {
-                address,
-                instance: "".into(),
-            });
-        }
+        out.push(Action::UseWorker {
+            address: settings.worker.clone(),
+            instance: "".into(),
+        });
         Self {
             settings,
             worker: Worker::new(now.mono, now.wall_ms),
--- a/crates/core/src/executor/mod.rs
+++ b/crates/core/src/executor/mod.rs
@@ -9,6 +9,7 @@
 //! The agent reports the end of each run to the run's owner, the entry process that ordered it. It
 //! stops a run if it has no contact with the owner for [`OWNER_SILENCE_TIMEOUT`].
 
+mod announced;
 mod crashes;
 mod durable_runs;
 mod heartbeats;
--- a/crates/core/src/executor/registration.rs
+++ b/crates/core/src/executor/registration.rs
@@ -70,7 +70,7 @@
             fields,
         );
         self.registration.resumed_at = Some(now.mono);
-        self.use_worker(&found, out);
+        self.use_worker(found.instance.clone(), out);
         self.describe_worker(found);
     }
 
--- a/crates/core/src/executor/renewals.rs
+++ b/crates/core/src/executor/renewals.rs
@@ -39,8 +39,6 @@
             self.probe_needed = false;
             self.renew_lease(now, Purpose::Probe, Duration::ZERO, out);
         }
-        let worker_known = self.worker.heartbeat.is_some() || self.settings.worker.is_some();
-        let has_worker = worker_known && !self.worker_left;
         let lists_unread = !self.worker.lists_read;
         let acknowledgeable = self
             .retained_runs
@@ -55,7 +53,8 @@
         let pausing = !self.retained_runs.is_empty()
             && now.since(self.pending_calls.last_renewal_at())
                 < MIN_RENEWAL_INTERVAL_WITH_RETAINED_RUNS;
-        if has_worker && needed && !renewing && !pausing && now.mono >= self.next_renewal_at {
+        if !self.worker_left && needed && !renewing && !pausing && now.mono >= self.next_renewal_at
+        {
             let long_poll = !lists_unread && !self.runs.is_idle();
             let wait = if long_poll {
                 RENEWAL_WAIT
@@ -68,7 +67,8 @@
 
     fn renew_lease(&mut self, now: Now, purpose: Purpose, wait: Duration, out: &mut Vec<Action>) {
         let lease = self.settings.lease;
-        let lease_deadline_ms = if self.runs.is_idle() {
+        let in_doubt = !self.worker.announced.is_empty();
+        let lease_deadline_ms = if self.runs.is_idle() || in_doubt {
             None
         } else {
             self.worker.lease_deadline_ms(now.mono, lease)
@@ -97,7 +97,9 @@
 
     /// Returns the number up to which a call acknowledges ended runs.
     fn acknowledged(&self, now: Now) -> u64 {
-        if !self.worker.has_just_responded(now.mono) {
+        // Another incarnation numbers its ends anew.
+        let in_doubt = !self.worker.announced.is_empty();
+        if in_doubt || !self.worker.has_just_responded(now.mono) {
             return 0;
         }
         self.retained_runs
--- a/crates/core/src/executor/run_lists.rs
+++ b/crates/core/src/executor/run_lists.rs
@@ -32,7 +32,7 @@
             RenewalOutcome::Renewed(lists) => {
                 self.worker.record_response(now.mono, clock_ms);
                 self.reset_renewal_backoff(now);
-                self.handle_run_lists(now, &call, lists, out);
+                self.handle_run_lists(now, &call, lists, clock_ms, out);
             }
             RenewalOutcome::Fence => {
                 self.worker.record_response(now.mono, clock_ms);
@@ -46,6 +46,8 @@
                     proof: Proof::AllEnded,
                 };
                 self.reset_worker(now, None, loss, out);
+                // The instance that has replaced it tells its incarnation to calls to any.
+                self.use_worker(SmolStr::default(), out);
                 self.back_off_renewals(now);
             }
             RenewalOutcome::ConnectionRefused => {
@@ -75,18 +77,12 @@
         now: Now,
         call: &PendingCall,
         lists: RunLists,
+        clock_ms: Option<u64>,
         out: &mut Vec<Action>,
     ) {
         if let Some(incarnation) = lists.incarnation
             && self.worker.incarnation != Some(incarnation)
         {
-            if self
-                .worker
-                .incarnation
-                .is_some_and(|known| incarnation < known)
-            {
-                return;
-            }
             if self.worker.incarnation.is_some() {
                 let loss = Loss {
                     cause: "the worker restarted",
@@ -94,7 +90,11 @@
                     proof: Proof::Restarted,
                 };
                 self.reset_worker(now, Some(incarnation), loss, out);
-                return;
+                self.worker.record_response(now.mono, clock_ms);
+                if call.acknowledged > 0 {
+                    // The new incarnation has discarded ends that it had not listed.
+                    return self.resolve_announced(now, call.made_at, out);
+                }
             }
             self.worker.incarnation = Some(incarnation);
         }
@@ -133,6 +133,7 @@
             );
             self.resume_from_registration(now, out);
         }
+        self.resolve_announced(now, call.made_at, out);
     }
 
     fn handle_ended_run(&mut self, now: Now, listed_run: &EndedRun, out: &mut Vec<Action>) {
--- a/crates/core/src/executor/timeouts.rs
+++ b/crates/core/src/executor/timeouts.rs
@@ -31,7 +31,8 @@
             self.worker.raise_fence();
             let loss = Loss {
                 cause: "the lease expired",
-                crashed: false,
+                // A heartbeat of another incarnation and no response since then.
+                crashed: !self.worker.announced.is_empty() && !self.worker.leaving,
                 proof: Proof::LeaseExpired,
             };
             self.close_lost_runs(now, loss, out);
--- a/crates/core/src/executor/worker.rs
+++ b/crates/core/src/executor/worker.rs
@@ -4,6 +4,7 @@
 
 use smol_str::SmolStr;
 
+use super::announced::AnnouncedHeartbeats;
 use super::io::Heartbeat;
 
 /// Maximum drift of the worker's clock, in percent. A worker with a slow clock keeps a lease that
@@ -39,7 +40,9 @@
 pub(super) struct Worker {
     /// Last heartbeat.
     pub(super) heartbeat: Option<Heartbeat>,
-    /// Incarnation that calls are sent to, if known.
+    /// Heartbeats of incarnations that the worker has not named in a response.
+    pub(super) announced: AnnouncedHeartbeats,
+    /// Incarnation that the worker named in its last response, if any.
     pub(super) incarnation: Option<u64>,
     /// Number of incarnations so far. Outcomes of calls to earlier ones are ignored.
     pub(super) generation: u32,
@@ -88,6 +91,7 @@
     pub(super) fn new(now: Duration, fence: u64) -> Self {
         Self {
             heartbeat: None,
+            announced: AnnouncedHeartbeats::default(),
             incarnation: None,
             generation: 0,
             fence,
@@ -245,26 +249,15 @@
         }
     }
 
-    /// Returns whether `heartbeat` is from an earlier incarnation or was sent before the last one.
-    pub(super) fn is_stale(&self, heartbeat: &Heartbeat) -> bool {
-        if self
-            .incarnation
-            .is_some_and(|incarnation| heartbeat.incarnation < incarnation)
-        {
-            return true;
-        }
-        let last = self.heartbeat.as_ref();
-        last.is_some_and(|last| {
-            last.incarnation == heartbeat.incarnation && heartbeat.number <= last.number
+    /// Returns whether `heartbeat` was sent before the last one of its incarnation, or names another
+    /// instance in it.
+    pub(super) fn is_superseded(&self, heartbeat: &Heartbeat) -> bool {
+        self.heartbeat.as_ref().is_some_and(|last| {
+            last.incarnation == heartbeat.incarnation
+                && (heartbeat.number <= last.number || last.instance != heartbeat.instance)
         })
     }
 
-    /// Returns whether a worker with this instance id may be the one that the runs were sent to.
-    pub(super) fn may_be(&self, instance: &str) -> bool {
-        let known = self.instance();
-        known.is_empty() || known == instance
-    }
-
     /// Returns the instance id of the worker; empty before the first heartbeat.
     pub(super) fn instance(&self) -> SmolStr {
         let heartbeat = self.heartbeat.as_ref();
--- a/crates/core/tests/jobs/agent.rs
+++ b/crates/core/tests/jobs/agent.rs
@@ -4,7 +4,7 @@
 
 use knapweedwall_core::executor::{
     Action, CallKey, EndCause, EndedRun, Heartbeat, Input, Machine, Metrics, RenewalOutcome,
-    RunLists, Settings, StartOutcome,
+    RunLists, RunningRun, Settings, StartOutcome,
 };
 use knapweedwall_core::job::{Resources, RunId, TaskId};
 use knapweedwall_core::{Instance, LinkKey, Now, PeerInfo, Role};
@@ -48,9 +48,10 @@
         agent
     }
 
-    fn unread() -> Self {
+    /// An agent that has not read the lists of its worker.
+    pub fn unread() -> Self {
         let settings = Settings {
-            worker: Some("127.0.0.1:1".into()),
+            worker: "127.0.0.1:1".into(),
             zone: "z".into(),
             lease: Duration::from_secs(1),
             stop_limit: Duration::from_secs(5),
@@ -202,6 +203,29 @@
         self.flush();
     }
 
+    /// Answers the renewals that were made with lists in which a job's first run is running.
+    pub fn answer_running(&mut self, incarnation: u64, job: &str) {
+        let running = RunningRun {
+            run: first_run(job),
+            percent: 3,
+        };
+        self.answer_lists(&RunLists {
+            incarnation: Some(incarnation),
+            running: vec![running],
+            ..RunLists::default()
+        });
+    }
+
+    /// Takes the instances that calls were directed to since the last call.
+    pub fn redirections(&mut self) -> Vec<String> {
+        let actions = std::mem::take(&mut self.out).into_iter();
+        let instances = actions.filter_map(|action| match action {
+            Action::UseWorker { instance, .. } => Some(instance.to_string()),
+            _ => None,
+        });
+        instances.collect()
+    }
+
     /// Cursors of the renewals that were made since the last call.
     pub fn cursors(&mut self) -> Vec<u64> {
         let calls = std::mem::take(&mut self.out).into_iter();
@@ -294,7 +318,6 @@
         instance: "w".into(),
         incarnation,
         service: "desk".into(),
-        address: "127.0.0.1:1".into(),
         labels: Vec::new(),
         capacity: Resources {
             cpu: 16_000,
--- a/crates/core/tests/jobs/calls.rs
+++ b/crates/core/tests/jobs/calls.rs
@@ -215,7 +215,6 @@
             instance: host.worker.instance().into(),
             incarnation: host.worker.born,
             service: "desk".into(),
-            address: format!("127.0.0.1:{at}").into(),
             labels: host.labels.clone(),
             capacity: Resources {
                 cpu: host.worker.cpu,
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -23,6 +23,7 @@
 mod config_repair;
 mod crashing_tasks;
 mod durable_jobs;
+mod foreign_heartbeats;
 mod kept_jobs;
 mod lifetimes;
 mod lost_agents;
--- a/crates/core/tests/jobs/malformed_messages.rs
+++ b/crates/core/tests/jobs/malformed_messages.rs
@@ -247,7 +247,6 @@
                 instance: "i-1".into(),
                 incarnation,
                 service: "desk".into(),
-                address: "127.0.0.1:0".into(),
                 labels: Vec::new(),
                 capacity: capacity.into(),
                 draining: false,
--- a/crates/core/tests/jobs/processes.rs
+++ b/crates/core/tests/jobs/processes.rs
@@ -84,7 +84,7 @@
     pub fn start_agent(&mut self, at: usize) {
         let instance = self.key();
         let settings = executor::Settings {
-            worker: Some(format!("127.0.0.1:{at}").into()),
+            worker: format!("127.0.0.1:{at}").into(),
             zone: self.zone(at),
             lease: Duration::from_millis(LEASE_MS),
             stop_limit: Duration::from_secs(5),
