fix(agent): the lease ends before the callers of a lost owner submit again

Cause: a restarted agent kept runs without an owner for 800 ms from the moment at which it found them, and extended their lease. How long their owner had been gone before that was not counted. An agent that was lost within 800 ms of an owner left a lease of another second; a stop whose answer was lost was sent again after 500 ms, while the lease went on. Ruled out: a shorter time from the agent's start (too long after a long down time), a shorter lease for all (costs runs of slow agents and workers), claims by the next owners of the shards (only once they have read the store). Change: an extension of the lease ends at the latest 1.25 s after the last contact to the owner of each run of a job that need not be kept. An agent extends no lease while a run that it found has no known owner.

--- a/crates/core/src/executor/owners.rs
+++ b/crates/core/src/executor/owners.rs
@@ -17,6 +17,11 @@
 /// resubmits its job after 1,300 ms to any entry process; the first run must have ended by then.
 pub const OWNER_SILENCE_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time after the last contact to an owner at which the lease of its runs of non-durable jobs ends at
+/// the latest, also if the agent is lost before it stops them. Ends before a client that got no response
+/// resubmits its job, with a margin for the drift of the worker's clock over a lease.
+pub(super) const ORPHAN_LEASE_LIMIT: Duration = Duration::from_millis(1_250);
+
 /// Maximum interval between `RunReports` messages to an entry process in the same zone, or with open
 /// runs on the worker.
 const MAX_MESSAGE_INTERVAL: Duration = Duration::from_millis(250);
@@ -174,6 +179,12 @@
         }
     }
 
+    /// Returns the time of the last contact to an owner; `None` if it is not connected and has been
+    /// silent for [`OWNER_SILENCE_TIMEOUT`].
+    pub(super) fn last_contact(&self, owner: Instance) -> Option<Duration> {
+        self.map.get(&owner).map(|owner| owner.last_contact)
+    }
+
     /// Returns whether the owner has been in contact within [`OWNER_SILENCE_TIMEOUT`].
     pub(super) fn is_in_contact(&self, now: Duration, owner: Instance) -> bool {
         let owner = self.map.get(&owner);
--- a/crates/core/src/executor/renewals.rs
+++ b/crates/core/src/executor/renewals.rs
@@ -4,6 +4,7 @@
 
 use super::io::{Action, CallKey};
 use super::machine::Machine;
+use super::owners::ORPHAN_LEASE_LIMIT;
 use super::pending_calls::{PendingCall, Purpose};
 use crate::clock::Now;
 
@@ -66,12 +67,12 @@
     }
 
     fn renew_lease(&mut self, now: Now, purpose: Purpose, wait: Duration, out: &mut Vec<Action>) {
-        let lease = self.settings.lease;
+        let lease_end = self.lease_end(now);
         let in_doubt = !self.worker.announced.is_empty();
         let lease_deadline_ms = if self.runs.is_idle() || in_doubt {
             None
         } else {
-            self.worker.lease_deadline_ms(now.mono, lease)
+            self.worker.lease_deadline_ms(now.mono, lease_end)
         };
         let call = self.record_call(now, purpose);
         out.push(Action::RenewLease {
@@ -83,6 +84,25 @@
         });
     }
 
+    /// Returns when a lease that is extended now ends: for its full duration, unless a run of a
+    /// non-durable job must end earlier because its owner is silent. Zero while the owner of a run is
+    /// unknown: the agent that started the run has set its lease.
+    pub(super) fn lease_end(&self, now: Now) -> Duration {
+        let mut end = now.mono + self.settings.lease;
+        for (_, run) in self.runs.iter() {
+            let Some(owner) = run.owner else {
+                return Duration::ZERO;
+            };
+            if run.durable {
+                continue;
+            }
+            let last_contact = self.owners.last_contact(owner);
+            let limit = last_contact.map(|at| at + ORPHAN_LEASE_LIMIT);
+            end = end.min(limit.unwrap_or_default());
+        }
+        end
+    }
+
     /// Registers a call to the worker and returns its key.
     pub(super) fn record_call(&mut self, now: Now, purpose: Purpose) -> CallKey {
         self.worker.record_call(now.mono);
--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -158,7 +158,8 @@
     }
 
     fn start_run(&mut self, now: Now, id: &RunId, out: &mut Vec<Action>) {
-        let lease = self.worker.lease_deadline_ms(now.mono, self.settings.lease);
+        let lease_end = self.lease_end(now);
+        let lease = self.worker.lease_deadline_ms(now.mono, lease_end);
         let (Some(lease_deadline_ms), Some(run)) = (lease, self.runs.get(id)) else {
             return;
         };
--- a/crates/core/src/executor/worker.rs
+++ b/crates/core/src/executor/worker.rs
@@ -177,16 +177,16 @@
         self.mean_response_time * LATE_RESPONSE_FACTOR
     }
 
-    /// Returns the deadline of a lease of duration `lease` starting now, on the worker's clock, and
-    /// records the extension. Returns `None` if the clock is unknown or the lease should expire
-    /// because it is withheld or the worker is unresponsive.
-    pub(super) fn lease_deadline_ms(&mut self, now: Duration, lease: Duration) -> Option<u64> {
+    /// Returns the deadline of a lease that ends at `end`, on the worker's clock, and records the
+    /// extension. Returns `None` if that time has passed, the clock is unknown, or the lease should
+    /// expire because it is withheld or the worker is unresponsive.
+    pub(super) fn lease_deadline_ms(&mut self, now: Duration, end: Duration) -> Option<u64> {
         let (clock_ms, read_at) = self.clock?;
-        if self.lease_withheld || !self.is_responsive(now) {
+        if end <= now || self.lease_withheld || !self.is_responsive(now) {
             return None;
         }
         self.last_extension = now;
-        let end = now.saturating_sub(read_at) + lease;
+        let end = end.saturating_sub(read_at);
         let end_ms = u64::try_from(end.as_millis()).unwrap_or(u64::MAX);
         Some(clock_ms.saturating_add(end_ms))
     }
--- a/crates/core/tests/jobs/calls.rs
+++ b/crates/core/tests/jobs/calls.rs
@@ -204,6 +204,12 @@
         }
     }
 
+    /// Loses the stops that are on their way to a worker; they get no response.
+    pub fn drop_stops(&mut self, at: usize) {
+        let calls = &mut self.hosts[at].calls;
+        calls.retain(|pending| !matches!(pending.call, Call::Stop(..)));
+    }
+
     pub fn heartbeat(&mut self, at: usize) {
         let host = &mut self.hosts[at];
         if self.now_ms < host.next_beat_ms || !host.worker.up {
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -30,6 +30,7 @@
 mod lost_starts;
 mod malformed_messages;
 mod many_entries;
+mod orphaned_runs;
 mod overload;
 mod planned_stops;
 mod random_faults;
