fix(agent): only the owner of a run stops it

Callers saw: nothing but later answers. Jobs that need not be kept lost their runs when an agent restarted, although their owners claimed them at once. Cause: a process that owns the shard of a job's id, but does not hold the job, orders the stop of a run that an agent lists after its restart. The agent obeyed, also when the run had been claimed by the process that holds the job. Change: once the owner of a run is known, only its stops count, for runs of all jobs; before, this held for durable jobs only. A stop that arrives before the claim still ends the run.

--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -53,7 +53,7 @@
             // The owner of a durable run may have changed since the stop was sent. A run that was found
             // on the worker has none until it is claimed, and may belong to a job that nobody keeps.
             let owned_by_other = known.is_some_and(|run| match run.owner {
-                Some(other) => run.durable && other != owner,
+                Some(other) => other != owner,
                 None => self.shard_claims.is_owned_by_other(owner, &id.task.job),
             });
             if !owned_by_other {
--- a/crates/core/tests/jobs/orphaned_runs.rs
+++ b/crates/core/tests/jobs/orphaned_runs.rs
@@ -71,6 +71,22 @@
     fleet.assert_rules();
 }
 
+/// Guards against runs that are thrown away although their owner claims them in time.
+#[rstest]
+fn claimed_runs_outlive_their_agent(#[values(20, 200, 500, 800)] down_ms: u64) {
+    let mut fleet = Fleet::new(2, &[(16_000, 1.0)], 1);
+    for at in 0..2 {
+        fleet.submit(at, "patient", Job::new(2, 1_000, 5_000));
+    }
+    fleet.run(700);
+    fleet.kill_agent(0);
+    fleet.run(down_ms);
+    fleet.start_agent(0);
+    fleet.finish(8_000);
+    assert_eq!(fleet.worker(0).starts, 4);
+    fleet.assert_rules();
+}
+
 /// Guards against second runs in whatever order and with whatever gaps owners and agents are lost and
 /// come back.
 #[rstest]
