fix(scheduler): the end of a run that was started again does not count after a hand-over

Cause: an end is rejected if the task has a later attempt, but attempt numbers were not stored, so the next owner of the shard settled the end of a run that the owner before had taken for lost. Ruled out: storing each attempt before its start (one write a start); asking the agents (that of the second run may be gone). Change: before a task is started again while the end of an earlier attempt may be unknown, the row says which attempts no longer count. That holds for runs that an agent did not report or list, and for attempts of earlier epochs in jobs that were read from the store. Ends `done` of these are rejected, also for tasks that are done.

--- a/crates/core/src/scheduler/durable_jobs.rs
+++ b/crates/core/src/scheduler/durable_jobs.rs
@@ -141,7 +141,7 @@
         };
         let task = job.task(run.task.phase, run.task.index).cloned();
         let done = outcome == wire::RunOutcome::Done;
-        if done && task.as_ref().is_some_and(|task| task.attempt > run.attempt) {
+        if done && task.as_ref().is_some_and(|task| task.supersedes(run)) {
             worker.unsettled.remove(run);
             return worker.outbox.voided.push(run.into());
         }
@@ -156,6 +156,78 @@
         self.mark_dirty(now, key, PROGRESS_WRITE_DELAY);
     }
 
+    /// Ends a run that has got lost without a report from its agent. It may have ended `done` all the
+    /// same.
+    pub(super) fn lose_run(
+        &mut self,
+        now: Now,
+        from: WorkerKey,
+        run: &RunId,
+        out: &mut Vec<Action>,
+    ) {
+        let key = self.jobs.find(&run.task.job);
+        if let Some(job) = key.and_then(|key| self.jobs.get_mut(key))
+            && let Some(durable) = &mut job.durable
+        {
+            durable.unreported = true;
+            if let Some(task) = job.task_mut(run.task.phase, run.task.index) {
+                task.unreported = task.unreported.max(run.attempt);
+            }
+        }
+        self.end_run(now, from, run, wire::RunOutcome::Lost, Duration::ZERO, out);
+    }
+
+    /// Supersedes the attempts of unplaced tasks that may have ended without a report, before these
+    /// tasks are started again. The row must say so first: a later owner of the shard that learns of
+    /// such an end would otherwise count it beside that of the new attempt.
+    pub(super) fn supersede_unreported(&mut self, now: Now) {
+        let mut keys: Vec<JobKey> = Vec::new();
+        for (key, job) in self.jobs.iter_open() {
+            let durable = job.durable.as_ref();
+            let unreported = durable.is_some_and(|durable| durable.unreported);
+            if unreported && job.waiting_tasks > 0 && self.may_place(now, job) {
+                keys.push(key);
+            }
+        }
+        for key in keys {
+            self.supersede_attempts(now, key);
+        }
+    }
+
+    fn supersede_attempts(&mut self, now: Now, key: JobKey) {
+        let epoch = self.jobs.get(key).map_or(0, |job| self.shard_epoch(job));
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let Some(durable) = &mut job.durable else {
+            return;
+        };
+        durable.unreported = false;
+        let earlier = if durable.loaded {
+            last_earlier_attempt(epoch)
+        } else {
+            0
+        };
+        let mut any = false;
+        for task in job.phases.iter_mut().flat_map(|phase| &mut phase.tasks) {
+            if !task.is_unplaced() {
+                continue;
+            }
+            // The attempts of this epoch are known.
+            let unknown = if task.attempt <= earlier { earlier } else { 0 };
+            let latest = task.unreported.max(unknown);
+            if latest > task.superseded {
+                task.superseded = latest;
+                any = true;
+            }
+        }
+        if !any {
+            return;
+        }
+        durable.superseding = true;
+        self.mark_dirty(now, key, Duration::ZERO);
+    }
+
     /// Sets the outcome of a durable job. It is reported to callers once it is stored.
     pub(super) fn end_durable(
         &mut self,
@@ -281,6 +353,7 @@
         let runs_known = !durable.loaded || state.runs_known;
         owned
             && runs_known
+            && !durable.superseding
             && durable.stored == StoredState::Open
             && self.shards.has_lease(now.mono)
     }
@@ -310,7 +383,13 @@
     /// been treated as lost, or had been ordered by an earlier owner.
     pub(super) fn accepts_end(&self, run: &RunId) -> bool {
         let latest = run.attempt >= self.attempt && run.attempt > self.last_failed_attempt;
-        self.is_unplaced() && latest
+        self.is_unplaced() && latest && !self.supersedes(run)
+    }
+
+    /// Returns whether the task was started again, or is about to be, without knowledge of the end of
+    /// this run.
+    fn supersedes(&self, run: &RunId) -> bool {
+        self.attempt > run.attempt || self.superseded >= run.attempt
     }
 }
 
@@ -347,9 +426,13 @@
 /// known attempt. Each epoch has its own range of numbers, since attempts of earlier epochs may be
 /// unknown after the job was loaded.
 pub(super) fn next_attempt(last: u32, epoch: u64) -> u32 {
-    let first = epoch.saturating_sub(1) * ATTEMPTS_PER_EPOCH;
-    let first = u32::try_from(first).unwrap_or(u32::MAX - 1);
-    last.max(first) + 1
+    last.max(last_earlier_attempt(epoch)) + 1
+}
+
+/// Returns the highest number that an attempt of an earlier epoch can have.
+fn last_earlier_attempt(epoch: u64) -> u32 {
+    let last = epoch.saturating_sub(1) * ATTEMPTS_PER_EPOCH;
+    u32::try_from(last).unwrap_or(u32::MAX - 1)
 }
 
 /// Converts the outcome of a durable job to an answer.
--- a/crates/core/src/scheduler/jobs.rs
+++ b/crates/core/src/scheduler/jobs.rs
@@ -37,6 +37,10 @@
     pub(super) state: TaskState,
     /// Number of the latest attempt; 0 before the first.
     pub(super) attempt: u32,
+    /// Number of the latest attempt that may have ended `done` without a report; 0 if there is none.
+    pub(super) unreported: u32,
+    /// Number of the latest attempt whose end does not count, because the task is started again.
+    pub(super) superseded: u32,
     /// Number of failed runs.
     pub(super) failures: u32,
     /// Number of the latest failed attempt.
@@ -126,6 +130,8 @@
             let task = Task {
                 state,
                 attempt: 0,
+                unreported: 0,
+                superseded: 0,
                 failures: 0,
                 last_failed_attempt: 0,
                 crashes: CrashCount::default(),
--- a/crates/core/src/scheduler/links.rs
+++ b/crates/core/src/scheduler/links.rs
@@ -203,7 +203,7 @@
         ];
         log(out, 313, "agent listed its runs", false, fields);
         for run in missing {
-            self.end_run(now, key, &run, wire::RunOutcome::Lost, Duration::ZERO, out);
+            self.lose_run(now, key, &run, out);
         }
         for run in open {
             self.keep_or_stop_run(key, run);
@@ -266,7 +266,7 @@
             ];
             log(out, 314, "runs of a silent agent are lost", true, fields);
             for run in runs {
-                self.end_run(now, key, &run, wire::RunOutcome::Lost, Duration::ZERO, out);
+                self.lose_run(now, key, &run, out);
             }
         }
         for key in expired {
--- a/crates/core/src/scheduler/placement.rs
+++ b/crates/core/src/scheduler/placement.rs
@@ -122,6 +122,7 @@
     /// Places waiting tasks in the order of their jobs' priorities, as far as capacity allows.
     pub(super) fn place_tasks(&mut self, now: Now) {
         self.update_reserved_workers(now);
+        self.supersede_unreported(now);
         let fleet = self.fleet_view(now);
         let mut ready: Vec<(Priority, JobKey)> = Vec::new();
         let mut isolated: Vec<(Priority, JobKey)> = Vec::new();
--- a/crates/core/src/scheduler/shard_writes.rs
+++ b/crates/core/src/scheduler/shard_writes.rs
@@ -14,7 +14,7 @@
 use super::machine::{Machine, log};
 use super::shards::{Ownership, RELEASED_RUN_GRACE, WriteBatch};
 use super::store::{StoreCall, StoreRow};
-use super::stored_job::{DurableState, JobEnd, StoredState, encode_job};
+use super::stored_job::{DurableState, JobEnd, StoredState, contains_superseded, encode_job};
 use crate::clock::Now;
 use crate::ids::Shard;
 use crate::job::SHARD_COUNT;
@@ -313,10 +313,14 @@
         let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
+        let written = row.and_then(|row| wire::StoredJob::decode(row.clone()).ok());
+        let superseded = written
+            .as_ref()
+            .is_some_and(|row| contains_superseded(row, job));
         let Some(durable) = &mut job.durable else {
             return;
         };
-        let written = row.and_then(|row| wire::StoredJob::decode(row.clone()).ok());
+        durable.superseding &= !superseded;
         let ended = written.is_some_and(|row| row.end() != wire::JobAnswer::Unspecified);
         durable.stored = if ended {
             StoredState::Ended
--- a/crates/core/src/scheduler/stored_job.rs
+++ b/crates/core/src/scheduler/stored_job.rs
@@ -10,7 +10,7 @@
 
 use super::crash_count::CrashCount;
 use super::io::CallKey;
-use super::jobs::{Job, Progress, TaskState, to_u32};
+use super::jobs::{Job, Progress, Task, TaskState, to_u32};
 use crate::ids::Shard;
 use crate::job::{JobRequest, PhaseSpec, QueueConfig};
 
@@ -51,6 +51,10 @@
     pub(super) dirty: bool,
     /// Whether the job was read from the store, so that runs of an earlier owner may exist.
     pub(super) loaded: bool,
+    /// Whether attempts of unplaced tasks may have ended without a report.
+    pub(super) unreported: bool,
+    /// Whether attempts were superseded and the row does not say so yet. No task is started meanwhile.
+    pub(super) superseding: bool,
     /// Submissions to be answered once the job is stored.
     pub(super) submit_calls: SmallVec<[CallKey; 1]>,
     /// Cancellations to be answered once the outcome is stored.
@@ -74,6 +78,8 @@
             ended_ms: 0,
             dirty: false,
             loaded: false,
+            unreported: false,
+            superseding: false,
             submit_calls: SmallVec::new(),
             cancel_calls: SmallVec::new(),
             query_calls: SmallVec::new(),
@@ -110,7 +116,7 @@
     Some(stored.encode_to_vec().into())
 }
 
-fn encode_phase(spec: &PhaseSpec, tasks: &[super::jobs::Task]) -> wire::StoredPhase {
+fn encode_phase(spec: &PhaseSpec, tasks: &[Task]) -> wire::StoredPhase {
     let mut done = vec![0_u8; tasks.len().div_ceil(8)];
     let mut failures = Vec::new();
     for (index, task) in tasks.iter().enumerate() {
@@ -138,9 +144,29 @@
         spread: spec.spread.unwrap_or_default(),
         done: done.into(),
         failures,
+        superseded: encode_superseded(tasks),
     }
 }
 
+/// Encodes the superseded attempts of a phase, without trailing zeros.
+fn encode_superseded(tasks: &[Task]) -> Vec<u32> {
+    let count = tasks.iter().rposition(|task| task.superseded > 0);
+    let tasks = tasks.iter().take(count.map_or(0, |last| last + 1));
+    tasks.map(|task| task.superseded).collect()
+}
+
+/// Returns whether the row contains the superseded attempts of all tasks.
+pub(super) fn contains_superseded(stored: &wire::StoredJob, job: &Job) -> bool {
+    let mut phases = job.phases.iter().zip(&stored.phases);
+    phases.all(|(phase, stored)| {
+        let mut tasks = phase.tasks.iter().enumerate();
+        tasks.all(|(index, task)| {
+            let known = stored.superseded.get(index).copied();
+            task.superseded <= known.unwrap_or_default()
+        })
+    })
+}
+
 /// Encodes the request of a job, to be forwarded to the owner of its shard.
 pub(super) fn encode_request(request: &JobRequest) -> wire::StoredJob {
     let phases = request.phases.iter();
@@ -210,11 +236,20 @@
                 job.set_task_state(phase_at, index, TaskState::Done);
             }
         }
+        for (index, superseded) in phase.superseded.iter().enumerate() {
+            if let Some(task) = job.task_mut(phase_at, to_u32(index)) {
+                task.superseded = *superseded;
+                task.attempt = *superseded;
+            }
+        }
         for failure in &phase.failures {
             let crashes = CrashCount::decode(failure);
             if let Some(task) = job.task_mut(phase_at, failure.index) {
                 task.failures = failure.runs;
-                task.attempt = failure.attempt.max(crashes.last_attempt());
+                task.attempt = task
+                    .attempt
+                    .max(failure.attempt)
+                    .max(crashes.last_attempt());
                 task.last_failed_attempt = failure.attempt;
                 task.crashes = crashes;
             }
@@ -243,6 +278,7 @@
     durable.end = end;
     durable.ended_ms = stored.ended_ms;
     durable.loaded = true;
+    durable.unreported = true;
     job.durable = Some(durable);
     job
 }
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -42,6 +42,7 @@
 mod shard_handovers;
 mod silent_owners;
 mod slow_answers;
+mod superseded_ends;
 mod unanswered_starts;
 mod unstored_jobs;
 mod worker_lives;
