fix(entry): a process that ends as planned has answered each request

Cause: try_exit ended the process without regard to requests that waited for an owner, a reply of another process, a write, a held query or a run. Ruled out: a shorter wait for an owner (a request just before the end would still be cut off); refusing stored jobs while all processes are being stopped (most are served once the first one is back). Change: before it exits, the process answers all open calls: not run if nothing of the request was accepted or started, else outcome unknown. The stop moves from machine.rs to graceful_stop.rs. That queued requests are answered when the state machine has ended has no test of its own.

--- a/crates/core/src/scheduler/forwarding.rs
+++ b/crates/core/src/scheduler/forwarding.rs
@@ -1,5 +1,6 @@
 //! Requests for durable jobs, forwarded to the owner of the job's shard.
 
+use std::mem;
 use std::time::Duration;
 
 use knapweedwall_wire as wire;
@@ -166,7 +167,7 @@
 
     /// Routes parked requests again, and ends those that waited too long for an owner or a reply.
     pub(super) fn update_forwarded_calls(&mut self, now: Now, out: &mut Vec<Action>) {
-        for pending in std::mem::take(&mut self.forwarding.parked) {
+        for pending in mem::take(&mut self.forwarding.parked) {
             if now.since(pending.since) >= OWNER_WAIT_LIMIT {
                 self.reply(pending.call, no_owner(), out);
             } else {
@@ -193,6 +194,17 @@
         }
     }
 
+    /// Answers the callers whose requests wait for an owner or a reply, since the process ends. A
+    /// request that waits for an owner has not been accepted by any process.
+    pub(super) fn end_forwarded_calls(&mut self, out: &mut Vec<Action>) {
+        for (_, (_, pending)) in mem::take(&mut self.forwarding.sent) {
+            self.reply(pending.call, Answer::OutcomeUnknown, out);
+        }
+        for pending in mem::take(&mut self.forwarding.parked) {
+            self.reply(pending.call, no_owner(), out);
+        }
+    }
+
     /// Handles the end of a connection: no reply is expected any more to requests forwarded on it, and
     /// none is sent to those received on it.
     pub(super) fn close_forwarding_link(&mut self, link: LinkKey, out: &mut Vec<Action>) {
--- a/crates/core/src/scheduler/machine.rs
+++ b/crates/core/src/scheduler/machine.rs
@@ -65,7 +65,7 @@
     /// Whether the state changed in a way that may allow a task to be placed.
     pub(super) placement_pending: bool,
     ready: bool,
-    exited: bool,
+    pub(super) exited: bool,
     /// Time of the last call of `step` or `flush`.
     last_activity: Duration,
     /// Time of the last periodic work.
@@ -202,46 +202,6 @@
             out.push(Action::Ready(ready));
         }
     }
-
-    /// Starts a graceful shutdown.
-    fn begin_stop(&mut self, now: Now, out: &mut Vec<Action>) {
-        if self.stop_requested_at.is_none() {
-            self.stop_requested_at = Some(now.mono);
-            let fields = vec![("open_jobs", self.jobs.open_len().to_string())];
-            log(out, 308, "graceful shutdown started", false, fields);
-            self.release_shards();
-            self.update_ready(out);
-        }
-    }
-
-    /// Returns whether callers are no longer routed to this process: `shutdown_accept_time` has
-    /// passed since the start of a graceful shutdown.
-    fn is_out_of_rotation(&self, now: Now) -> bool {
-        let since = self.stop_requested_at;
-        since.is_some_and(|since| now.since(since) >= self.settings.shutdown_accept_time)
-    }
-
-    /// Returns whether a graceful shutdown is in progress that would end the process before a job of
-    /// this expected duration.
-    pub(super) fn outlives_process(&self, now: Now, duration: Duration) -> bool {
-        let since = self.stop_requested_at;
-        since.is_some_and(|since| now.mono + duration >= since + self.settings.stop_limit)
-    }
-
-    /// Ends the process when a graceful shutdown is complete or has reached its time limit.
-    fn try_exit(&mut self, now: Now, out: &mut Vec<Action>) {
-        let Some(since) = self.stop_requested_at else {
-            return;
-        };
-        let calls_open = self.jobs.has_callers() || self.forwarding.has_pending();
-        let idle = self.is_out_of_rotation(now) && !calls_open && !self.holds_any_shard();
-        if (idle || now.since(since) >= self.settings.stop_limit) && !self.exited {
-            self.exited = true;
-            let fields = vec![("open_jobs", self.jobs.open_len().to_string())];
-            log(out, 309, "graceful shutdown ended", false, fields);
-            out.push(Action::Exit);
-        }
-    }
 }
 
 /// Appends an action that logs an event.
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -14,6 +14,7 @@
 mod crashes;
 mod durable_jobs;
 mod forwarding;
+mod graceful_stop;
 mod io;
 mod jobs;
 mod links;
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -90,6 +90,8 @@
     /// Limits of callers in the store.
     pub caller_limits: Vec<(SmolStr, Duration)>,
     pub faults: Vec<String>,
+    /// Callers whose connections ended without an answer when a process ended as planned.
+    pub cut_off: Vec<usize>,
     pub events: Vec<u16>,
     /// Jobs that have ended, by id.
     pub ended: BTreeSet<SmolStr>,
@@ -136,6 +138,7 @@
             slow_ms: 0,
             caller_limits: Vec::new(),
             faults: Vec::new(),
+            cut_off: Vec::new(),
             events: Vec::new(),
             ended: BTreeSet::new(),
             calls: 0,
@@ -242,7 +245,7 @@
                         self.reset_link(entry, host);
                     }
                 }
-                scheduler::Action::Exit => self.kill_entry(at),
+                scheduler::Action::Exit => self.end_entry(at),
                 scheduler::Action::Log(event) => {
                     self.trace(&format!("entry-{at}"), &event);
                     self.events.push(event.number);
--- a/crates/core/tests/jobs/planned_stops.rs
+++ b/crates/core/tests/jobs/planned_stops.rs
@@ -55,3 +55,78 @@
         assert!(!fleet.has_entry(1) && !fleet.has_entry(2), "{pause_ms} ms");
     }
 }
+
+/// Submits durable jobs and others at an entry process, also beyond the time in which it is in rotation.
+fn keep_submitting(fleet: &mut Fleet, entry: usize) {
+    if !fleet.has_entry(entry) {
+        return;
+    }
+    fleet.submit(entry, "patient", Job::new(1, 500, 50).durable());
+    fleet.submit(entry, "checks", Job::new(1, 500, 50));
+}
+
+/// Guards against requests without an answer when all processes are stopped one after the other, so that
+/// no process takes the shards of their jobs.
+#[rstest]
+fn stops_in_turn_answer_all_callers(#[values(0, 300, 700, 1_300, 2_000)] gap_ms: u64) {
+    let mut fleet = Fleet::new(3, &[(16_000, 1.0), (16_000, 1.0)], 1);
+    fleet.run(3_000);
+    for elapsed_ms in 0..16_000 {
+        for at in 0..3 {
+            if elapsed_ms == at as u64 * gap_ms {
+                fleet.stop_entry(at);
+            }
+            if elapsed_ms % 100 == 0 {
+                keep_submitting(&mut fleet, at);
+            }
+            if elapsed_ms > 12_000 && !fleet.has_entry(at) {
+                fleet.start_entry(at);
+            }
+        }
+        fleet.run(1);
+    }
+    assert_eq!(fleet.cut_off, Vec::<usize>::new());
+    fleet.assert_rules();
+}
+
+/// Guards against requests without an answer at the end of a stop, whatever else happens beside it.
+#[rstest]
+fn stops_beside_faults_answer_all_callers(#[values(0, 1, 2, 3, 4, 5, 6, 7)] seed: u64) {
+    let mut fleet = Fleet::new(3, &[(8_000, 1.0), (8_000, 0.7)], seed);
+    fleet.run(3_000);
+    for _ in 0..200 {
+        let entry = usize::try_from(fleet.random(3)).unwrap();
+        match fleet.random(12) {
+            0 | 1 => fleet.stop_entry(entry),
+            2 => fleet.store.down = !fleet.store.down,
+            3 => fleet.store.lose_each = 3 - fleet.store.lose_each,
+            4 => fleet.cut_peers(0, 1, true),
+            5 => fleet.cut_peers(0, 1, false),
+            6 => fleet.kill_agent(entry % 2),
+            7 => fleet.cut(entry, 0, true),
+            8 => fleet.cut(entry, 0, false),
+            _ => {}
+        }
+        for at in 0..3 {
+            if !fleet.has_entry(at) && fleet.random(6) == 0 {
+                fleet.start_entry(at);
+            }
+        }
+        for at in 0..2 {
+            if !fleet.has_agent(at) && fleet.random(6) == 0 {
+                fleet.start_agent(at);
+            }
+        }
+        for _ in 0..3 {
+            keep_submitting(&mut fleet, entry);
+            let run_ms = 100 + fleet.random(4_000);
+            if fleet.has_entry(entry) {
+                fleet.submit(entry, "patient", Job::new(2, 1_000, run_ms));
+            }
+            let pause_ms = fleet.random(80);
+            fleet.run(pause_ms);
+        }
+    }
+    assert_eq!(fleet.cut_off, Vec::<usize>::new());
+    fleet.assert_rules();
+}
--- a/crates/core/tests/jobs/processes.rs
+++ b/crates/core/tests/jobs/processes.rs
@@ -80,6 +80,17 @@
         }
     }
 
+    /// Ends an entry process that has exited by itself.
+    pub fn end_entry(&mut self, at: usize) {
+        for (number, caller) in self.callers.iter().enumerate() {
+            let waits = caller.answer.is_none() && caller.resend_ms.is_none();
+            if caller.entry == at && waits {
+                self.cut_off.push(number);
+            }
+        }
+        self.kill_entry(at);
+    }
+
     /// Starts an agent.
     pub fn start_agent(&mut self, at: usize) {
         let instance = self.key();
