fix: odd entries of another program are skipped

Cause: a job row whose phase waits for one that does not exist ended an entry process by an index out of range, and then the next owner of the shard; a row with 4 billion tasks would take all memory; epochs, attempts and times at the end of their range overflowed. Ruled out: heartbeats, registrations and addresses of entry processes; they are rejected or ignored (new cases pass on the code before).

--- a/crates/core/src/job/mod.rs
+++ b/crates/core/src/job/mod.rs
@@ -6,6 +6,8 @@
 mod shard;
 
 pub use id::{RunId, TaskId};
-pub use request::{JobRequest, PhaseSpec, QueueCatalog, QueueConfig, UnsupportedFeature};
+pub use request::{
+    JobRequest, MAX_PHASES, MAX_TASKS, PhaseSpec, QueueCatalog, QueueConfig, UnsupportedFeature,
+};
 pub use resources::Resources;
 pub use shard::{SHARD_COUNT, shard_of};
--- a/crates/core/src/job/request.rs
+++ b/crates/core/src/job/request.rs
@@ -7,6 +7,12 @@
 
 use super::resources::Resources;
 
+/// Largest number of tasks in a job.
+pub const MAX_TASKS: u32 = 10_000;
+
+/// Largest number of phases in a job.
+pub const MAX_PHASES: usize = 256;
+
 /// A submitted job. Its size and the references between its phases have been validated.
 #[derive(Debug, Clone, PartialEq)]
 pub struct JobRequest {
--- a/crates/core/src/scheduler/durable_jobs.rs
+++ b/crates/core/src/scheduler/durable_jobs.rs
@@ -417,7 +417,7 @@
         durable.is_some_and(|durable| {
             durable.stored == StoredState::Ended
                 && self.placed_tasks == 0
-                && durable.ended_ms + RETENTION_MS < wall_ms
+                && durable.ended_ms.saturating_add(RETENTION_MS) < wall_ms
         })
     }
 }
@@ -426,12 +426,12 @@
 /// known attempt. Each epoch has its own range of numbers, since attempts of earlier epochs may be
 /// unknown after the job was loaded.
 pub(super) fn next_attempt(last: u32, epoch: u64) -> u32 {
-    last.max(last_earlier_attempt(epoch)) + 1
+    last.max(last_earlier_attempt(epoch)).saturating_add(1)
 }
 
 /// Returns the highest number that an attempt of an earlier epoch can have.
 fn last_earlier_attempt(epoch: u64) -> u32 {
-    let last = epoch.saturating_sub(1) * ATTEMPTS_PER_EPOCH;
+    let last = epoch.saturating_sub(1).saturating_mul(ATTEMPTS_PER_EPOCH);
     u32::try_from(last).unwrap_or(u32::MAX - 1)
 }
 
--- a/crates/core/src/scheduler/forwarding.rs
+++ b/crates/core/src/scheduler/forwarding.rs
@@ -11,7 +11,7 @@
 use super::io::{Action, Answer, CallKey, JobState};
 use super::machine::Machine;
 use super::shards::Ownership;
-use super::stored_job::{decode_request, encode_request};
+use super::stored_job::{decode_request, encode_request, find_fault};
 use crate::clock::Now;
 use crate::deterministic::DeterministicMap;
 use crate::ids::Shard;
@@ -225,6 +225,14 @@
         out: &mut Vec<Action>,
     ) {
         let request = match body.call {
+            Some(Call::Submit(stored)) if find_fault(&stored).is_some() => {
+                let reply = wire::JobReply {
+                    number: body.number,
+                    answer: wire::JobAnswer::NotRun.into(),
+                    reason: "invalid job".to_owned(),
+                };
+                return out.push(Action::Send(link, Body::JobReply(reply)));
+            }
             Some(Call::Submit(stored)) => DurableRequest::Submit(Box::new(decode_request(&stored))),
             Some(Call::Query(id)) => DurableRequest::Query(id.into()),
             Some(Call::Cancel(id)) => DurableRequest::Cancel(id.into()),
--- a/crates/core/src/scheduler/shard_claims.rs
+++ b/crates/core/src/scheduler/shard_claims.rs
@@ -224,7 +224,7 @@
     pub(super) fn send_claim(&mut self, now: Now, shard: Shard, out: &mut Vec<Action>) {
         let state = self.shards.get_mut(shard);
         let last_epoch = state.owner_row.as_ref().map_or(0, |row| row.epoch);
-        state.epoch = last_epoch + 1;
+        state.epoch = last_epoch.saturating_add(1);
         state.sequence = 1;
         state.successor = SmolStr::default();
         let expected = state.owner_row_version;
--- a/crates/core/src/scheduler/shard_loading.rs
+++ b/crates/core/src/scheduler/shard_loading.rs
@@ -11,7 +11,7 @@
 use super::machine::{Machine, log};
 use super::shards::Ownership;
 use super::store::StoreRow;
-use super::stored_job::{decode_request, restore_job, stored_queue_config};
+use super::stored_job::{decode_request, find_fault, restore_job, stored_queue_config};
 use super::workers::WorkerKey;
 use crate::clock::Now;
 use crate::ids::Shard;
@@ -28,12 +28,9 @@
         out: &mut Vec<Action>,
     ) {
         for row in rows {
-            match wire::StoredJob::decode(row.value.clone()) {
-                Ok(stored) => self.load_job(now, shard, &stored),
-                Err(error) => {
-                    let fields = vec![("job", row.id.to_string()), ("error", error.to_string())];
-                    log(out, 323, "job row cannot be decoded", true, fields);
-                }
+            if let Err(error) = self.load_row(now, shard, row) {
+                let fields = vec![("job", row.id.to_string()), ("error", error)];
+                log(out, 323, "job row cannot be decoded", true, fields);
             }
         }
         if let (true, Some(last)) = (more, rows.last()) {
@@ -51,6 +48,20 @@
         self.finish_loading(now, shard, out);
     }
 
+    /// Adds the job of a row.
+    fn load_row(&mut self, now: Now, shard: Shard, row: &StoreRow) -> Result<(), String> {
+        let stored = wire::StoredJob::decode(row.value.clone());
+        let stored = stored.map_err(|error| error.to_string())?;
+        if let Some(fault) = find_fault(&stored) {
+            return Err(fault.to_owned());
+        }
+        if stored.id != row.id {
+            return Err("the row is of another job".to_owned());
+        }
+        self.load_job(now, shard, &stored);
+        Ok(())
+    }
+
     /// Adds a job read from the store, unless its id is in use.
     pub(super) fn load_job(&mut self, now: Now, shard: Shard, stored: &wire::StoredJob) {
         if self.jobs.find(&stored.id).is_some() {
--- a/crates/core/src/scheduler/stored_job.rs
+++ b/crates/core/src/scheduler/stored_job.rs
@@ -12,7 +12,7 @@
 use super::io::CallKey;
 use super::jobs::{Job, Progress, Task, TaskState, to_u32};
 use crate::ids::Shard;
-use crate::job::{JobRequest, PhaseSpec, QueueConfig};
+use crate::job::{JobRequest, MAX_PHASES, MAX_TASKS, PhaseSpec, QueueConfig, shard_of};
 
 /// Outcome of a durable job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -179,6 +179,28 @@
     }
 }
 
+/// Returns why a stored or forwarded job cannot be processed, if it cannot. Other programs may write to
+/// the store, too.
+pub(super) fn find_fault(stored: &wire::StoredJob) -> Option<&'static str> {
+    if shard_of(&stored.id).is_none() {
+        return Some("invalid id");
+    }
+    if stored.phases.len() > MAX_PHASES {
+        return Some("too many phases");
+    }
+    let mut tasks = 0_u32;
+    for (at, phase) in stored.phases.iter().enumerate() {
+        tasks = tasks.saturating_add(phase.count);
+        if tasks > MAX_TASKS {
+            return Some("too many tasks");
+        }
+        if phase.after.iter().any(|earlier| *earlier as usize >= at) {
+            return Some("phases out of order");
+        }
+    }
+    None
+}
+
 /// Decodes the request of a stored or forwarded job.
 pub(super) fn decode_request(stored: &wire::StoredJob) -> JobRequest {
     let phases = stored.phases.iter();
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -30,6 +30,7 @@
 mod lost_starts;
 mod malformed_messages;
 mod many_entries;
+mod odd_rows;
 mod orphaned_runs;
 mod overload;
 mod planned_stops;
--- a/crates/core/tests/jobs/store.rs
+++ b/crates/core/tests/jobs/store.rs
@@ -87,6 +87,17 @@
         });
     }
 
+    /// Writes a row as another program would, without a condition.
+    pub fn put_job(&mut self, shard: Shard, id: &str, value: bytes::Bytes) {
+        self.version += 1;
+        let row = StoreRow {
+            id: id.into(),
+            value,
+            version: self.version,
+        };
+        self.rows.insert((shard, id.into()), row);
+    }
+
     /// Outcomes that are due.
     pub fn pass(&mut self, now_ms: u64) -> Vec<Outcome> {
         let mut outcomes = Vec::new();
