--- a/crates/core/src/executor/heartbeats.rs
+++ b/crates/core/src/executor/heartbeats.rs
@@ -52,7 +52,7 @@
             log(
                 out,
                 426,
-                "heartbeat ignored, the worker has another incarnation",
+                "heartbeat of another incarnation ignored",
                 true,
                 fields,
             );
