--- a/crates/core/src/scheduler/machine.rs
+++ b/crates/core/src/scheduler/machine.rs
@@ -3,7 +3,8 @@
 //! `requests` implements the transitions for caller requests, `placement` those that assign tasks
 //! to workers, `orders` their messages to agents, `run_reports` those for ended runs, `links` those
 //! for connections to agents and other entry processes, `shard_turns` those for shards of durable
-//! jobs, and `configuration` those for changes of the configuration.
+//! jobs, `configuration` those for changes of the configuration, and `graceful_stop` those for the end
+//! of the process.
 
 use std::collections::VecDeque;
 use std::time::Duration;
