--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -14,6 +14,7 @@
 
 use crate::callers::Caller;
 use crate::calls::{LateAnswer, PendingCall};
+use crate::clocks::clocks;
 use crate::peers::PeerLink;
 use crate::store::Store;
 use crate::worker::Worker;
@@ -51,6 +52,8 @@
 pub struct Entry {
     pub machine: Option<scheduler::Machine>,
     pub instance: u64,
+    /// By how much the time of day of its machine is ahead.
+    pub ahead_ms: i64,
     pub frozen: bool,
     /// What arrived while the process stood still; it reads this first.
     pub backlog: Vec<scheduler::Input>,
@@ -110,7 +113,7 @@
         let hosts = workers.iter().enumerate().map(|(at, (cpu, speed))| Host {
             agent: None,
             instance: 0,
-            worker: Worker::new(*cpu, *speed, 1_000 + at as u64),
+            worker: Worker::new(*cpu, *speed, 1_000 + at as u64, 0),
             calls: Vec::new(),
             next_beat_ms: START_MS,
             beats: 0,
@@ -147,6 +150,7 @@
             fleet.entries.push(Entry {
                 machine: None,
                 instance: 0,
+                ahead_ms: 0,
                 frozen: false,
                 backlog: Vec::new(),
             });
@@ -179,11 +183,14 @@
         self.rng.next_u64() % below
     }
 
-    pub fn now(&self) -> Now {
-        Now {
-            mono: Duration::from_millis(self.now_ms),
-            wall_ms: self.now_ms,
-        }
+    /// Clocks of an entry process.
+    pub fn entry_now(&self, at: usize) -> Now {
+        clocks(self.now_ms, self.entries[at].ahead_ms)
+    }
+
+    /// Clocks of an agent.
+    pub fn agent_now(&self, at: usize) -> Now {
+        clocks(self.now_ms, self.hosts[at].worker.ahead_ms)
     }
 
     pub fn worker(&mut self, at: usize) -> &mut Worker {
@@ -200,7 +207,7 @@
         if self.entries[at].frozen {
             return self.entries[at].backlog.push(input);
         }
-        let now = self.now();
+        let now = self.entry_now(at);
         let mut out = Vec::new();
         if let Some(machine) = &mut self.entries[at].machine {
             machine.step(now, input, &mut out);
@@ -212,7 +219,7 @@
         if self.hosts[at].frozen {
             return self.hosts[at].backlog.push(input);
         }
-        let now = self.now();
+        let now = self.agent_now(at);
         let mut out = Vec::new();
         if let Some(machine) = &mut self.hosts[at].agent {
             machine.step(now, input, &mut out);
@@ -270,11 +277,11 @@
     }
 
     pub fn flush(&mut self) {
-        let now = self.now();
         for at in 0..self.entries.len() {
             if self.entries[at].frozen {
                 continue;
             }
+            let now = self.entry_now(at);
             let mut out = Vec::new();
             if let Some(machine) = &mut self.entries[at].machine {
                 machine.flush(now, &mut out);
@@ -285,6 +292,7 @@
             if self.hosts[at].frozen {
                 continue;
             }
+            let now = self.agent_now(at);
             let mut out = Vec::new();
             if let Some(machine) = &mut self.hosts[at].agent {
                 machine.flush(now, &mut out);
--- a/crates/core/tests/jobs/processes.rs
+++ b/crates/core/tests/jobs/processes.rs
@@ -44,25 +44,28 @@
             document,
             source: scheduler::ConfigSource::Peer,
         };
-        machine.step(self.now(), input, &mut Vec::new());
-        self.confirm_config(&mut machine);
+        machine.step(self.entry_now(at), input, &mut Vec::new());
+        self.confirm_config(at, &mut machine);
         let limits = scheduler::Input::CallerLimitsFound(self.caller_limits.clone());
-        machine.step(self.now(), limits, &mut Vec::new());
-        self.entries[at] = Entry {
+        machine.step(self.entry_now(at), limits, &mut Vec::new());
+        let entry = &mut self.entries[at];
+        *entry = Entry {
             machine: Some(machine),
             instance,
+            ahead_ms: entry.ahead_ms,
             frozen: false,
             backlog: Vec::new(),
         };
     }
 
     /// Lets the store confirm the configuration of an entry process.
-    fn confirm_config(&self, machine: &mut scheduler::Machine) {
+    fn confirm_config(&self, at: usize, machine: &mut scheduler::Machine) {
+        let now = self.entry_now(at);
         let input = scheduler::Input::ConfigConfirmed {
             version: 1,
-            requested_at: self.now().mono,
+            requested_at: now.mono,
         };
-        machine.step(self.now(), input, &mut Vec::new());
+        machine.step(now, input, &mut Vec::new());
     }
 
     /// Ends an entry process at once; callers lose their connections.
@@ -101,7 +104,8 @@
             stop_limit: Duration::from_secs(5),
         };
         let metrics = executor::Metrics::default();
-        let machine = executor::Machine::new(self.now(), settings, metrics, &mut Vec::new());
+        let machine =
+            executor::Machine::new(self.agent_now(at), settings, metrics, &mut Vec::new());
         self.hosts[at].life = SmolStr::default();
         self.hosts[at].agent = Some(machine);
         self.hosts[at].instance = instance;
@@ -127,7 +131,7 @@
     pub fn freeze_entry(&mut self, at: usize, frozen: bool) {
         let thaws = self.entries[at].frozen && !frozen;
         self.entries[at].frozen = frozen;
-        let now = self.now();
+        let now = self.entry_now(at);
         let mut out = Vec::new();
         if let Some(machine) = self.entries[at].machine.as_mut().filter(|_| thaws) {
             machine.flush(now, &mut out);
--- a/crates/core/tests/jobs/worker.rs
+++ b/crates/core/tests/jobs/worker.rs
@@ -8,6 +8,8 @@
 };
 use knapweedwall_core::job::{RunId, TaskId};
 
+use crate::clocks::time_of_day;
+
 /// Longest lease.
 pub const LEASE_MS: u64 = 1_000;
 
@@ -60,7 +62,12 @@
 pub struct Worker {
     pub cpu: u32,
     pub speed: f64,
+    /// Time of day at which the lifetime began.
     pub born: u64,
+    /// Simulated time at which it began.
+    since_ms: u64,
+    /// By how much the time of day of its machine is ahead.
+    pub ahead_ms: i64,
     /// Number in the instance id.
     id: u64,
     pub up: bool,
@@ -95,12 +102,14 @@
 }
 
 impl Worker {
-    pub fn new(cpu: u32, speed: f64, born: u64) -> Self {
+    pub fn new(cpu: u32, speed: f64, since_ms: u64, ahead_ms: i64) -> Self {
         Self {
             cpu,
             speed,
-            born,
-            id: born,
+            born: time_of_day(since_ms, ahead_ms),
+            since_ms,
+            ahead_ms,
+            id: since_ms,
             up: true,
             earlier: (0, 0),
             back_ms: None,
@@ -128,7 +137,7 @@
     }
 
     pub fn clock(&self, now_ms: u64) -> u64 {
-        now_ms - self.born + CLOCK_OFFSET_MS
+        now_ms - self.since_ms + CLOCK_OFFSET_MS
     }
 
     /// Ends the lifetime and begins another.
@@ -138,7 +147,7 @@
         let (starts, started) = (self.starts, std::mem::take(&mut self.started));
         let noted = std::mem::take(&mut self.noted);
         let crashed = std::mem::take(&mut self.crashed);
-        *self = Self::new(self.cpu, self.speed, now_ms);
+        *self = Self::new(self.cpu, self.speed, now_ms, self.ahead_ms);
         self.faults = faults;
         self.starts = starts;
         self.started = started;
