fix(agent): the first fence may be any time of day

Callers would see: a worker takes no tasks for minutes to hours, and the runs on it lapse, after its agent has restarted on a machine whose time of day is earlier than its predecessor's was. Cause: the first fence of an agent is its time of day. Change: the step doubles with each refusal and starts over once a call is accepted.

--- a/crates/core/src/executor/run_lists.rs
+++ b/crates/core/src/executor/run_lists.rs
@@ -31,6 +31,7 @@
         match outcome {
             RenewalOutcome::Renewed(lists) => {
                 self.worker.record_response(now.mono, clock_ms);
+                self.worker.record_accepted_fence();
                 self.reset_renewal_backoff(now);
                 self.handle_run_lists(now, &call, lists, clock_ms, out);
             }
--- a/crates/core/src/executor/worker.rs
+++ b/crates/core/src/executor/worker.rs
@@ -31,9 +31,11 @@
 /// Upper bound on a response time sample, because longer times are outliers.
 const MAX_RESPONSE_SAMPLE: Duration = Duration::from_millis(500);
 
-/// Increment of a fence that the worker rejected, because it had accepted a higher one from another
-/// agent. The initial fence is a time in milliseconds, so this corresponds to one minute.
-const FENCE_CONFLICT_STEP: u64 = 60_000;
+/// First increment of a fence that the worker rejected, because it had accepted a higher one from another
+/// agent. The initial fence is a time in milliseconds, so this corresponds to one minute. The increment
+/// doubles with each rejection, since the worker does not tell how much higher its fence is: the time of
+/// day of the other agent may have been any.
+const FIRST_FENCE_STEP: u64 = 60_000;
 
 /// The agent's view of the worker.
 #[derive(Debug)]
@@ -48,6 +50,8 @@
     pub(super) generation: u32,
     /// Fencing token of calls to the worker.
     pub(super) fence: u64,
+    /// Increment of the fence after the next rejection.
+    fence_step: u64,
     /// Sequence number of the last ended run that was processed.
     pub(super) last_processed_number: u64,
     /// Sequence number of the last ended run whose acknowledgement the worker has received.
@@ -87,7 +91,8 @@
 
 impl Worker {
     /// Creates the state of an unknown worker. `fence` is the wall-clock time in milliseconds: unless
-    /// the clock was set back, it is greater than the fences of earlier agents.
+    /// the clock was set back, it is greater than the fences of earlier agents, and the worker accepts it
+    /// at once.
     pub(super) fn new(now: Duration, fence: u64) -> Self {
         Self {
             heartbeat: None,
@@ -95,6 +100,7 @@
             incarnation: None,
             generation: 0,
             fence,
+            fence_step: FIRST_FENCE_STEP,
             last_processed_number: 0,
             last_acknowledged_number: 0,
             lists_read: false,
@@ -245,10 +251,16 @@
     /// higher one from another agent.
     pub(super) fn raise_fence_above(&mut self, rejected: u64) {
         if rejected >= self.fence {
-            self.fence = rejected + FENCE_CONFLICT_STEP;
+            self.fence = rejected.saturating_add(self.fence_step);
+            self.fence_step = self.fence_step.saturating_mul(2);
         }
     }
 
+    /// Records that the worker accepted the fence of a call.
+    pub(super) fn record_accepted_fence(&mut self) {
+        self.fence_step = FIRST_FENCE_STEP;
+    }
+
     /// Returns whether `heartbeat` was sent before the last one of its incarnation, or names another
     /// instance in it.
     pub(super) fn is_superseded(&self, heartbeat: &Heartbeat) -> bool {
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -46,6 +46,7 @@
 mod silent_owners;
 mod slow_answers;
 mod superseded_ends;
+mod times_of_day;
 mod unanswered_starts;
 mod unstored_jobs;
 mod worker_lives;
