fix(scheduler): stored times are on the store's clock

Callers would see: a job that has ended is unknown (410) before its time, and a job that is submitted again runs a second time; rows are never deleted; loaded jobs count as too old or too young. Cause: rows held the time of day of the process that stored them, and the next owner compared it with its own. Ruled out: a time of ownership kept in the owner row (it does not count the time between two owners); the steady clock of a process (it ends with the process). Change: arrival and end are stored in the store's steady clock, which the responses tell (NowMs, so far not read). A row without a time of its end, or with a later one than now, is retained from the moment at which its owner sees it.

--- a/crates/core/src/scheduler/durable_jobs.rs
+++ b/crates/core/src/scheduler/durable_jobs.rs
@@ -69,7 +69,8 @@
         let objective = self.objective(&queue_config, &request);
         self.log_received(now, &request, objective, Duration::ZERO, out);
         let mut job = Job::new(now.mono, None, request, queue_config, objective);
-        let mut durable = DurableState::new(shard, now.wall_ms);
+        let arrived_ms = self.store_clock.now_ms(now.mono);
+        let mut durable = DurableState::new(shard, arrived_ms.unwrap_or_default());
         durable.submit_calls.push(call);
         job.durable = Some(durable);
         let key = self.jobs.insert(job);
@@ -238,6 +239,7 @@
         out: &mut Vec<Action>,
     ) {
         self.stop_job(key);
+        let ended_ms = self.store_clock.now_ms(now.mono);
         let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
@@ -250,7 +252,7 @@
         let took = now.since(job.submitted_at);
         if let Some(durable) = &mut job.durable {
             durable.end = Some(end);
-            durable.ended_ms = now.wall_ms;
+            durable.ended_ms = ended_ms.unwrap_or_default();
         }
         log(out, 304, "job ended", end != JobEnd::Completed, fields);
         self.metrics.observe_end(&end_answer(end), took);
@@ -411,13 +413,15 @@
         stored && self.progress != Progress::Closed && self.is_unstarted() && !any_done()
     }
 
-    /// Returns whether the job ended so long ago that its row can be deleted.
-    pub(super) fn is_retention_over(&self, wall_ms: u64) -> bool {
+    /// Returns whether the job ended so long before `store_ms`, the present time on the store's clock, that
+    /// its row can be deleted.
+    pub(super) fn is_retention_over(&self, store_ms: u64) -> bool {
         let durable = self.durable.as_ref();
         durable.is_some_and(|durable| {
             durable.stored == StoredState::Ended
                 && self.placed_tasks == 0
-                && durable.ended_ms.saturating_add(RETENTION_MS) < wall_ms
+                && durable.ended_ms > 0
+                && durable.ended_ms.saturating_add(RETENTION_MS) < store_ms
         })
     }
 }
--- a/crates/core/src/scheduler/io.rs
+++ b/crates/core/src/scheduler/io.rs
@@ -151,8 +151,15 @@
     EntriesFound(Vec<(SmolStr, SmolStr)>),
     /// Limits that entry processes have stored earlier, see [`Action::StoreCallerLimits`].
     CallerLimitsFound(Vec<(SmolStr, Duration)>),
-    /// Outcome of a call to the store.
-    StoreResult(StoreKey, StoreOutcome),
+    /// A call to the store was completed.
+    StoreResult {
+        /// The call.
+        call: StoreKey,
+        /// Its outcome.
+        outcome: StoreOutcome,
+        /// The store's steady clock in milliseconds, if there was a response.
+        clock_ms: Option<u64>,
+    },
     /// A graceful shutdown was requested.
     Stop,
     /// Periodic timer, sent at least every 20 ms while a job is open and every 100 ms otherwise.
--- a/crates/core/src/scheduler/jobs.rs
+++ b/crates/core/src/scheduler/jobs.rs
@@ -343,6 +343,11 @@
         self.arena.iter()
     }
 
+    /// The same, for changes.
+    pub(super) fn iter_all_mut(&mut self) -> impl Iterator<Item = (JobKey, &mut Job)> {
+        self.arena.iter_mut()
+    }
+
     /// Returns the number of jobs that are not marked as ended.
     pub(super) fn open_len(&self) -> usize {
         self.open.len()
--- a/crates/core/src/scheduler/machine.rs
+++ b/crates/core/src/scheduler/machine.rs
@@ -22,6 +22,7 @@
 use super::peers::Peers;
 use super::run_time_model::RunTimeModel;
 use super::shards::Shards;
+use super::store_clock::StoreClock;
 use super::workers::Workers;
 use crate::clock::Now;
 use crate::deterministic::DeterministicMap;
@@ -48,6 +49,7 @@
     pub(super) workers: Workers,
     pub(super) peers: Peers,
     pub(super) shards: Shards,
+    pub(super) store_clock: StoreClock,
     pub(super) forwarding: Forwarding,
     /// State queries held for jobs that are about to end, in the order of their deadlines.
     pub(super) held_queries: VecDeque<HeldQuery>,
@@ -85,6 +87,7 @@
             workers: Workers::default(),
             peers: Peers::default(),
             shards: Shards::default(),
+            store_clock: StoreClock::default(),
             forwarding: Forwarding::default(),
             held_queries: VecDeque::new(),
             last_purge: Duration::ZERO,
@@ -127,7 +130,11 @@
             } => self.confirm_configuration(now, version, requested_at, out),
             Input::EntriesFound(entries) => self.add_entries(entries, out),
             Input::CallerLimitsFound(limits) => self.caller_limits.load(limits),
-            Input::StoreResult(key, outcome) => self.handle_store_outcome(now, key, outcome, out),
+            Input::StoreResult {
+                call,
+                outcome,
+                clock_ms,
+            } => self.handle_store_outcome(now, call, (outcome, clock_ms), out),
             Input::Stop => self.begin_stop(now, out),
             Input::Tick => {}
         }
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -33,6 +33,7 @@
 mod shard_writes;
 mod shards;
 mod store;
+mod store_clock;
 mod stored_job;
 mod workers;
 
--- a/crates/core/src/scheduler/shard_loading.rs
+++ b/crates/core/src/scheduler/shard_loading.rs
@@ -74,7 +74,10 @@
             .unwrap_or_else(|| stored_queue_config(stored));
         let request = decode_request(stored);
         let objective = self.objective(&queue_config, &request);
-        let age = Duration::from_millis(now.wall_ms.saturating_sub(stored.arrived_ms));
+        let store_ms = self.store_clock.now_ms(now.mono).unwrap_or_default();
+        let known = Some(stored.arrived_ms).filter(|arrived_ms| *arrived_ms > 0);
+        let age_ms = known.map_or(0, |arrived_ms| store_ms.saturating_sub(arrived_ms));
+        let age = Duration::from_millis(age_ms);
         let job = restore_job(stored, shard, (now.mono, age), queue_config, objective);
         self.jobs.insert(job);
     }
--- a/crates/core/src/scheduler/shard_turns.rs
+++ b/crates/core/src/scheduler/shard_turns.rs
@@ -146,16 +146,20 @@
         &mut self,
         now: Now,
         key: StoreKey,
-        outcome: StoreOutcome,
+        (outcome, clock_ms): (StoreOutcome, Option<u64>),
         out: &mut Vec<Action>,
     ) {
+        let call = self.shards.calls.remove(&key);
+        if let (Some((_, sent)), Some(clock_ms)) = (&call, clock_ms) {
+            self.store_clock.record(now.mono, *sent, clock_ms);
+        }
         match outcome {
             StoreOutcome::Declined | StoreOutcome::NoAnswer => {
                 self.shards.failing_since.get_or_insert(now.mono);
             }
             _ => self.shards.failing_since = None,
         }
-        match self.shards.calls.remove(&key) {
+        match call {
             Some((CallPurpose::Shard(shard), _)) => {
                 self.shards.get_mut(shard).call_in_flight = false;
                 self.handle_shard_outcome(now, shard, outcome, out);
--- a/crates/core/src/scheduler/shard_writes.rs
+++ b/crates/core/src/scheduler/shard_writes.rs
@@ -196,6 +196,7 @@
     /// Takes the next rows to write, within the limits of one write. Rows of jobs whose retention
     /// is over are deleted.
     pub(super) fn collect_rows(&mut self, now: Now, shard: Shard) -> BatchRows {
+        let store_ms = self.store_clock.now_ms(now.mono).unwrap_or_default();
         let state = self.shards.get_mut(shard);
         state.write_at = None;
         let mut dirty = std::mem::take(&mut state.dirty);
@@ -210,7 +211,7 @@
             let Some(job) = self.jobs.get_mut(key) else {
                 continue;
             };
-            let delete = job.is_retention_over(now.wall_ms);
+            let delete = job.is_retention_over(store_ms);
             let row = encode_job(job).filter(|_| !delete);
             let id = job.request.id.clone();
             let Some(durable) = &mut job.durable else {
@@ -349,15 +350,28 @@
         }
     }
 
-    /// Schedules the deletion of rows of jobs whose retention is over.
+    /// Schedules the deletion of rows of jobs whose retention is over. A job without a time of its end, or
+    /// with one that is still to come, is retained as if it had ended now.
     pub(super) fn purge_ended_jobs(&mut self, now: Now) {
         if now.since(self.last_purge) < PURGE_INTERVAL {
             return;
         }
         self.last_purge = now.mono;
-        let jobs = self.jobs.iter_all();
-        let old = jobs.filter(|(_, job)| job.is_retention_over(now.wall_ms));
-        for key in old.map(|(key, _)| key).collect::<Vec<_>>() {
+        let Some(store_ms) = self.store_clock.now_ms(now.mono) else {
+            return;
+        };
+        let mut old = Vec::new();
+        for (key, job) in self.jobs.iter_all_mut() {
+            if let Some(durable) = job.durable.as_mut().filter(|durable| durable.end.is_some())
+                && (durable.ended_ms == 0 || durable.ended_ms > store_ms)
+            {
+                durable.ended_ms = store_ms;
+            }
+            if job.is_retention_over(store_ms) {
+                old.push(key);
+            }
+        }
+        for key in old {
             self.mark_dirty(now, key, PROGRESS_WRITE_DELAY);
         }
     }
--- a/crates/core/src/scheduler/stored_job.rs
+++ b/crates/core/src/scheduler/stored_job.rs
@@ -43,9 +43,9 @@
     pub(super) stored: StoredState,
     /// Outcome, set when it is decided; it may not be stored yet.
     pub(super) end: Option<JobEnd>,
-    /// Wall-clock time of the submission, in milliseconds since 1970.
+    /// Time of the submission, in milliseconds on the store's clock; 0 if unknown.
     pub(super) arrived_ms: u64,
-    /// Wall-clock time of the end, in milliseconds since 1970; 0 before.
+    /// Time of the end, in milliseconds on the store's clock; 0 before the end, or if unknown.
     pub(super) ended_ms: u64,
     /// Whether the row has to be written.
     pub(super) dirty: bool,
@@ -106,12 +106,12 @@
         spec: request.spec.to_string(),
         phases: phases.collect(),
         end: end.into(),
-        ended_ms: durable.ended_ms,
-        arrived_ms: durable.arrived_ms,
         service: job.queue_config.service.to_string(),
         attempts: job.queue_config.attempts,
         target_ms: u32::try_from(job.queue_config.target.as_millis()).unwrap_or(u32::MAX),
         stretch: job.queue_config.stretch,
+        ended_ms: durable.ended_ms,
+        arrived_ms: durable.arrived_ms,
     };
     Some(stored.encode_to_vec().into())
 }
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -1,6 +1,6 @@
 //! Entry processes, agents, workers and callers in simulated time, in steps of one millisecond.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use knapweedwall_core::executor;
@@ -96,8 +96,8 @@
     /// Callers whose connections ended without an answer when a process ended as planned.
     pub cut_off: Vec<usize>,
     pub events: Vec<u16>,
-    /// Jobs that have ended, by id.
-    pub ended: BTreeSet<SmolStr>,
+    /// Jobs that have ended, by id, with the time that they took as the log has it.
+    pub ended: BTreeMap<SmolStr, u64>,
     /// Calls that were made to workers.
     pub calls: u64,
 }
@@ -143,7 +143,7 @@
             faults: Vec::new(),
             cut_off: Vec::new(),
             events: Vec::new(),
-            ended: BTreeSet::new(),
+            ended: BTreeMap::new(),
             calls: 0,
         };
         for at in 0..entries {
@@ -257,8 +257,13 @@
                     self.trace(&format!("entry-{at}"), &event);
                     self.events.push(event.number);
                     if event.number == JOB_ENDED {
-                        let job = event.fields.iter().find(|(name, _)| *name == "job");
-                        self.ended.extend(job.map(|(_, id)| id.into()));
+                        let field = |name| {
+                            let mut fields = event.fields.iter();
+                            fields.find(|(of, _)| *of == name).map(|(_, value)| value)
+                        };
+                        let took_ms = field("took_ms").and_then(|ms| ms.parse().ok());
+                        let ended = field("job").map(SmolStr::from);
+                        self.ended.extend(ended.zip(took_ms));
                     }
                 }
                 _ => {}
--- a/crates/core/tests/jobs/kept_jobs.rs
+++ b/crates/core/tests/jobs/kept_jobs.rs
@@ -93,7 +93,7 @@
         let room: u32 = self.room.iter().map(|(_, room)| room).sum();
         for (number, caller) in fleet.callers.iter().enumerate() {
             let id = &caller.request.id;
-            let accepted = caller.answer == Some(Answer::Accepted) && !fleet.ended.contains(id);
+            let accepted = caller.answer == Some(Answer::Accepted) && !fleet.ended.contains_key(id);
             if !accepted || running.contains(id.as_str()) || fleet.now_ms < self.calm_ms {
                 self.waits.remove(&number);
                 continue;
@@ -191,7 +191,7 @@
 fn open(fleet: &Fleet) -> usize {
     let accepted = |caller: &&Caller| caller.answer == Some(Answer::Accepted);
     let jobs = fleet.callers.iter().filter(accepted);
-    jobs.filter(|job| !fleet.ended.contains(&job.request.id))
+    jobs.filter(|job| !fleet.ended.contains_key(&job.request.id))
         .count()
 }
 
--- a/crates/core/tests/jobs/peers.rs
+++ b/crates/core/tests/jobs/peers.rs
@@ -142,7 +142,13 @@
     pub fn deliver_store(&mut self) {
         for (entry, instance, key, outcome) in self.store.pass(self.now_ms) {
             if self.instance_of(entry) == instance {
-                self.entry_input(entry, Input::StoreResult(key, outcome));
+                let clock_ms = self.store.clock(self.now_ms, &outcome);
+                let input = Input::StoreResult {
+                    call: key,
+                    outcome,
+                    clock_ms,
+                };
+                self.entry_input(entry, input);
             }
         }
     }
--- a/crates/core/tests/jobs/random_faults.rs
+++ b/crates/core/tests/jobs/random_faults.rs
@@ -93,7 +93,23 @@
     }
 }
 
+/// Starts entry processes that were still stopping when the faults ended.
+fn restart_stopped(fleet: &mut Fleet) {
+    let stopped: Vec<usize> = (0..3).filter(|at| !fleet.has_entry(*at)).collect();
+    for &entry in &stopped {
+        fleet.start_entry(entry);
+    }
+    if !stopped.is_empty() {
+        fleet.run(5_000);
+    }
+}
+
 fn play(seed: u64, zones: usize) {
+    play_beside(seed, zones, |_| {});
+}
+
+/// Plays jobs that need not be kept beside more disruptions, one call a round.
+pub fn play_beside(seed: u64, zones: usize, mut disrupt: impl FnMut(&mut Fleet)) {
     let workers = [(8_000, 0.7), (8_000, 0.7), (12_000, 1.7), (8_000, 1.0)];
     let mut fleet = Fleet::in_zones(zones, 3, &workers, seed);
     for _ in 0..FAULTY_ROUNDS {
@@ -107,10 +123,12 @@
             let run_ms = 20 + fleet.random(900);
             fleet.submit(entry, "patient", Job::new(tasks, 1_000, run_ms));
         }
+        disrupt(&mut fleet);
         fleet.run(ROUND_MS);
     }
     heal(&mut fleet, 1);
     fleet.run(15_000);
+    restart_stopped(&mut fleet);
     let last = fleet.submit(0, "checks", Job::new(4, 1_000, 50));
     fleet.finish(15_000);
     fleet.assert_rules();
@@ -128,6 +146,11 @@
 
 /// Plays durable jobs; each one that was accepted must be done at the end.
 fn play_durable(seed: u64, zones: usize) {
+    play_durable_beside(seed, zones, |_| {});
+}
+
+/// The same, beside more disruptions, one call a round.
+pub fn play_durable_beside(seed: u64, zones: usize, mut disrupt: impl FnMut(&mut Fleet)) {
     let workers = [(8_000, 0.7), (8_000, 0.7), (12_000, 1.7), (8_000, 1.0)];
     let mut fleet = Fleet::in_zones(zones, 3, &workers, seed);
     fleet.run(3_000);
@@ -146,11 +169,13 @@
             let job = Job::new(tasks, 1_000, run_ms).durable();
             fleet.submit(entry, "patient", job);
         }
+        disrupt(&mut fleet);
         fleet.run(ROUND_MS);
     }
     heal(&mut fleet, 1);
     heal_store(&mut fleet, 1);
     fleet.run(25_000);
+    restart_stopped(&mut fleet);
     fleet.assert_rules();
     for at in 0..fleet.callers.len() {
         if fleet.answer_to(at) != Some(&Answer::Accepted) {
@@ -170,7 +195,7 @@
     }
 }
 
-fn seeds(default: &str) -> std::ops::Range<u64> {
+pub fn seeds(default: &str) -> std::ops::Range<u64> {
     let seeds = std::env::var("KNAPWEEDWALL_SEEDS").unwrap_or_else(|_| default.to_owned());
     let (first, end) = seeds.split_once("..").unwrap();
     first.parse().unwrap()..end.parse().unwrap()
--- a/crates/core/tests/jobs/store.rs
+++ b/crates/core/tests/jobs/store.rs
@@ -15,6 +15,9 @@
 /// Rows of one reading.
 const PAGE_ROWS: usize = 3;
 
+/// Offset of the store's clock, to tell it apart from others.
+const CLOCK_OFFSET_MS: u64 = 500_000;
+
 /// A call on its way.
 #[derive(Debug)]
 struct Pending {
@@ -98,6 +101,17 @@
         self.rows.insert((shard, id.into()), row);
     }
 
+    /// Number of stored jobs.
+    pub fn job_rows(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// The store's clock in a response.
+    pub fn clock(&self, now_ms: u64, outcome: &StoreOutcome) -> Option<u64> {
+        let response = !matches!(outcome, StoreOutcome::Declined | StoreOutcome::NoAnswer);
+        response.then_some(now_ms + CLOCK_OFFSET_MS)
+    }
+
     /// Outcomes that are due.
     pub fn pass(&mut self, now_ms: u64) -> Vec<Outcome> {
         let mut outcomes = Vec::new();
