fix(agent): a crash after a silence is no proof against a task

Cause: the agent counted each run that it had not seen end as running when its worker crashed, also when the worker had been silent for long before. Ruled out: crashes at the same age by accident (one of the two was under no task). A response of the next lifetime is recorded after the loss of the runs on the one before.

--- a/crates/core/src/executor/crashes.rs
+++ b/crates/core/src/executor/crashes.rs
@@ -66,6 +66,8 @@
             let weight = jobs.entry(id.task.job.as_str()).or_default();
             *weight = weight.max(blame_weight(run, crashed_at));
         }
+        // A run may have ended since the last response.
+        let silent = !self.worker.has_just_responded(now.mono);
         let total: f64 = jobs.values().sum();
         let highest = jobs.values().copied().fold(0.0, f64::max);
         let evidence = on_worker().filter_map(|(id, run)| {
@@ -75,7 +77,7 @@
                 suspect: weight >= highest * SUSPECT_SHARE,
                 alone: jobs.len() == 1,
                 age_ms: u32::try_from(age(run, crashed_at).as_millis()).unwrap_or(u32::MAX),
-                unconfirmed: run.is_unconfirmed(),
+                unconfirmed: silent || run.is_unconfirmed(),
             };
             Some((id.clone(), evidence))
         });
--- a/crates/core/src/executor/run_lists.rs
+++ b/crates/core/src/executor/run_lists.rs
@@ -30,7 +30,6 @@
         let is_probe = call.purpose == Purpose::Probe;
         match outcome {
             RenewalOutcome::Renewed(lists) => {
-                self.worker.record_response(now.mono, clock_ms);
                 self.worker.record_accepted_fence();
                 self.reset_renewal_backoff(now);
                 self.handle_run_lists(now, &call, lists, clock_ms, out);
@@ -81,24 +80,27 @@
         clock_ms: Option<u64>,
         out: &mut Vec<Action>,
     ) {
+        let mut restarted = false;
         if let Some(incarnation) = lists.incarnation
             && self.worker.incarnation != Some(incarnation)
         {
-            if self.worker.incarnation.is_some() {
+            restarted = self.worker.incarnation.is_some();
+            if restarted {
                 let loss = Loss {
                     cause: "the worker restarted",
                     crashed: !self.worker.leaving,
                     proof: Proof::Restarted,
                 };
                 self.reset_worker(now, Some(incarnation), loss, out);
-                self.worker.record_response(now.mono, clock_ms);
-                if call.acknowledged > 0 {
-                    // The new incarnation has discarded ends that it had not listed.
-                    return self.resolve_announced(now, call.made_at, out);
-                }
             }
             self.worker.incarnation = Some(incarnation);
         }
+        // Not before the loss of the runs on an earlier incarnation: it has not responded.
+        self.worker.record_response(now.mono, clock_ms);
+        if restarted && call.acknowledged > 0 {
+            // The new incarnation has discarded ends that it had not listed.
+            return self.resolve_announced(now, call.made_at, out);
+        }
         self.worker.last_acknowledged_number =
             self.worker.last_acknowledged_number.max(call.acknowledged);
         self.worker.lists_requested_at = call.made_at;
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -43,6 +43,7 @@
 mod restarted_workers;
 mod restarts;
 mod shard_handovers;
+mod silent_crashes;
 mod silent_owners;
 mod slow_answers;
 mod superseded_ends;
--- /dev/null
+++ b/crates/core/tests/jobs/silent_crashes.rs
@@ -0,0 +1,48 @@
+//! Workers that are silent for a while before they crash.
+//!
+//! Invariant: a crash counts as proof against a task only if the task was running when the worker crashed.
+
+use knapweedwall_core::scheduler::Answer;
+use rstest::rstest;
+
+use crate::callers::Job;
+use crate::fleet::Fleet;
+
+/// Length of a task, in milliseconds.
+const RUN_MS: u64 = 200;
+
+/// Guards against a job that is given up although its task had ended before either worker crashed: both had
+/// been silent since before its end (random_faults, seed 201 in three zones).
+#[rstest]
+fn ended_tasks_are_not_blamed(
+    #[values(250, 400, 700)] silent_ms: u64,
+    #[values(false, true)] same_id: bool,
+) {
+    let workers = [(16_000, 1.0), (16_000, 1.0), (16_000, 1.0)];
+    let mut fleet = Fleet::new(1, &workers, 1);
+    fleet.run(3_000);
+    let job = fleet.submit(0, "patient", Job::new(1, 1_600, RUN_MS).durable());
+    for _ in 0..2 {
+        let mut waited = 0;
+        while (0..3).all(|at| fleet.running(at) == 0) && waited < 8_000 {
+            waited += 1;
+            fleet.run(1);
+        }
+        let at = (0..3).find(|at| fleet.running(*at) > 0).expect("a run");
+        fleet.run(60);
+        fleet.worker(at).up = false;
+        fleet.run(silent_ms);
+        assert_eq!(fleet.running(at), 0);
+        let now_ms = fleet.now_ms;
+        if same_id {
+            fleet.worker(at).restart_with_id(now_ms);
+        } else {
+            fleet.worker(at).restart(now_ms);
+        }
+        fleet.run(10);
+    }
+    fleet.run(12_000);
+    assert_eq!(fleet.most_crashes(job), 0);
+    assert_eq!(fleet.query(0, job), Some(Answer::Completed));
+    fleet.assert_rules();
+}
