fix(agent): the end of an unclaimed run is reported to all entry processes

Callers would see: no answer to a job that need not be kept, up to their time limit (random_faults, seed 416, three zones). Cause: a restarted agent presumes that the runs it finds belong to the owner of their shard. If that process does not know the job it has the runs stopped, and their ends were reported to it alone. The owner of the job, which reads the list of open runs later, waits for them for good. Ruled out: a lost frame (all arrive, late and in order). Change: a run that was found on the worker is unclaimed until a process that knows its job claims it; its end goes to all entry processes.

--- a/crates/core/src/executor/machine.rs
+++ b/crates/core/src/executor/machine.rs
@@ -198,7 +198,7 @@
             _ => &self.metrics.declined,
         };
         counter.inc();
-        match run.owner {
+        match run.owner.filter(|_| !run.unclaimed) {
             Some(owner) => self.owners.queue_run_report(owner, report),
             // If `kept` is set, `retained_runs` contains the report, and entry processes that connect
             // later receive it from there.
--- a/crates/core/src/executor/run_lists.rs
+++ b/crates/core/src/executor/run_lists.rs
@@ -214,6 +214,7 @@
         let run = Run {
             owner: None,
             durable: true,
+            unclaimed: true,
             resources: None,
             spec: "".into(),
             state: RunState::Running(now.mono),
--- a/crates/core/src/executor/runs.rs
+++ b/crates/core/src/executor/runs.rs
@@ -43,6 +43,9 @@
     /// Whether the worker keeps listing the run after its end until the owner has stored the outcome.
     /// Assumed for a run found in the worker's list.
     pub(super) durable: bool,
+    /// Whether the run was found on the worker and no process that knows its job has claimed it. `owner`
+    /// is then the owner of the shard to which the job belongs if it is durable.
+    pub(super) unclaimed: bool,
     /// Resources of the run; `None` if unknown, for a run found in the worker's list.
     pub(super) resources: Option<Resources>,
     /// Task specification; empty for a run found in the worker's list.
--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -45,6 +45,7 @@
                 run.owner = Some(owner);
                 run.resources = run.resources.or(resources);
                 run.durable = claim.durable;
+                run.unclaimed = false;
             });
         }
         for stop in orders.stops {
@@ -114,6 +115,7 @@
             let run = Run {
                 owner: Some(owner),
                 durable,
+                unclaimed: false,
                 resources: Some(resources),
                 spec: spec.clone(),
                 state: RunState::Waiting(now.mono + MAX_RESOURCE_WAIT),
--- a/crates/core/tests/jobs/links.rs
+++ b/crates/core/tests/jobs/links.rs
@@ -16,6 +16,11 @@
         link.cut = cut;
     }
 
+    /// Whether an entry process and an agent are connected.
+    pub fn is_linked(&self, entry: usize, host: usize) -> bool {
+        self.links[&(entry, host)].key.is_some()
+    }
+
     pub fn reset_links(&mut self, which: impl Fn(usize, usize) -> bool) {
         let keys: Vec<(usize, usize)> = self.links.keys().copied().collect();
         for (entry, host) in keys {
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -36,6 +36,7 @@
 mod orphaned_runs;
 mod overload;
 mod planned_stops;
+mod presumed_owners;
 mod random_faults;
 mod refusal_log_values;
 mod refused_connections;
--- a/crates/core/tests/jobs/random_faults.rs
+++ b/crates/core/tests/jobs/random_faults.rs
@@ -224,6 +224,7 @@
 /// Guards against the faults that single seeds have found with jobs that need not be kept.
 #[rstest]
 #[case::started_at_a_new_connection(142, 3)]
+#[case::end_reported_to_another_owner(416, 3)]
 fn rules_hold_under_known_faults(#[case] seed: u64, #[case] zones: usize) {
     play(seed, zones);
 }
