fix(scheduler): a superseded failure is voided, not settled

Cause: the end `failed` of a run that had been taken for lost was settled without being counted, so that the worker was told to note it. Ruled out: counting it on arrival (a third start may have been made, and the next owner would count the repeated report again). Change: such an end is voided as an end `done` is, and acknowledged only once the worker's lease has expired.

--- a/crates/core/src/scheduler/durable_jobs.rs
+++ b/crates/core/src/scheduler/durable_jobs.rs
@@ -109,8 +109,9 @@
 
     /// Records a run end that the worker retains until it is settled. If the job is non-durable or
     /// unknown, the owner of the shard to which the job id maps settles the end immediately. The
-    /// end of a successful attempt that is older than the task's latest one is voided instead: the
-    /// result is not used, and the worker discards the end once the worker's lease has expired.
+    /// end of an attempt that succeeded or failed and is older than the task's latest one is voided
+    /// instead: the result is not used, and the worker discards the end once the worker's lease has
+    /// expired. A failure that is not counted must not be settled either: the worker would count it.
     pub(super) fn record_retained_end(
         &mut self,
         now: Now,
@@ -141,8 +142,8 @@
             return self.settle_run_end(run.into());
         };
         let task = job.task(run.task.phase, run.task.index).cloned();
-        let done = outcome == wire::RunOutcome::Done;
-        if done && task.as_ref().is_some_and(|task| task.supersedes(run)) {
+        let has_result = matches!(outcome, wire::RunOutcome::Done | wire::RunOutcome::Failed);
+        if has_result && task.as_ref().is_some_and(|task| task.supersedes(run)) {
             worker.unsettled.remove(run);
             return worker.outbox.voided.push(run.into());
         }
@@ -150,7 +151,6 @@
             durable.run_ends.push(run.into());
         }
         let accepted = task.is_some_and(|task| task.accepts_end(run));
-        let has_result = done || outcome == wire::RunOutcome::Failed;
         if accepted && has_result && job.progress != Progress::Closed {
             adopt_run(job, run, from);
         }
--- a/crates/core/tests/jobs/callers.rs
+++ b/crates/core/tests/jobs/callers.rs
@@ -1,5 +1,6 @@
 //! Callers, their jobs, and what becomes of them.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use knapweedwall_core::job::{JobRequest, PhaseSpec, Resources, TaskId};
@@ -7,6 +8,7 @@
 use smol_str::SmolStr;
 
 use crate::fleet::Fleet;
+use crate::processes::attempts;
 use crate::worker::{Ending, spec};
 
 /// Pause before a caller that lost its answer submits again.
@@ -258,6 +260,32 @@
         found
     }
 
+    /// Durable tasks that were started after as many runs as their queue allows had failed, and these
+    /// failures were taken note of.
+    pub fn over_budget(&self) -> Vec<String> {
+        let allowed = |task: &TaskId| {
+            let mut callers = self.callers.iter();
+            let caller = callers.find(|caller| caller.request.id == task.job);
+            let caller = caller.filter(|caller| caller.request.durable);
+            caller.map(|caller| attempts(&caller.request.queue))
+        };
+        let workers = || self.hosts.iter().map(|host| &host.worker);
+        let mut failures: BTreeMap<&TaskId, Vec<u64>> = BTreeMap::new();
+        for (task, at_ms) in workers().flat_map(|worker| &worker.noted_failures) {
+            failures.entry(task).or_default().push(*at_ms);
+        }
+        let mut found = Vec::new();
+        for (task, at_ms) in workers().flat_map(|worker| &worker.started) {
+            let failures = failures.get(task).map_or(&[][..], Vec::as_slice);
+            let before = failures.iter().filter(|failed_ms| *failed_ms < at_ms);
+            let before = before.count();
+            if allowed(task).is_some_and(|allowed| before >= allowed) {
+                found.push(format!("{task} failed {before} times, started at {at_ms}"));
+            }
+        }
+        found
+    }
+
     pub fn resend(&mut self) {
         for number in 0..self.callers.len() {
             let due = self.callers[number].resend_ms;
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -357,6 +357,7 @@
     pub fn assert_rules(&self) {
         assert_eq!(self.faults, Vec::<String>::new());
         assert_eq!(self.repeated(), Vec::<String>::new());
+        assert_eq!(self.over_budget(), Vec::<String>::new());
         for host in &self.hosts {
             assert_eq!(host.worker.faults, Vec::<String>::new());
         }
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -48,6 +48,7 @@
 mod silent_owners;
 mod slow_answers;
 mod superseded_ends;
+mod superseded_failures;
 mod times_of_day;
 mod unanswered_starts;
 mod unstored_jobs;
--- a/crates/core/tests/jobs/processes.rs
+++ b/crates/core/tests/jobs/processes.rs
@@ -13,6 +13,11 @@
 use crate::fleet::{Entry, Fleet};
 use crate::worker::LEASE_MS;
 
+/// Failed runs after which a task of a queue is given up.
+pub fn attempts(queue: &str) -> usize {
+    if queue == "checks" { 2 } else { 9 }
+}
+
 impl Fleet {
     /// Starts an entry process.
     pub fn start_entry(&mut self, at: usize) {
@@ -27,16 +32,16 @@
             config_limit: Duration::from_secs(2),
         };
         let mut machine = scheduler::Machine::new(settings, scheduler::Metrics::default());
-        let queue = |name: &str, attempts| QueueConfig {
+        let queue = |name: &str| QueueConfig {
             name: name.into(),
             service: "desk".into(),
-            attempts,
+            attempts: attempts(name).try_into().unwrap_or(u32::MAX),
             target: Duration::from_millis(60),
             stretch: 1.6,
         };
         let catalog = QueueCatalog {
             version: 1,
-            queues: vec![queue("checks", 2), queue("patient", 9)],
+            queues: vec![queue("checks"), queue("patient")],
         };
         let document = Bytes::from_static(b"{}");
         let input = scheduler::Input::Configure {
--- a/crates/core/tests/jobs/worker.rs
+++ b/crates/core/tests/jobs/worker.rs
@@ -93,10 +93,13 @@
     pub starts: u64,
     /// Tasks that were started, with the time.
     pub started: Vec<(TaskId, u64)>,
-    /// Tasks with an end `done` that is listed: number, time, whether the lease lapsed since.
-    done: BTreeMap<u64, (TaskId, u64, bool)>,
+    /// Tasks with an end by themselves that is listed: number, time, whether the lease lapsed since and
+    /// whether they failed.
+    listed: BTreeMap<u64, (TaskId, u64, bool, bool)>,
     /// Ends `done` that were taken note of.
     pub noted: Vec<(TaskId, u64)>,
+    /// Ends `failed` that were taken note of.
+    pub noted_failures: Vec<(TaskId, u64)>,
     /// Broken rules, in words.
     pub faults: Vec<String>,
 }
@@ -126,8 +129,9 @@
             last_end: 0,
             starts: 0,
             started: Vec::new(),
-            done: BTreeMap::new(),
+            listed: BTreeMap::new(),
             noted: Vec::new(),
+            noted_failures: Vec::new(),
             faults: Vec::new(),
         }
     }
@@ -146,12 +150,14 @@
         let faults = std::mem::take(&mut self.faults);
         let (starts, started) = (self.starts, std::mem::take(&mut self.started));
         let noted = std::mem::take(&mut self.noted);
+        let noted_failures = std::mem::take(&mut self.noted_failures);
         let crashed = std::mem::take(&mut self.crashed);
         *self = Self::new(self.cpu, self.speed, now_ms, self.ahead_ms);
         self.faults = faults;
         self.starts = starts;
         self.started = started;
         self.noted = noted;
+        self.noted_failures = noted_failures;
         self.crashed = crashed;
     }
 
@@ -220,7 +226,7 @@
             self.crash(now_ms);
         }
         let lapsed = self.clock(now_ms) > self.lease_ms;
-        for end in self.done.values_mut() {
+        for end in self.listed.values_mut() {
             end.2 |= lapsed;
         }
         let runs = self.runs.clone();
@@ -241,8 +247,10 @@
                 continue;
             };
             self.end(&id, cause);
-            if cause == EndCause::Done {
-                self.done.insert(self.last_end, (id.task, now_ms, false));
+            if matches!(cause, EndCause::Done | EndCause::Failed) {
+                let failed = cause == EndCause::Failed;
+                self.listed
+                    .insert(self.last_end, (id.task, now_ms, false, failed));
             }
             any = true;
         }
@@ -350,13 +358,14 @@
         self.fence = fence;
         self.extend(now_ms, lease_ms);
         self.ended.retain(|row| row.number > acknowledged);
-        while let Some(end) = self.done.first_entry() {
+        while let Some(end) = self.listed.first_entry() {
             if *end.key() > acknowledged {
                 break;
             }
-            let (task, at_ms, lapsed) = end.remove();
-            if !lapsed {
-                self.noted.push((task, at_ms));
+            match end.remove() {
+                (_, _, true, _) => {}
+                (task, at_ms, false, false) => self.noted.push((task, at_ms)),
+                (task, at_ms, false, true) => self.noted_failures.push((task, at_ms)),
             }
         }
         let percent = |run: &WorkerRun| {
