fix(agent): orders name the label that their job requires

Cause: a worker that comes back as another kind is known to its agent first. Orders of entry processes that had not read the agent's report yet were started, since orders did not say what they require. Ruled out: an earlier report (an order may be on its way meanwhile). Change: orders carry the label; the agent declines those that do not suit its worker.

--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -83,6 +83,8 @@
             Duration::from_micros(u64::try_from(latest_start_us).unwrap_or_default());
         let job = SmolStr::from(order.job);
         let group = SmolStr::from(order.group);
+        // The sender may not know yet that the worker is of another kind since it has restarted.
+        let suitable = self.worker.has_label(&order.label);
         let durable = order.epoch > 0;
         let current_owner = !durable || self.shard_claims.accepts_order(&job, order.epoch, owner);
         for task in order.tasks {
@@ -100,7 +102,7 @@
                 || (resources.cpu > 0 && self.free_resources().can_fit(resources));
             // The owner may have given up on an order that was delayed in transit.
             let owner_in_contact = self.owners.is_in_contact(now.mono, owner);
-            let usable = self.is_usable(now) && owner_in_contact && current_owner;
+            let usable = self.is_usable(now) && suitable && owner_in_contact && current_owner;
             if !usable || !admissible {
                 self.metrics.declined.inc();
                 let outcome = if usable {
--- a/crates/core/src/executor/worker.rs
+++ b/crates/core/src/executor/worker.rs
@@ -241,6 +241,13 @@
             && self.is_responsive(now)
     }
 
+    /// Returns whether the worker has a label; any worker has the empty one.
+    pub(super) fn has_label(&self, label: &str) -> bool {
+        let heartbeat = self.heartbeat.as_ref();
+        let labels = heartbeat.map_or(&[][..], |heartbeat| &heartbeat.labels);
+        label.is_empty() || labels.iter().any(|known| known == label)
+    }
+
     /// Increments the fence, so that the worker rejects delayed requests that carry the old one.
     pub(super) fn raise_fence(&mut self) -> u64 {
         self.fence += 1;
--- a/crates/core/src/scheduler/orders.rs
+++ b/crates/core/src/scheduler/orders.rs
@@ -36,6 +36,7 @@
         job.starts += 1;
         let spec = &job.request.phases[phase as usize];
         let resources = spec.resources;
+        let label = spec.label.clone().unwrap_or_default();
         let expected = self
             .run_times
             .expected_run_time(&job.queue_config.name, spec.estimate);
@@ -75,6 +76,7 @@
             tasks: vec![attempt],
             epoch,
             group: group.into(),
+            label: label.into(),
         });
     }
 
--- a/crates/core/tests/jobs/agent.rs
+++ b/crates/core/tests/jobs/agent.rs
@@ -157,6 +157,7 @@
             }],
             epoch: 0,
             group: String::new(),
+            label: String::new(),
         };
         let orders = wire::RunOrders {
             number: self.orders,
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -34,6 +34,7 @@
 mod many_entries;
 mod odd_rows;
 mod orphaned_runs;
+mod other_kinds;
 mod overload;
 mod planned_stops;
 mod presumed_owners;
