test(agent): a worker that comes back as another kind under its id

A worker that crashes while it is idle, and is back under its id, is called by the description of the lifetime before until its first heartbeat. A call for the lists before the first start on an idle worker would mend it; its cost has to be measured.

--- a/crates/core/tests/jobs/other_kinds.rs
+++ b/crates/core/tests/jobs/other_kinds.rs
@@ -38,3 +38,30 @@
         fleet.assert_rules();
     }
 }
+
+/// Guards against the same on a worker that has crashed while it was idle and is back under its id: its agent
+/// still calls it by the description of the lifetime before.
+#[rstest]
+fn labels_do_not_outlive_a_kept_id(
+    #[values(false, true)] durable: bool,
+    #[values(300, 3_200)] down_ms: u64,
+) {
+    for before_ms in [400, 200, 50, 5] {
+        let mut fleet = Fleet::new(2, &[(16_000, 1.0)], 1);
+        fleet.run(3_000);
+        let now_ms = fleet.now_ms;
+        fleet.worker(0).crash_with_id(now_ms, down_ms);
+        fleet.hosts[0].labels = vec!["b".into()];
+        fleet.hosts[0].next_beat_ms = now_ms + down_ms + before_ms + 2;
+        fleet.run(down_ms + 2);
+        for _ in 0..4 {
+            let mut job = Job::new(1, 1_600, 40).label("a");
+            job.durable = durable;
+            fleet.submit(0, "patient", job);
+        }
+        fleet.run(1_000);
+        let started = &fleet.hosts[0].worker.started;
+        assert!(started.is_empty(), "{before_ms} ms: {started:?}");
+        fleet.assert_rules();
+    }
+}
