docs: what an unconfirmed crash stands for

Cause: since a crash also counts as unconfirmed after a silence of the worker; comments and the design page told only of starts without an answer. Ruled out: a new name for the field (it would change the rows).

--- a/crates/core/src/scheduler/crash_count.rs
+++ b/crates/core/src/scheduler/crash_count.rs
@@ -6,8 +6,8 @@
 /// of them as long after the start.
 const MAX_CRASHES: u32 = 2;
 
-/// Number of crashed workers after which a task is given up in any case, including those that may not
-/// have started it: a task that crashes them before they answer has no other evidence against it. Two
+/// Number of crashed workers after which a task is given up in any case, including those that it may not
+/// have been running on: a task that crashes them before they answer has no other evidence against it. Two
 /// more starts would be permitted; one is left for a crash that was not counted.
 const MAX_UNPROVED_CRASHES: u32 = 4;
 
@@ -20,7 +20,8 @@
 pub(super) struct CrashCount {
     /// Number of runs that were on a worker when it crashed.
     confirmed: u32,
-    /// Number of runs whose worker crashed before it had confirmed the start.
+    /// Number of runs that may not have been on their worker when it crashed: it had not confirmed the
+    /// start, or had been silent before.
     unconfirmed: u32,
     /// Number of the latest attempt that was counted.
     last_attempt: u32,
