feat(scheduler): event 301 names the owner and its peers

Cause: the logs cannot tell a second submission at another process from a second start by the same owner (docs/incidents/repeated-submissions.md). Change: event 301 holds the instance of the process, the number of connected entry processes, and the number of those whose addresses it has. Measured: nothing; no logic changed. Conclusion: with the owner in the events of the agents, each run can be assigned to a submission.

--- a/crates/core/src/scheduler/requests.rs
+++ b/crates/core/src/scheduler/requests.rs
@@ -114,6 +114,9 @@
             ("config", self.configuration.version().to_string()),
             ("config_age_ms", self.config_age_ms(now)),
             ("open_jobs", self.jobs.open_len().to_string()),
+            ("owner", self.settings.instance.to_string()),
+            ("peers", self.peers.links().count().to_string()),
+            ("known_entries", self.entry_addresses.len().to_string()),
         ];
         log(out, 301, "job received", false, fields);
     }
