test(scheduler): a caller comes back while the first process still runs its job

Reproduced in the model: the connection of a caller breaks on its side only, and the caller submits the job again after 1.3 s at another process, which looks for the id among its own jobs only. Ruled out: nothing yet; the other hypotheses are played apart from this. Change: tests with the first process in contact, out of reach, behind a reset connection, and after a standstill. With one zone the two processes often choose the same worker, which answers that the run is already there, and the fault does not show.

--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -52,5 +52,6 @@
 mod superseded_failures;
 mod times_of_day;
 mod unanswered_starts;
+mod unseen_breaks;
 mod unstored_jobs;
 mod worker_lives;
