--- a/crates/agent/src/link_sink.rs
+++ b/crates/agent/src/link_sink.rs
@@ -42,5 +42,6 @@
         },
         LinkEvent::Down(link) => Input::LinkDown(link),
         LinkEvent::Frame(link, body) => Input::Frame(link, body),
+        LinkEvent::Refused(_) => Input::Tick,
     }
 }
--- a/crates/agent/tests/process/harness.rs
+++ b/crates/agent/tests/process/harness.rs
@@ -128,7 +128,7 @@
             LinkEvent::Frame(_, Body::Recall(_)) => {
                 self.send(Body::Return(knapweedwall_wire::Return { credits: 0 }));
             }
-            LinkEvent::Frame(..) => {}
+            LinkEvent::Frame(..) | LinkEvent::Refused(_) => {}
         }
     }
 
--- a/crates/core/src/scheduler/crashes.rs
+++ b/crates/core/src/scheduler/crashes.rs
@@ -184,9 +184,10 @@
         let mut unfinished = jobs.filter(|(_, job)| job.waiting_tasks + job.placed_tasks > 0);
         let isolating =
             !self.crashes.confined.is_empty() || unfinished.any(|(_, job)| job.isolated);
+        drop(unfinished);
         if isolating != self.crashes.isolating {
             self.crashes.isolating = isolating;
-            self.send_peer_beats(now, out);
+            self.send_peer_beats(now, false, out);
         }
     }
 
--- a/crates/core/src/scheduler/durable_jobs.rs
+++ b/crates/core/src/scheduler/durable_jobs.rs
@@ -348,7 +348,7 @@
     /// Returns whether tasks of the job may be placed.
     pub(super) fn may_place(&self, now: Now, job: &Job) -> bool {
         let Some(durable) = &job.durable else {
-            return true;
+            return !self.awaits_acknowledgement(now, job);
         };
         let state = self.shards.get(durable.shard);
         let owned = state.ownership == Ownership::Owned && state.ownership_confirmed;
--- a/crates/core/src/scheduler/forwarding.rs
+++ b/crates/core/src/scheduler/forwarding.rs
@@ -1,4 +1,5 @@
-//! Requests for durable jobs, forwarded to the owner of the job's shard.
+//! Requests forwarded to other entry processes: for durable jobs to the owner of the job's shard, and
+//! repeated submissions of other jobs to the process that holds the job.
 
 use std::mem;
 use std::time::Duration;
@@ -8,8 +9,11 @@
 use knapweedwall_wire::job_call::Call;
 use smol_str::SmolStr;
 
+use super::held_jobs::{LOST_JOBS_RETENTION, job_hash};
 use super::io::{Action, Answer, CallKey, JobState};
 use super::machine::Machine;
+use super::peers::Holder;
+use super::requests::REPLY_MARGIN;
 use super::shards::Ownership;
 use super::stored_job::{decode_request, encode_request, find_fault};
 use crate::clock::Now;
@@ -33,31 +37,52 @@
 /// Time after which a refused request may be retried.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// A request for a durable job.
+/// A request that another process may have to execute.
 #[derive(Debug, Clone)]
-pub(super) enum DurableRequest {
+pub(super) enum ForwardedRequest {
     /// Submits a job.
     Submit(Box<JobRequest>),
     /// Queries the state of a job.
     Query(SmolStr),
     /// Cancels a job.
     Cancel(SmolStr),
+    /// Waits for the end of a non-durable job that the other process holds.
+    Join(Box<JobRequest>),
 }
 
-impl DurableRequest {
+impl ForwardedRequest {
     fn id(&self) -> &SmolStr {
         match self {
-            Self::Submit(request) => &request.id,
+            Self::Submit(request) | Self::Join(request) => &request.id,
             Self::Query(id) | Self::Cancel(id) => id,
         }
     }
+
+    /// Returns for how long the request waits until it can be routed.
+    fn route_limit(&self) -> Duration {
+        match self {
+            Self::Join(request) => {
+                let wait = request.wait.unwrap_or(Duration::MAX);
+                LOST_JOBS_RETENTION.min(wait.saturating_sub(REPLY_MARGIN))
+            }
+            _ => OWNER_WAIT_LIMIT,
+        }
+    }
+
+    /// Returns the answer to the request if it cannot be routed.
+    fn unrouted(&self) -> Answer {
+        match self {
+            Self::Join(_) => Answer::OutcomeUnknown,
+            _ => no_owner(),
+        }
+    }
 }
 
 /// A request that waits for an owner or for the owner's reply.
 #[derive(Debug)]
 struct PendingCall {
     call: CallKey,
-    request: DurableRequest,
+    request: ForwardedRequest,
     since: Duration,
 }
 
@@ -75,6 +100,21 @@
 }
 
 impl Forwarding {
+    /// Adds a request that another process forwarded.
+    pub(super) fn add_remote(&mut self, link: LinkKey, number: u64) -> CallKey {
+        self.last_number += 1;
+        let call = CallKey(self.last_number | REMOTE_CALL_BIT);
+        self.remote.insert(call, (link, number));
+        call
+    }
+
+    /// Removes a repeated submission that waits to be routed, since its caller has gone.
+    pub(super) fn remove_parked_join(&mut self, call: CallKey) {
+        let is_join = |pending: &PendingCall| matches!(pending.request, ForwardedRequest::Join(_));
+        self.parked
+            .retain(|pending| pending.call != call || !is_join(pending));
+    }
+
     /// Removes a request that another process forwarded. Returns its connection and number.
     pub(super) fn take_remote(&mut self, call: CallKey) -> Option<(LinkKey, u64)> {
         if call.0 & REMOTE_CALL_BIT == 0 {
@@ -95,7 +135,7 @@
         &mut self,
         now: Now,
         call: CallKey,
-        request: DurableRequest,
+        request: ForwardedRequest,
         out: &mut Vec<Action>,
     ) {
         let pending = PendingCall {
@@ -108,6 +148,15 @@
 
     /// Executes a request, forwards it, or parks it while no owner of the shard is known.
     fn route(&mut self, now: Now, pending: PendingCall, out: &mut Vec<Action>) {
+        if let ForwardedRequest::Join(request) = pending.request {
+            return match self.peers.holder_of(now.mono, job_hash(&request.id)) {
+                Some(Holder::Lost(_)) => {
+                    let request = ForwardedRequest::Join(request);
+                    self.park(PendingCall { request, ..pending }, out);
+                }
+                _ => self.submit(now, pending.call, *request, out),
+            };
+        }
         let Some(shard) = shard_of(pending.request.id()) else {
             return self.reply(pending.call, Answer::NoJob, out);
         };
@@ -117,12 +166,41 @@
         let Some(link) = self.peers.owner_of(shard) else {
             return self.park(pending, out);
         };
+        self.send_call(link, pending, out);
+    }
+
+    /// Forwards a request to a process.
+    pub(super) fn forward(
+        &mut self,
+        now: Now,
+        link: LinkKey,
+        call: CallKey,
+        request: ForwardedRequest,
+        out: &mut Vec<Action>,
+    ) {
+        let since = now.mono;
+        let pending = PendingCall {
+            call,
+            request,
+            since,
+        };
+        self.send_call(link, pending, out);
+    }
+
+    fn send_call(&mut self, link: LinkKey, pending: PendingCall, out: &mut Vec<Action>) {
         self.forwarding.last_number += 1;
         let number = self.forwarding.last_number;
         let call = match &pending.request {
-            DurableRequest::Submit(request) => Call::Submit(encode_request(request)),
-            DurableRequest::Query(id) => Call::Query(id.to_string()),
-            DurableRequest::Cancel(id) => Call::Cancel(id.to_string()),
+            ForwardedRequest::Submit(request) => Call::Submit(encode_request(request)),
+            ForwardedRequest::Query(id) => Call::Query(id.to_string()),
+            ForwardedRequest::Cancel(id) => Call::Cancel(id.to_string()),
+            ForwardedRequest::Join(request) => {
+                let wait = request.wait.unwrap_or_default().as_millis();
+                Call::Join(wire::Join {
+                    job: request.id.to_string(),
+                    wait_ms: u32::try_from(wait).unwrap_or(u32::MAX),
+                })
+            }
         };
         let body = wire::JobCall {
             number,
@@ -137,16 +215,17 @@
         &mut self,
         now: Now,
         call: CallKey,
-        request: DurableRequest,
+        request: ForwardedRequest,
         shard: Shard,
         out: &mut Vec<Action>,
     ) {
         let id = match request {
-            DurableRequest::Submit(request) => {
+            ForwardedRequest::Submit(request) => {
                 return self.submit_durable(now, call, *request, shard, out);
             }
-            DurableRequest::Query(id) => return self.query_durable(now, call, &id, out),
-            DurableRequest::Cancel(id) => id,
+            ForwardedRequest::Query(id) => return self.query_durable(now, call, &id, out),
+            ForwardedRequest::Cancel(id) => id,
+            ForwardedRequest::Join(request) => return self.submit(now, call, *request, out),
         };
         let key = self.jobs.find(&id);
         let durable =
@@ -157,10 +236,26 @@
         }
     }
 
+    /// Keeps a repeated submission until the process that may run its job has ended it.
+    pub(super) fn park_join(
+        &mut self,
+        now: Now,
+        call: CallKey,
+        request: Box<JobRequest>,
+        out: &mut Vec<Action>,
+    ) {
+        let pending = PendingCall {
+            call,
+            request: ForwardedRequest::Join(request),
+            since: now.mono,
+        };
+        self.park(pending, out);
+    }
+
     /// Keeps a request until an owner of its shard is known, unless too many are waiting.
     fn park(&mut self, pending: PendingCall, out: &mut Vec<Action>) {
         if self.forwarding.parked.len() >= MAX_PARKED_CALLS {
-            return self.reply(pending.call, no_owner(), out);
+            return self.reply(pending.call, pending.request.unrouted(), out);
         }
         self.forwarding.parked.push(pending);
     }
@@ -168,14 +263,20 @@
     /// Routes parked requests again, and ends those that waited too long for an owner or a reply.
     pub(super) fn update_forwarded_calls(&mut self, now: Now, out: &mut Vec<Action>) {
         for pending in mem::take(&mut self.forwarding.parked) {
-            if now.since(pending.since) >= OWNER_WAIT_LIMIT {
-                self.reply(pending.call, no_owner(), out);
+            if now.since(pending.since) >= pending.request.route_limit() {
+                self.reply(pending.call, pending.request.unrouted(), out);
             } else {
                 self.route(now, pending, out);
             }
         }
         let sent = self.forwarding.sent.iter();
-        let late = sent.filter(|(_, (_, pending))| now.since(pending.since) >= REPLY_TIMEOUT);
+        let late = sent.filter(|(_, (_, pending))| {
+            let timeout = match &pending.request {
+                ForwardedRequest::Join(request) => request.wait.unwrap_or(Duration::MAX),
+                _ => REPLY_TIMEOUT,
+            };
+            now.since(pending.since) + REPLY_MARGIN >= timeout
+        });
         for number in late.map(|(number, _)| *number).collect::<Vec<_>>() {
             self.handle_missing_reply(number, out);
         }
@@ -188,9 +289,11 @@
             return;
         };
         match pending.request {
-            // The job may have been accepted, so the outcome is unknown.
-            DurableRequest::Submit(_) => self.reply(pending.call, Answer::OutcomeUnknown, out),
-            DurableRequest::Query(_) | DurableRequest::Cancel(_) => self.park(pending, out),
+            // The job may have been accepted, or may run on, so the outcome is unknown.
+            ForwardedRequest::Submit(_) | ForwardedRequest::Join(_) => {
+                self.reply(pending.call, Answer::OutcomeUnknown, out)
+            }
+            ForwardedRequest::Query(_) | ForwardedRequest::Cancel(_) => self.park(pending, out),
         }
     }
 
@@ -201,7 +304,7 @@
             self.reply(pending.call, Answer::OutcomeUnknown, out);
         }
         for pending in mem::take(&mut self.forwarding.parked) {
-            self.reply(pending.call, no_owner(), out);
+            self.reply(pending.call, pending.request.unrouted(), out);
         }
     }
 
@@ -233,9 +336,14 @@
                 };
                 return out.push(Action::Send(link, Body::JobReply(reply)));
             }
-            Some(Call::Submit(stored)) => DurableRequest::Submit(Box::new(decode_request(&stored))),
-            Some(Call::Query(id)) => DurableRequest::Query(id.into()),
-            Some(Call::Cancel(id)) => DurableRequest::Cancel(id.into()),
+            Some(Call::Submit(stored)) => {
+                ForwardedRequest::Submit(Box::new(decode_request(&stored)))
+            }
+            Some(Call::Query(id)) => ForwardedRequest::Query(id.into()),
+            Some(Call::Cancel(id)) => ForwardedRequest::Cancel(id.into()),
+            Some(Call::Join(join)) => {
+                return self.handle_join(now, (link, body.number), &join, out);
+            }
             None => return,
         };
         let owned = shard_of(request.id());
@@ -248,36 +356,54 @@
             };
             return out.push(Action::Send(link, Body::JobReply(reply)));
         };
-        self.forwarding.last_number += 1;
-        let call = CallKey(self.forwarding.last_number | REMOTE_CALL_BIT);
-        self.forwarding.remote.insert(call, (link, body.number));
+        let call = self.forwarding.add_remote(link, body.number);
         self.execute(now, call, request, shard, out);
     }
 
     /// Handles the reply to a forwarded request.
-    pub(super) fn handle_job_reply(&mut self, reply: &wire::JobReply, out: &mut Vec<Action>) {
-        let Some((_, pending)) = self.forwarding.sent.remove(&reply.number) else {
+    pub(super) fn handle_job_reply(
+        &mut self,
+        now: Now,
+        reply: &wire::JobReply,
+        out: &mut Vec<Action>,
+    ) {
+        let Some((link, pending)) = self.forwarding.sent.remove(&reply.number) else {
             return;
         };
-        let answer = match reply.answer() {
-            wire::JobAnswer::NotOwner => return self.park(pending, out),
-            wire::JobAnswer::Accepted => Answer::Accepted,
-            wire::JobAnswer::NotRun => Answer::NotRun {
-                reason: reply.reason.as_str().into(),
-                retry: RETRY_AFTER,
-            },
-            wire::JobAnswer::Queued => Answer::State(JobState::Queued),
-            wire::JobAnswer::Running => Answer::State(JobState::Running),
-            wire::JobAnswer::Completed => Answer::Completed,
-            wire::JobAnswer::Failed => Answer::Failed,
-            wire::JobAnswer::Cancelled => Answer::Cancelled,
-            wire::JobAnswer::NoJob => Answer::NoJob,
-            wire::JobAnswer::Unspecified | wire::JobAnswer::Unknown => Answer::OutcomeUnknown,
-        };
-        self.reply(pending.call, answer, out);
+        if let ForwardedRequest::Join(request) = pending.request {
+            if reply.answer() == wire::JobAnswer::NoJob {
+                self.peers.remove_held(link, job_hash(&request.id));
+                return self.submit(now, pending.call, *request, out);
+            }
+            let answer = decode_answer(reply).unwrap_or(Answer::OutcomeUnknown);
+            return self.reply(pending.call, answer, out);
+        }
+        match decode_answer(reply) {
+            Some(answer) => self.reply(pending.call, answer, out),
+            None => self.park(pending, out),
+        }
     }
 }
 
+/// Decodes the reply to a forwarded request; `None` if the replying process does not own the shard.
+fn decode_answer(reply: &wire::JobReply) -> Option<Answer> {
+    Some(match reply.answer() {
+        wire::JobAnswer::NotOwner => return None,
+        wire::JobAnswer::Accepted => Answer::Accepted,
+        wire::JobAnswer::NotRun => Answer::NotRun {
+            reason: reply.reason.as_str().into(),
+            retry: RETRY_AFTER,
+        },
+        wire::JobAnswer::Queued => Answer::State(JobState::Queued),
+        wire::JobAnswer::Running => Answer::State(JobState::Running),
+        wire::JobAnswer::Completed => Answer::Completed,
+        wire::JobAnswer::Failed => Answer::Failed,
+        wire::JobAnswer::Cancelled => Answer::Cancelled,
+        wire::JobAnswer::NoJob => Answer::NoJob,
+        wire::JobAnswer::Unspecified | wire::JobAnswer::Unknown => Answer::OutcomeUnknown,
+    })
+}
+
 /// Encodes the reply to a request that another process forwarded.
 pub(super) fn encode_reply(number: u64, answer: &Answer) -> Body {
     let (code, reason) = match answer {
--- a/crates/core/src/scheduler/graceful_stop.rs
+++ b/crates/core/src/scheduler/graceful_stop.rs
@@ -50,6 +50,8 @@
         if (idle || now.since(since) >= self.settings.stop_limit) && !self.exited {
             self.exited = true;
             self.answer_open_calls(out);
+            // The other processes need not take this one into account any more.
+            self.send_peer_beats(now, false, out);
             let fields = vec![("open_jobs", self.jobs.open_len().to_string())];
             log(out, 309, "graceful shutdown ended", false, fields);
             out.push(Action::Exit);
--- a/crates/core/src/scheduler/io.rs
+++ b/crates/core/src/scheduler/io.rs
@@ -115,6 +115,8 @@
         /// Name of the queue.
         queue: SmolStr,
     },
+    /// The host of an entry process refused a connection to this address: no process listens there.
+    EntryRefused(SmolStr),
     /// The caller disconnected before its request was answered.
     CallGone(CallKey),
     /// A connection completed the exchange of `Hello` and `Welcome`.
--- a/crates/core/src/scheduler/jobs.rs
+++ b/crates/core/src/scheduler/jobs.rs
@@ -12,6 +12,7 @@
 use super::workers::WorkerKey;
 use crate::deterministic::{DeterministicMap, DeterministicSet};
 use crate::job::{JobRequest, QueueConfig};
+use crate::peer::LinkKey;
 
 new_key_type! {
     /// Identifies a job within this process.
@@ -80,6 +81,8 @@
     pub(super) progress: Progress,
     /// When this process received the submission.
     pub(super) submitted_at: Duration,
+    /// When the submission arrived at the earliest. It may have waited unread.
+    pub(super) arrived_at: Duration,
     /// When the caller first sent the submission, as far as that is known. The objective counts
     /// from then.
     pub(super) requested_at: Duration,
@@ -106,6 +109,13 @@
     pub(super) may_have_run: bool,
     /// A later submission with the same id, processed once this job is removed.
     pub(super) resubmission: Option<Box<(CallKey, JobRequest)>>,
+    /// Requests of other entry processes to join this job, received after it was closed and answered
+    /// once it is removed: connection, and number on that connection.
+    pub(super) late_joins: SmallVec<[(LinkKey, u64); 1]>,
+    /// Number of the first heartbeat to all entry processes that lists the job.
+    pub(super) announced: Option<u64>,
+    /// Whether another entry process lists the job as well.
+    pub(super) contested: bool,
     /// Set for durable jobs only.
     pub(super) durable: Option<DurableState>,
 }
@@ -148,6 +158,7 @@
             calls: call.into_iter().collect(),
             progress: Progress::Queued,
             submitted_at: now,
+            arrived_at: now,
             requested_at: now,
             first_placed_at: None,
             objective,
@@ -160,6 +171,9 @@
             blame: 0.0,
             may_have_run: false,
             resubmission: None,
+            late_joins: SmallVec::new(),
+            announced: None,
+            contested: false,
             durable: None,
         }
     }
--- a/crates/core/src/scheduler/links.rs
+++ b/crates/core/src/scheduler/links.rs
@@ -52,7 +52,7 @@
                 ("instance", peer.instance.to_string()),
             ];
             log(out, 327, "entry process connected", false, fields);
-            out.push(Action::Send(link, self.peer_beat(now)));
+            self.send_peer_beat(now, link, out);
             return self.add_entries(vec![(peer.name, peer.address)], out);
         }
         let key = self.workers.link_up(now.mono, &self.settings, link, peer);
@@ -117,7 +117,7 @@
                 self.handle_job_call(now, link, call, out);
             }
             Body::JobReply(reply) if self.peers.contains(link) => {
-                self.handle_job_reply(&reply, out);
+                self.handle_job_reply(now, &reply, out);
             }
             Body::ConfigRequest(_) if self.peers.contains(link) => {
                 let update = self.configuration.update_frame();
--- a/crates/core/src/scheduler/machine.rs
+++ b/crates/core/src/scheduler/machine.rs
@@ -16,6 +16,7 @@
 use super::crashes::Crashes;
 use super::durable_jobs::HeldQuery;
 use super::forwarding::Forwarding;
+use super::held_jobs::ReadDelay;
 use super::io::{Action, Input, Settings};
 use super::jobs::Jobs;
 use super::metrics::Metrics;
@@ -34,7 +35,7 @@
 
 /// Time after a stall in which no task is placed, so that inputs that arrived meanwhile, such as
 /// closed caller connections, are processed first.
-const PLACEMENT_DELAY_AFTER_STALL: Duration = Duration::from_millis(150);
+pub(super) const PLACEMENT_DELAY_AFTER_STALL: Duration = Duration::from_millis(150);
 
 /// Interval of the periodic work in [`Machine::flush`].
 const ROUND_INTERVAL: Duration = Duration::from_millis(15);
@@ -71,6 +72,7 @@
     pub(super) exited: bool,
     /// Time of the last call of `step` or `flush`.
     last_activity: Duration,
+    pub(super) read_delay: ReadDelay,
     /// Time of the last periodic work.
     last_round: Duration,
 }
@@ -102,6 +104,7 @@
             ready: false,
             exited: false,
             last_activity: Duration::ZERO,
+            read_delay: ReadDelay::default(),
             last_round: Duration::ZERO,
         }
     }
@@ -115,6 +118,7 @@
             Input::Cancel { call, id } => self.cancel(now, call, &id, out),
             Input::CountPending { call, queue } => self.count_pending(now, call, &queue, out),
             Input::CallGone(call) => self.caller_disconnected(now, call, out),
+            Input::EntryRefused(address) => self.record_refused_entry(&address, out),
             Input::LinkUp { link, peer } => self.link_up(now, link, peer, out),
             Input::LinkDown(link) => self.link_down(now, link, out),
             Input::Frame(link, body) => self.handle_frame(now, link, body, out),
@@ -150,6 +154,7 @@
             self.expire_silent_agents(now, out);
             self.expire_jobs(now, out);
             self.update_peers(now, out);
+            self.update_held_jobs(now, out);
             self.update_forwarded_calls(now, out);
             self.expire_queries(now, out);
             self.update_shards(now, out);
@@ -187,7 +192,11 @@
     /// Delays placement if this call comes so late that the process was probably frozen.
     fn detect_stall(&mut self, now: Now, out: &mut Vec<Action>) {
         let gap = now.since(self.last_activity);
+        let started = self.last_activity > Duration::ZERO;
         self.last_activity = now.mono;
+        if started {
+            self.read_delay.observe(now.mono, gap);
+        }
         if gap < STALL_THRESHOLD {
             return;
         }
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -15,6 +15,7 @@
 mod durable_jobs;
 mod forwarding;
 mod graceful_stop;
+mod held_jobs;
 mod io;
 mod jobs;
 mod links;
--- a/crates/core/src/scheduler/peers.rs
+++ b/crates/core/src/scheduler/peers.rs
@@ -4,9 +4,11 @@
 
 use knapweedwall_wire as wire;
 use knapweedwall_wire::frame::Body;
+use smallvec::SmallVec;
 use smol_str::SmolStr;
 
 use super::blame::Blame;
+use super::held_jobs::{CONNECTION_GRACE, LOSS_GRACE, LOST_JOBS_RETENTION, LostPeer};
 use super::io::Action;
 use super::machine::Machine;
 use crate::clock::Now;
@@ -28,8 +30,20 @@
 #[derive(Debug)]
 pub(super) struct Peer {
     pub(super) name: SmolStr,
-    instance: Instance,
+    pub(super) instance: Instance,
+    address: SmolStr,
+    connected_at: Duration,
     last_heard: Duration,
+    /// Number of its last heartbeat.
+    number_seen: u64,
+    /// Number of the last heartbeat of this process that it has acknowledged.
+    acknowledged: u64,
+    /// Hashes of its non-durable jobs that run or may start, in ascending order.
+    pub(super) held: Vec<u64>,
+    /// The same, of those that it does not start before all processes have acknowledged them.
+    pub(super) awaiting: Vec<u64>,
+    /// Whether it is about to exit and starts nothing any more.
+    ended: bool,
     /// Shards that it owns.
     owned: Vec<wire::ShardEpoch>,
     /// Shards that it gave up without a write to the store.
@@ -44,10 +58,33 @@
     isolating: bool,
 }
 
-/// Connected entry processes.
+/// Whether a lost or new connection is excused for a short time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Grace {
+    /// It is not: the other process may have started the job.
+    None,
+    /// It is, as the other process had acknowledged the job, or learns of it in time.
+    Reconnection,
+}
+
+/// Process that lists a job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Holder {
+    /// It is connected.
+    Connected(LinkKey),
+    /// The connection to the process with this name was lost.
+    Lost(SmolStr),
+}
+
+/// Connected entry processes, and those whose connections were lost.
 #[derive(Debug, Default)]
 pub(super) struct Peers {
     by_link: DeterministicMap<LinkKey, Peer>,
+    /// Processes that are not connected. Those that are known to have ended are kept until their runs
+    /// have ended.
+    lost: Vec<LostPeer>,
+    /// Number of the last heartbeat.
+    last_number: u64,
     /// Time of the last heartbeat sent to other processes.
     last_beat: Duration,
     /// Pending jobs last reported by lost processes, and when they were lost. No other process
@@ -57,10 +94,26 @@
 
 impl Peers {
     pub(super) fn insert(&mut self, now: Duration, link: LinkKey, peer: &PeerInfo) {
+        let mut known = self.lost.iter();
+        let position = known.position(|lost| lost.instance == peer.instance);
+        let lost = position.map(|at| self.lost.swap_remove(at));
+        let previous = self.lost.iter_mut().filter(|lost| lost.name == peer.name);
+        previous.for_each(|lost| lost.ended = true);
+        // The other process has kept the list that it acknowledged.
+        let recent = |lost: &&LostPeer| now.saturating_sub(lost.since) < LOSS_GRACE;
+        let acknowledged = lost.as_ref().filter(recent).map(|lost| lost.acknowledged);
         let peer = Peer {
             name: peer.name.clone(),
             instance: peer.instance,
+            address: peer.address.clone(),
+            connected_at: now,
             last_heard: now,
+            number_seen: 0,
+            acknowledged: acknowledged.unwrap_or_default(),
+            // Its first heartbeat on this connection replaces the list.
+            held: lost.map(|lost| lost.held).unwrap_or_default(),
+            awaiting: Vec::new(),
+            ended: false,
             owned: Vec::new(),
             relinquished: Vec::new(),
             pending_jobs: Vec::new(),
@@ -78,9 +131,119 @@
         self.lost_pending_jobs
             .retain(|(at, _)| now.saturating_sub(*at) < LOST_PEER_RETENTION);
         self.lost_pending_jobs.push((now, peer.pending_jobs));
+        let mut others = self.by_link.values();
+        let other = others.find(|other| other.name == peer.name);
+        if !peer.ended && other.is_none_or(|other| other.instance != peer.instance) {
+            let mut held = peer.held;
+            held.extend(peer.awaiting);
+            held.sort_unstable();
+            self.lost.push(LostPeer {
+                name: peer.name.clone(),
+                instance: peer.instance,
+                address: peer.address,
+                refusals: 0,
+                ended: other.is_some(),
+                since: now,
+                acknowledged: peer.acknowledged,
+                held,
+                heartbeat: None,
+                read_at: None,
+            });
+        }
         Some((peer.name, now.saturating_sub(peer.last_heard)))
     }
 
+    pub(super) fn get(&self, link: LinkKey) -> Option<&Peer> {
+        self.by_link.get(&link)
+    }
+
+    pub(super) fn name_of(&self, link: LinkKey) -> Option<SmolStr> {
+        self.by_link.get(&link).map(|peer| peer.name.clone())
+    }
+
+    /// Iterates over the processes whose connections were lost.
+    pub(super) fn lost_mut(&mut self) -> impl Iterator<Item = &mut LostPeer> {
+        self.lost.iter_mut()
+    }
+
+    /// Returns the number of processes whose connections were lost and that are not known to have ended.
+    pub(super) fn lost_len(&self) -> usize {
+        self.unreached().count()
+    }
+
+    /// Marks lost processes that have ended by their heartbeats in the store, and forgets those that are
+    /// known to have ended when their runs have ended as well.
+    pub(super) fn remove_ended(&mut self, now: Now) {
+        for lost in &mut self.lost {
+            lost.ended |= lost.heartbeat.is_some_and(|seen| seen.has_ended(now));
+        }
+        let retained = |lost: &LostPeer| now.since(lost.since) < LOST_JOBS_RETENTION;
+        self.lost.retain(|lost| !lost.ended || retained(lost));
+    }
+
+    /// Iterates over the lost processes that are not known to have ended.
+    fn unreached(&self) -> impl Iterator<Item = &LostPeer> {
+        self.lost.iter().filter(|lost| !lost.ended)
+    }
+
+    /// Returns whether the connections to all other processes were lost.
+    pub(super) fn is_isolated(&self) -> bool {
+        self.by_link.is_empty() && self.unreached().next().is_some()
+    }
+
+    /// Returns whether a connection was lost within `span`.
+    pub(super) fn has_lost_within(&self, now: Duration, span: Duration) -> bool {
+        let mut lost = self.unreached();
+        lost.any(|lost| now.saturating_sub(lost.since) < span)
+    }
+
+    /// Returns the process that lists a job.
+    pub(super) fn holder_of(&self, now: Duration, job: u64) -> Option<Holder> {
+        for (link, peer) in &self.by_link {
+            let lists = |jobs: &[u64]| jobs.binary_search(&job).is_ok();
+            if !peer.ended && (lists(&peer.held) || lists(&peer.awaiting)) {
+                return Some(Holder::Connected(*link));
+            }
+        }
+        let retained = |since: Duration| now.saturating_sub(since) < LOST_JOBS_RETENTION;
+        let mut lost = self.lost.iter();
+        let lost = lost.find(|lost| retained(lost.since) && lost.held.binary_search(&job).is_ok());
+        lost.map(|lost| Holder::Lost(lost.name.clone()))
+    }
+
+    /// Records that a process no longer holds a job that it has listed.
+    pub(super) fn remove_held(&mut self, link: LinkKey, job: u64) {
+        if let Some(peer) = self.by_link.get_mut(&link) {
+            peer.held.retain(|held| *held != job);
+            peer.awaiting.retain(|held| *held != job);
+        }
+    }
+
+    /// Returns the names of the processes that have not acknowledged the heartbeat with this number.
+    pub(super) fn missing_acknowledgements(
+        &self,
+        now: Duration,
+        number: u64,
+        grace: Grace,
+    ) -> SmallVec<[SmolStr; 4]> {
+        let grace = grace == Grace::Reconnection;
+        let mut missing = SmallVec::new();
+        for peer in self.by_link.values() {
+            let new = now.saturating_sub(peer.connected_at) < CONNECTION_GRACE;
+            let excused = peer.ended || grace && new;
+            if !excused && peer.acknowledged < number {
+                missing.push(peer.name.clone());
+            }
+        }
+        for lost in self.unreached() {
+            let recent = now.saturating_sub(lost.since) < LOSS_GRACE;
+            if !grace || !recent || lost.acknowledged < number {
+                missing.push(lost.name.clone());
+            }
+        }
+        missing
+    }
+
     pub(super) fn links(&self) -> impl Iterator<Item = LinkKey> {
         self.by_link.keys().copied()
     }
@@ -184,8 +347,16 @@
         out: &mut Vec<Action>,
     ) {
         self.request_newer_configuration(now, link, beat.config_version, out);
+        let reply = beat.reply;
         if let Some(peer) = self.peers.by_link.get_mut(&link) {
             peer.last_heard = now.mono;
+            peer.number_seen = beat.number;
+            peer.acknowledged = peer.acknowledged.max(beat.beat_seen);
+            peer.held = beat.held;
+            peer.held.sort_unstable();
+            peer.awaiting = beat.awaiting;
+            peer.awaiting.sort_unstable();
+            peer.ended |= beat.ended;
             let owned = beat.owned;
             peer.owned.clone_from(&owned);
             peer.relinquished = beat.relinquished;
@@ -202,6 +373,10 @@
             let name = peer.name.clone();
             self.refresh_owner_rows(now, &name, &owned);
         }
+        self.resolve_contested_jobs(now, link, out);
+        if reply {
+            self.send_peer_beat(now, link, out);
+        }
     }
 
     /// Sends heartbeats that are due, and closes connections that timed out.
@@ -213,23 +388,30 @@
         }
         if now.since(self.peers.last_beat) >= HEARTBEAT_INTERVAL {
             self.peers.last_beat = now.mono;
-            self.send_peer_beats(now, out);
+            self.send_peer_beats(now, false, out);
         }
     }
 
-    /// Sends a heartbeat with the present state to all connected entry processes.
-    pub(super) fn send_peer_beats(&self, now: Now, out: &mut Vec<Action>) {
+    /// Sends a heartbeat with the present state to all connected entry processes. `reply` asks them to
+    /// answer at once.
+    pub(super) fn send_peer_beats(&mut self, now: Now, reply: bool, out: &mut Vec<Action>) {
         if self.peers.by_link.is_empty() {
             return;
         }
-        let beat = self.peer_beat(now);
-        for link in self.peers.links() {
-            out.push(Action::Send(link, beat.clone()));
+        let beat = self.peer_beat(now, None, reply);
+        for (link, peer) in &self.peers.by_link {
+            let mut beat = beat.clone();
+            beat.beat_seen = peer.number_seen;
+            out.push(Action::Send(*link, Body::PeerBeat(beat)));
         }
     }
 
-    /// Returns a heartbeat with the present state.
-    pub(super) fn peer_beat(&self, now: Now) -> Body {
+    /// Returns a heartbeat with the present state, to one process or, without a link, to all.
+    fn peer_beat(&mut self, now: Now, to: Option<LinkKey>, reply: bool) -> wire::PeerBeat {
+        self.peers.last_number += 1;
+        let number = self.peers.last_number;
+        let (held, awaiting) = self.list_held_jobs(now, Some(number).filter(|_| to.is_none()));
+        let peer = to.and_then(|link| self.peers.by_link.get(&link));
         let mut waiting: DeterministicMap<&str, u32> = DeterministicMap::default();
         for (_, job) in self.jobs.iter_open().filter(|(_, job)| job.is_queued()) {
             *waiting.entry(&job.request.queue).or_default() += 1;
@@ -238,7 +420,7 @@
             queue: queue.to_owned(),
             jobs,
         });
-        Body::PeerBeat(wire::PeerBeat {
+        wire::PeerBeat {
             owned: self.shards.owned().collect(),
             waiting: waiting.collect(),
             eligible: self.stop_requested_at.is_none() && self.shards.failing_since().is_none(),
@@ -246,6 +428,18 @@
             config_version: self.configuration.version(),
             blame: self.crashes.blame_report(now.mono),
             isolating: self.crashes.is_isolating(),
-        })
+            number,
+            beat_seen: peer.map_or(0, |peer| peer.number_seen),
+            held,
+            awaiting,
+            reply,
+            ended: self.exited,
+        }
+    }
+
+    /// Sends a heartbeat with the present state to one entry process.
+    pub(super) fn send_peer_beat(&mut self, now: Now, link: LinkKey, out: &mut Vec<Action>) {
+        let beat = self.peer_beat(now, Some(link), false);
+        out.push(Action::Send(link, Body::PeerBeat(beat)));
     }
 }
--- a/crates/core/src/scheduler/requests.rs
+++ b/crates/core/src/scheduler/requests.rs
@@ -5,10 +5,10 @@
 use smol_str::SmolStr;
 
 use super::durable_jobs::job_end_fields;
-use super::forwarding::{DurableRequest, encode_reply};
+use super::forwarding::{ForwardedRequest, encode_reply};
 use super::io::{Action, Answer, CallKey, JobState};
 use super::jobs::{Job, JobKey, Progress};
-use super::machine::{Machine, log, ms};
+use super::machine::{Machine, PLACEMENT_DELAY_AFTER_STALL, log, ms};
 use super::placement::Tier;
 use super::stored_job::JobEnd;
 use crate::clock::Now;
@@ -21,7 +21,7 @@
 const MIN_TIME_FOR_LATE_START: Duration = Duration::from_millis(700);
 
 /// How long before the caller's time limit a job is abandoned, so that the reply arrives in time.
-const REPLY_MARGIN: Duration = Duration::from_millis(20);
+pub(super) const REPLY_MARGIN: Duration = Duration::from_millis(20);
 
 /// Number of open jobs at which non-durable submissions are refused.
 const MAX_OPEN_JOBS: usize = 5_000;
@@ -50,7 +50,12 @@
             return self.refuse(call, &request.id, &feature.to_string(), out);
         }
         if request.durable {
-            return self.route_to_owner(now, call, DurableRequest::Submit(Box::new(request)), out);
+            return self.route_to_owner(
+                now,
+                call,
+                ForwardedRequest::Submit(Box::new(request)),
+                out,
+            );
         }
         // Callers may use their connections for one more request after they are routed elsewhere.
         if self.outlives_process(now, self.objective(&queue_config, &request)) {
@@ -63,7 +68,10 @@
             let retry = self.schedule_retry(now, &request);
             return self.refuse_until(call, &request.id, "too many open jobs", retry, out);
         }
-        self.admit(now, call, request, queue_config, out);
+        let request = self.join_elsewhere(now, call, Box::new(request), out);
+        if let Some(request) = request {
+            self.admit(now, call, *request, queue_config, out);
+        }
     }
 
     /// Adds a non-durable job.
@@ -82,6 +90,9 @@
         });
         self.log_received(now, &request, objective, waited, out);
         let mut job = Job::new(now.mono, Some(call), request, queue_config, objective);
+        job.arrived_at = self
+            .read_delay
+            .earliest_arrival(now.mono, PLACEMENT_DELAY_AFTER_STALL);
         job.requested_at = now.mono.saturating_sub(waited);
         self.jobs.insert(job);
         self.placement_pending = true;
@@ -116,7 +127,7 @@
             ("open_jobs", self.jobs.open_len().to_string()),
             ("owner", self.settings.instance.to_string()),
             ("peers", self.peers.links().count().to_string()),
-            ("known_entries", self.entry_addresses.len().to_string()),
+            ("lost_peers", self.peers.lost_len().to_string()),
         ];
         log(out, 301, "job received", false, fields);
     }
@@ -204,7 +215,7 @@
     pub(super) fn query(&mut self, now: Now, call: CallKey, id: &str, out: &mut Vec<Action>) {
         let job = self.jobs.find(id).and_then(|key| self.jobs.get(key));
         let Some(job) = job.filter(|job| job.durable.is_none()) else {
-            return self.route_to_owner(now, call, DurableRequest::Query(id.into()), out);
+            return self.route_to_owner(now, call, ForwardedRequest::Query(id.into()), out);
         };
         let answer = match job.progress {
             Progress::Queued => Answer::State(JobState::Queued),
@@ -245,7 +256,7 @@
         });
         let Some(key) = open else {
             self.broadcast_cancel(id, out);
-            return self.route_to_owner(now, call, DurableRequest::Cancel(id.into()), out);
+            return self.route_to_owner(now, call, ForwardedRequest::Cancel(id.into()), out);
         };
         self.close_job(now, key, Answer::Cancelled, "cancelled", out);
         self.reply(call, Answer::Cancelled, out);
@@ -255,7 +266,7 @@
     /// receive its answer.
     pub(super) fn caller_disconnected(&mut self, now: Now, call: CallKey, out: &mut Vec<Action>) {
         let Some((key, was_last)) = self.jobs.remove_caller(call) else {
-            return;
+            return self.forwarding.remove_parked_join(call);
         };
         if was_last {
             self.close_job(now, key, Answer::OutcomeUnknown, "caller gone", out);
@@ -344,7 +355,13 @@
         if ended.is_none_or(|job| job.durable.is_some()) {
             return;
         }
-        let resubmission = self.jobs.remove(key).and_then(|job| job.resubmission);
+        let Some(job) = self.jobs.remove(key) else {
+            return;
+        };
+        for (link, number) in job.late_joins {
+            out.push(Action::Send(link, encode_reply(number, &Answer::NoJob)));
+        }
+        let resubmission = job.resubmission;
         if let Some((call, request)) = resubmission.map(|resubmission| *resubmission) {
             self.submit(now, call, request, out);
         }
--- a/crates/core/src/scheduler/shard_claims.rs
+++ b/crates/core/src/scheduler/shard_claims.rs
@@ -51,16 +51,31 @@
 }
 
 impl HeartbeatReading {
+    /// Returns the reading after a read that was sent at `sent` and showed this version.
+    pub(super) fn next(known: Option<Self>, now: Now, version: u64, sent: Duration) -> Self {
+        let known = known.filter(|seen| seen.version == version);
+        Self {
+            version,
+            since: known.map_or(now.mono, |known| known.since),
+            read_at: Some(sent),
+        }
+    }
+
     /// Returns whether the owner places no more tasks: its lease has expired, and it had not stored
     /// another heartbeat when it did. This process may have read nothing for a long time, because it
     /// stood still or could not reach the store.
-    fn has_ended(&self, now: Now) -> bool {
+    pub(super) fn has_ended(&self, now: Now) -> bool {
         let read_after_lease = self
             .read_at
             .is_some_and(|read_at| read_at >= self.since + LEASE_DURATION);
         read_after_lease && now.since(self.since) >= OWNER_DEAD_AFTER
     }
 
+    /// Returns whether another read may show that the process has ended.
+    pub(super) fn may_show_end(&self, now: Now) -> bool {
+        now.since(self.since) >= OWNER_DEAD_AFTER
+    }
+
     /// Returns the reading after a write of the owner: it does not tell any more whether the owner
     /// has stored another heartbeat.
     pub(super) fn outdated(mut self) -> Self {
@@ -198,12 +213,7 @@
         if row.is_none_or(|row| Instance(row.instance) != owner) {
             return;
         }
-        let known = state.owner_heartbeat.filter(|seen| seen.version == version);
-        let reading = HeartbeatReading {
-            version,
-            since: known.map_or(now.mono, |known| known.since),
-            read_at: Some(sent),
-        };
+        let reading = HeartbeatReading::next(state.owner_heartbeat, now, version, sent);
         state.owner_heartbeat = Some(reading);
         if reading.has_ended(now) {
             state.next_call_at = state.next_call_at.min(now.mono);
@@ -272,7 +282,7 @@
         state.claim_number = claim;
         state.runs_known = false;
         self.request_runs(shard, out);
-        self.send_peer_beats(now, out);
+        self.send_peer_beats(now, false, out);
     }
 
     /// Asks all agents for their runs of a shard, and for the ends that they retain.
--- a/crates/core/src/scheduler/shard_release.rs
+++ b/crates/core/src/scheduler/shard_release.rs
@@ -56,7 +56,7 @@
             );
         }
         if any {
-            self.send_peer_beats(now, out);
+            self.send_peer_beats(now, false, out);
         }
     }
 
--- a/crates/core/src/scheduler/shard_turns.rs
+++ b/crates/core/src/scheduler/shard_turns.rs
@@ -170,6 +170,12 @@
                     self.record_owner_heartbeat(now, shard, owner, version, sent);
                 }
             }
+            Some((CallPurpose::LostHeartbeat(instance), sent)) => {
+                if let StoreOutcome::Rows(rows, _) = outcome {
+                    let version = rows.first().map_or(0, |row| row.version);
+                    self.record_lost_heartbeat(now, instance, version, sent);
+                }
+            }
             Some((CallPurpose::Heartbeat(sent), _)) => {
                 if matches!(outcome, StoreOutcome::Written(_)) {
                     self.shards.last_heartbeat = self.shards.last_heartbeat.max(Some(sent));
--- a/crates/core/src/scheduler/shard_writes.rs
+++ b/crates/core/src/scheduler/shard_writes.rs
@@ -162,7 +162,7 @@
                 ("successor", state.successor.to_string()),
             ];
             log(out, 321, "shard released", false, fields);
-            self.send_peer_beats(now, out);
+            self.send_peer_beats(now, false, out);
         }
     }
 
--- a/crates/core/src/scheduler/shards.rs
+++ b/crates/core/src/scheduler/shards.rs
@@ -175,6 +175,8 @@
     Shard(Shard),
     /// Reads the heartbeat of this owner of the shard.
     OwnerHeartbeat(Shard, Instance),
+    /// Reads the heartbeat of an entry process that is out of reach.
+    LostHeartbeat(Instance),
     /// Writes the heartbeat of this process, sent at this time.
     Heartbeat(Duration),
 }
--- a/crates/core/tests/jobs/callers.rs
+++ b/crates/core/tests/jobs/callers.rs
@@ -189,6 +189,13 @@
         self.entry_input(entry, scheduler::Input::CallGone(CallKey(call)));
     }
 
+    /// The caller's side of its connection breaks; the entry process does not see it.
+    pub fn abandon(&mut self, number: usize) {
+        self.callers[number].entry = usize::MAX;
+        self.callers[number].resend_ms = None;
+        self.callers[number].answer = Some(Answer::Cancelled);
+    }
+
     pub fn answer(&mut self, entry: usize, call: CallKey, answer: Answer) {
         let now_ms = self.now_ms;
         let mut callers = self.callers.iter_mut();
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -26,6 +26,7 @@
 mod durable_jobs;
 mod earlier_start_times;
 mod foreign_heartbeats;
+mod held_jobs;
 mod kept_jobs;
 mod lifetimes;
 mod lost_agents;
--- a/crates/core/tests/jobs/malformed_messages.rs
+++ b/crates/core/tests/jobs/malformed_messages.rs
@@ -192,10 +192,29 @@
                 proved: shard,
             }],
             isolating: jobs % 2 == 1,
+            number: epoch,
+            beat_seen: epoch.wrapping_mul(7),
+            held: vec![epoch, u64::from(shard), epoch],
+            awaiting: vec![u64::from(jobs)],
+            reply: jobs.is_multiple_of(3),
+            ended: jobs.is_multiple_of(5),
         })
     });
     let cancel = text().prop_map(|job| Body::CancelRuns(wire::CancelRuns { job }));
-    prop_oneof![orders(), reports(), beat, shard_claim, peer_beat, cancel]
+    let join = (large(), text(), small()).prop_map(|(number, job, wait_ms)| {
+        let join = wire::Join { job, wait_ms };
+        let call = Some(wire::job_call::Call::Join(join));
+        Body::JobCall(wire::JobCall { number, call })
+    });
+    prop_oneof![
+        orders(),
+        reports(),
+        beat,
+        shard_claim,
+        peer_beat,
+        cancel,
+        join
+    ]
 }
 
 proptest! {
--- a/crates/core/tests/jobs/peers.rs
+++ b/crates/core/tests/jobs/peers.rs
@@ -67,6 +67,24 @@
         self.entry_input(second, Input::LinkDown(key));
     }
 
+    /// Delivers the frames that an entry process has sent to others.
+    pub fn flush_peer_links(&mut self, from: usize) {
+        for at in 0..self.peers.len() {
+            let link = &mut self.peers[at];
+            let Some(key) = link.key.filter(|_| !link.cut) else {
+                continue;
+            };
+            let (to, frames) = match link.ends {
+                (first, second) if first == from => (second, std::mem::take(&mut link.down)),
+                (first, second) if second == from => (first, std::mem::take(&mut link.up)),
+                _ => continue,
+            };
+            for (_, body) in frames {
+                self.entry_input(to, Input::Frame(key, body));
+            }
+        }
+    }
+
     /// Closes the connection between entry processes with this key; false when there is none.
     pub fn close_peer(&mut self, key: LinkKey) -> bool {
         let found = self.peers.iter().position(|link| link.key == Some(key));
@@ -94,6 +112,9 @@
             let link = &self.peers[at];
             let (first, second) = link.ends;
             let ready = link.key.is_none() && !link.cut && self.now_ms >= link.relink_ms;
+            if ready && self.refuses_connections(at) {
+                continue;
+            }
             if !ready || !self.is_awake(first) || !self.is_awake(second) {
                 continue;
             }
@@ -113,6 +134,20 @@
         }
     }
 
+    /// Lets the host of a process that has ended refuse the connection of the other one.
+    fn refuses_connections(&mut self, at: usize) -> bool {
+        let (first, second) = self.peers[at].ends;
+        for (from, to) in [(first, second), (second, first)] {
+            if !self.has_entry(to) && self.is_awake(from) {
+                self.peers[at].relink_ms = self.now_ms + RELINK_MS;
+                let address = format!("127.0.0.1:{to}").into();
+                self.entry_input(from, Input::EntryRefused(address));
+                return true;
+            }
+        }
+        false
+    }
+
     pub fn deliver_peers(&mut self) {
         for at in 0..self.peers.len() {
             loop {
--- a/crates/core/tests/jobs/processes.rs
+++ b/crates/core/tests/jobs/processes.rs
@@ -88,8 +88,10 @@
         }
     }
 
-    /// Ends an entry process that has exited by itself.
+    /// Ends an entry process that has exited by itself. What it has sent arrives before its connections
+    /// end.
     pub fn end_entry(&mut self, at: usize) {
+        self.flush_peer_links(at);
         for (number, caller) in self.callers.iter().enumerate() {
             let waits = caller.answer.is_none() && caller.resend_ms.is_none();
             if caller.entry == at && waits {
--- a/crates/core/tests/jobs/unseen_breaks.rs
+++ b/crates/core/tests/jobs/unseen_breaks.rs
@@ -4,11 +4,20 @@
 use knapweedwall_core::scheduler::Answer;
 use rstest::rstest;
 
-use crate::callers::{Job, RESEND_MS};
+use crate::callers::{Caller, Job, RESEND_MS};
 use crate::fleet::Fleet;
+use crate::random_faults::{play_beside, seeds};
 
 const WORKERS: [(u32, f64); 4] = [(16_000, 1.0); 4];
 
+/// Submits the job of a caller again at another process. The caller gets no answer to its first
+/// submission.
+fn come_back(fleet: &mut Fleet, job: usize, entry: usize) -> usize {
+    let again = fleet.submit_again_at(job, entry);
+    fleet.abandon(job);
+    again
+}
+
 /// Guards against a job that runs at two processes, because the first does not see that its caller
 /// has gone.
 #[rstest]
@@ -20,7 +29,7 @@
     let mut fleet = Fleet::in_zones(zones, 3, &WORKERS, 1);
     let job = fleet.submit(0, "patient", Job::new(4, 1_000, run_ms));
     fleet.run(RESEND_MS + later_ms);
-    let again = fleet.submit_again_at(job, 1);
+    let again = come_back(&mut fleet, job, 1);
     fleet.finish(12_000);
     assert_eq!(fleet.answer_to(again), Some(&Answer::Completed));
     fleet.assert_rules();
@@ -33,7 +42,7 @@
     let job = fleet.submit(0, "patient", Job::new(4, 1_000, 9_000));
     for entry in 1..4 {
         fleet.run(RESEND_MS);
-        fleet.submit_again_at(job, entry);
+        come_back(&mut fleet, job, entry);
     }
     fleet.finish(12_000);
     fleet.assert_rules();
@@ -57,7 +66,7 @@
     fleet.run(cut_ms);
     fleet.cut_peers(0, 1, true);
     fleet.run(RESEND_MS - cut_ms);
-    fleet.submit_again_at(job, 1);
+    come_back(&mut fleet, job, 1);
     fleet.run(RESEND_MS);
     fleet.cut_peers(0, 1, false);
     fleet.finish(12_000);
@@ -75,7 +84,7 @@
     fleet.run(reset_ms);
     fleet.reset_peers(|_, _| true);
     fleet.run(RESEND_MS - reset_ms);
-    let again = fleet.submit_again_at(job, 1);
+    let again = come_back(&mut fleet, job, 1);
     fleet.finish(12_000);
     assert_eq!(fleet.answer_to(again), Some(&Answer::Completed));
     fleet.assert_rules();
@@ -92,9 +101,44 @@
     fleet.freeze_entry(0, true);
     let job = fleet.submit(0, "patient", Job::new(4, 1_000, 2_000));
     fleet.run(RESEND_MS);
-    fleet.submit_again_at(job, 1);
+    come_back(&mut fleet, job, 1);
     fleet.run(after_ms);
     fleet.freeze_entry(0, false);
     fleet.finish(12_000);
     fleet.assert_rules();
 }
+
+/// Plays random faults beside callers whose connections break on their side only.
+fn play_breaks(seed: u64, zones: usize) {
+    let mut due: Vec<(u64, usize)> = Vec::new();
+    play_beside(seed, zones, |fleet| {
+        let waits = |caller: &Caller| caller.answer.is_none() && caller.resend_ms.is_none();
+        let open: Vec<usize> = (0..fleet.callers.len())
+            .filter(|at| waits(&fleet.callers[*at]))
+            .collect();
+        if !open.is_empty() && fleet.random(3) == 0 {
+            let at = usize::try_from(fleet.random(open.len() as u64)).unwrap();
+            fleet.abandon(open[at]);
+            due.push((fleet.now_ms + RESEND_MS, open[at]));
+        }
+        for (due_ms, job) in std::mem::take(&mut due) {
+            let entry = usize::try_from(fleet.random(3)).unwrap();
+            if due_ms > fleet.now_ms || !fleet.has_entry(entry) {
+                due.push((due_ms, job));
+            } else {
+                fleet.submit_again_at(job, entry);
+            }
+        }
+    });
+}
+
+/// Guards against a task that runs twice at the same time, whatever faults come together with breaks
+/// that processes do not see.
+#[rstest]
+#[case::one_zone("0..4", 1)]
+#[case::three_zones("0..6", 3)]
+fn rules_hold_beside_unseen_breaks(#[case] range: &str, #[case] zones: usize) {
+    for seed in seeds(range) {
+        play_breaks(seed, zones);
+    }
+}
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -269,5 +269,6 @@
         },
         LinkEvent::Down(link) => Input::LinkDown(link),
         LinkEvent::Frame(link, body) => Input::Frame(link, body),
+        LinkEvent::Refused(_) => Input::Tick,
     }
 }
--- a/crates/event-loop/src/agent.rs
+++ b/crates/event-loop/src/agent.rs
@@ -129,6 +129,8 @@
             },
             LinkEvent::Down(link) => Input::LinkDown(link),
             LinkEvent::Frame(link, body) => Input::Frame(link, body),
+            // Runs of an entry process that has ended are stopped after its silence.
+            LinkEvent::Refused(_) => Input::Tick,
         }
     }
 
--- a/crates/event-loop/src/entry.rs
+++ b/crates/event-loop/src/entry.rs
@@ -132,6 +132,7 @@
             LinkEvent::Up { link, peer, .. } => Input::LinkUp { link, peer },
             LinkEvent::Down(link) => Input::LinkDown(link),
             LinkEvent::Frame(link, body) => Input::Frame(link, body),
+            LinkEvent::Refused(address) => Input::EntryRefused(address),
         }
     }
 }
--- a/crates/runtime/src/links/dial.rs
+++ b/crates/runtime/src/links/dial.rs
@@ -1,5 +1,6 @@
 //! Dials other processes and reconnects after a link is lost.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,7 +10,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::manager::LinkManager;
-use super::{events, handshake, session};
+use super::{LinkEvent, events, handshake, session};
 use crate::Backoff;
 
 /// Upper bound of the first delay between attempts.
@@ -84,6 +85,10 @@
                     manager.log_event(&events::dial_failed(address, error.to_string()));
                 }
                 failing = true;
+                if error.is_connection_refused() {
+                    let refused = LinkEvent::Refused(address.clone());
+                    manager.deliver(&mut VecDeque::from([refused])).await;
+                }
             }
         }
         if retry_policy == RetryPolicy::Limited && last_linked.elapsed() >= GIVE_UP_AFTER {
--- a/crates/runtime/src/links/handshake.rs
+++ b/crates/runtime/src/links/handshake.rs
@@ -95,6 +95,12 @@
         self.has_code(SELF_CONNECTION_CODE)
     }
 
+    /// Whether the host refused the connection.
+    pub(super) fn is_connection_refused(&self) -> bool {
+        let refused = std::io::ErrorKind::ConnectionRefused;
+        matches!(self, Self::Connection { source } if source.kind() == refused)
+    }
+
     fn has_code(&self, expected: &str) -> bool {
         match self {
             Self::Refused { code, .. } => code == expected,
--- a/crates/runtime/src/links/mod.rs
+++ b/crates/runtime/src/links/mod.rs
@@ -112,6 +112,8 @@
     Down(LinkKey),
     /// A frame was received.
     Frame(LinkKey, Body),
+    /// The host at this address refused a connection: no process listens there.
+    Refused(SmolStr),
 }
 
 /// Receives the events of the links. Called on the link thread; must not block.
--- a/crates/runtime/tests/links/single_link.rs
+++ b/crates/runtime/tests/links/single_link.rs
@@ -24,7 +24,7 @@
             match node.events.recv_timeout(Duration::from_millis(10)) {
                 Ok(LinkEvent::Up { .. }) => *up += 1,
                 Ok(LinkEvent::Down(_)) => *up -= 1,
-                Ok(LinkEvent::Frame(..)) | Err(_) => continue,
+                Ok(LinkEvent::Frame(..) | LinkEvent::Refused(_)) | Err(_) => continue,
             }
             changed = Instant::now();
         }
