--- a/crates/core/tests/jobs/calls.rs
+++ b/crates/core/tests/jobs/calls.rs
@@ -40,6 +40,22 @@
     pub life: SmolStr,
 }
 
+/// Time after which a lost stop is reported as failed, if it is: the time limit of the platform's client.
+const LOST_STOP_MS: u64 = 500;
+
+/// Which calls to workers get no answer.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LostCalls {
+    /// Number of stops that are still to be lost.
+    pub stops: u32,
+    /// Time after which lost stops are carried out; never if `None`.
+    pub carried_out_ms: Option<u64>,
+    /// Whether the agents learn that the calls have failed.
+    pub reported: bool,
+    /// Whether all other calls are carried out, and get no answer.
+    pub answers: bool,
+}
+
 /// Time, host, lifetime of the agent, and outcome of a call without an answer.
 pub type LateAnswer = (u64, usize, u64, executor::Input);
 
@@ -103,6 +119,10 @@
                 _ => continue,
             };
             self.calls += 1;
+            if matches!(call, Call::Stop(..)) && self.lost_calls.stops > 0 {
+                self.lose_stop(at, key, call);
+                continue;
+            }
             let late = self.random(100) < u64::from(self.late_percent);
             let limit = match &call {
                 Call::Hold { .. } => HOLD_SLACK_MS,
@@ -127,7 +147,7 @@
                 key,
                 call,
                 due_ms,
-                lost: late || unheard,
+                lost: late || unheard || self.lost_calls.answers,
                 life: self.hosts[at].life.clone(),
             };
             self.hosts[at].calls.push(pending);
@@ -204,6 +224,27 @@
         }
     }
 
+    /// Loses a stop that an agent has sent.
+    fn lose_stop(&mut self, at: usize, key: executor::CallKey, call: Call) {
+        self.lost_calls.stops -= 1;
+        if self.lost_calls.reported {
+            let failure = no_answer(key, &call);
+            let failed_ms = self.now_ms + LOST_STOP_MS;
+            let instance = self.hosts[at].instance;
+            self.late_answers.push((failed_ms, at, instance, failure));
+        }
+        if let Some(delay_ms) = self.lost_calls.carried_out_ms {
+            let pending = PendingCall {
+                key,
+                call,
+                due_ms: self.now_ms + delay_ms,
+                lost: true,
+                life: self.hosts[at].life.clone(),
+            };
+            self.hosts[at].calls.push(pending);
+        }
+    }
+
     /// Loses the stops that are on their way to a worker; they get no response.
     pub fn drop_stops(&mut self, at: usize) {
         let calls = &mut self.hosts[at].calls;
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -13,7 +13,7 @@
 use smol_str::SmolStr;
 
 use crate::callers::Caller;
-use crate::calls::{LateAnswer, PendingCall};
+use crate::calls::{LateAnswer, LostCalls, PendingCall};
 use crate::clocks::clocks;
 use crate::peers::PeerLink;
 use crate::store::Store;
@@ -88,6 +88,8 @@
     pub late_answers: Vec<LateAnswer>,
     /// Share of the calls to workers without an answer, in percent; they are carried out late.
     pub late_percent: u32,
+    /// Calls that get no answer.
+    pub lost_calls: LostCalls,
     /// Time that each call to a worker takes longer than usual.
     pub slow_ms: u64,
     /// Limits of callers in the store.
@@ -138,6 +140,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             late_answers: Vec::new(),
             late_percent: 0,
+            lost_calls: LostCalls::default(),
             slow_ms: 0,
             caller_limits: Vec::new(),
             faults: Vec::new(),
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -30,6 +30,7 @@
 mod lifetimes;
 mod lost_agents;
 mod lost_starts;
+mod lost_stops;
 mod malformed_messages;
 mod many_entries;
 mod odd_rows;
--- a/crates/core/tests/jobs/worker.rs
+++ b/crates/core/tests/jobs/worker.rs
@@ -68,6 +68,8 @@
     since_ms: u64,
     /// By how much the time of day of its machine is ahead.
     pub ahead_ms: i64,
+    /// Whether the clock of the worker is 2% slow, the most that is allowed.
+    pub slow_clock: bool,
     /// Number in the instance id.
     id: u64,
     pub up: bool,
@@ -112,6 +114,7 @@
             born: time_of_day(since_ms, ahead_ms),
             since_ms,
             ahead_ms,
+            slow_clock: false,
             id: since_ms,
             up: true,
             earlier: (0, 0),
@@ -141,7 +144,9 @@
     }
 
     pub fn clock(&self, now_ms: u64) -> u64 {
-        now_ms - self.since_ms + CLOCK_OFFSET_MS
+        let age_ms = now_ms - self.since_ms;
+        let lag_ms = if self.slow_clock { age_ms / 50 } else { 0 };
+        age_ms - lag_ms + CLOCK_OFFSET_MS
     }
 
     /// Ends the lifetime and begins another.
@@ -152,7 +157,9 @@
         let noted = std::mem::take(&mut self.noted);
         let noted_failures = std::mem::take(&mut self.noted_failures);
         let crashed = std::mem::take(&mut self.crashed);
+        let slow_clock = self.slow_clock;
         *self = Self::new(self.cpu, self.speed, now_ms, self.ahead_ms);
+        self.slow_clock = slow_clock;
         self.faults = faults;
         self.starts = starts;
         self.started = started;
