feat(agent): owner and stop of a run in events 411 and 422

The log could not tell a second submission at another process from a second start by the same owner, nor whether a stop had been asked for. Cause: events 411 and 422 name the run only. Ruled out: further lines; the two events are logged once a run anyway. Change: both carry `owner`, `durable` and `order_ms`, 422 also `stop_cause` and `stop_ms`. The test of the catalogue (crates/event-loop) was not run for this commit; no number or text changed.

--- a/crates/core/src/executor/machine.rs
+++ b/crates/core/src/executor/machine.rs
@@ -247,13 +247,14 @@
             RunState::Waiting(_) => self.close_run(now, id, wire::RunOutcome::Unusable),
             RunState::Running(_) => {
                 self.runs.update(id, |run| {
-                    run.stop_cause = Some(cause);
+                    run.request_stop(now.mono, cause);
                     run.state = RunState::Stopping(None);
                 });
                 self.pending_stops.push(id.clone());
             }
             RunState::Starting(..) | RunState::Unconfirmed(_) => {
-                self.runs.update(id, |run| run.stop_cause = Some(cause));
+                self.runs
+                    .update(id, |run| run.request_stop(now.mono, cause));
             }
             RunState::Stopping(_) => {}
         }
--- a/crates/core/src/executor/run_lists.rs
+++ b/crates/core/src/executor/run_lists.rs
@@ -155,11 +155,15 @@
         };
         let started = known.and_then(|run| run.started_at);
         let run_time = started.map(|at| now.since(at)).unwrap_or_default();
-        let fields = vec![
+        let mut fields = vec![
             ("run", listed_run.run.to_string()),
             ("how", format!("{:?}", listed_run.cause)),
             ("run_ms", run_time.as_millis().to_string()),
         ];
+        if let Some(run) = known {
+            fields.extend(run.log_fields(now.mono));
+            fields.extend(run.stop_log_fields(now.mono));
+        }
         log(out, 422, "run ended", false, fields);
         let retained = known.is_none_or(|run| run.durable);
         let mut ended = run_report(&listed_run.run, outcome, run_time);
@@ -224,6 +228,7 @@
             progress_percent: listed_run.percent,
             progress_times: (now.mono, now.mono),
             stop_cause: None,
+            stop_requested_at: None,
             start_failed_at: None,
             listed: true,
             crash: None,
--- a/crates/core/src/executor/runs.rs
+++ b/crates/core/src/executor/runs.rs
@@ -63,6 +63,8 @@
     pub(super) progress_times: (Duration, Duration),
     /// Why the run is to be stopped, if it is.
     pub(super) stop_cause: Option<StopCause>,
+    /// When a stop was first requested, if it was.
+    pub(super) stop_requested_at: Option<Duration>,
     /// When the call that was to start the run ended without a valid response, if it did.
     pub(super) start_failed_at: Option<Duration>,
     /// Whether the current incarnation of the worker has listed the run.
@@ -88,6 +90,35 @@
         )
     }
 
+    /// Records that a stop is requested.
+    pub(super) fn request_stop(&mut self, now: Duration, cause: StopCause) {
+        self.stop_cause = Some(cause);
+        self.stop_requested_at = self.stop_requested_at.or(Some(now));
+    }
+
+    /// Returns the fields by which the log names the order of the run. `now` is the current time.
+    pub(super) fn log_fields(&self, now: Duration) -> Vec<(&'static str, String)> {
+        let owner = self.owner.map(|owner| owner.to_string());
+        let order_age = now.saturating_sub(self.ordered_at);
+        vec![
+            ("owner", owner.unwrap_or_default()),
+            ("durable", self.durable.to_string()),
+            ("order_ms", order_age.as_millis().to_string()),
+        ]
+    }
+
+    /// Returns the fields by which the log tells whether a stop was requested, and for how long before
+    /// `now`.
+    pub(super) fn stop_log_fields(&self, now: Duration) -> Vec<(&'static str, String)> {
+        let cause = self.stop_cause.map(|cause| format!("{cause:?}"));
+        let requested_at = self.stop_requested_at;
+        let age = requested_at.map(|at| now.saturating_sub(at).as_millis().to_string());
+        vec![
+            ("stop_cause", cause.unwrap_or_default()),
+            ("stop_ms", age.unwrap_or_default()),
+        ]
+    }
+
     /// Returns for how long the worker's lists have shown the same progress.
     pub(super) fn unchanged_for(&self) -> Duration {
         self.progress_times.1.saturating_sub(self.progress_times.0)
--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -127,6 +127,7 @@
                 progress_percent: 0,
                 progress_times: (now.mono, now.mono),
                 stop_cause: None,
+                stop_requested_at: None,
                 start_failed_at: None,
                 listed: false,
                 crash: None,
@@ -291,8 +292,9 @@
             return;
         };
         let (stop_cause, ordered_at) = (run.stop_cause, run.ordered_at);
+        let order = run.log_fields(now.mono);
         self.metrics.started.inc();
-        let fields = vec![
+        let mut fields = vec![
             ("run", id.to_string()),
             ("worker", self.worker.instance().to_string()),
             (
@@ -303,6 +305,7 @@
                     .to_string(),
             ),
         ];
+        fields.extend(order);
         log(out, 411, "run started", false, fields);
         self.runs.update(id, |run| {
             run.state = RunState::Running(now.mono);
