fix(agent): runs that are stopped end in time although stops are lost

Cause: a stop without an answer was sent again only once its call had failed, and the lease was extended for the other runs of the worker, and so for the stopped one as well. A stop by the owner also changed nothing for a run that was being stopped as stalled. Ruled out: a silent owner (bounded by ORPHAN_LEASE_LIMIT already). A lease limit for durable jobs: their tasks are not started again before the end of the run is known, and the limit would cost the other runs of the worker; they get the repeats only. Change: an unanswered stop is repeated after 25 ms (longer if the worker's responses are slow), doubling up to 200 ms; the failure of a call no longer triggers it. A stop names one attempt, so a repeat or a late execution changes nothing more. The lease of a worker with a run of a non-durable job whose owner has asked for its stop ends 1,000 ms after that at the latest, also for unconfirmed starts. The expectation of `cancelled_durable_jobs` on the staying job is corrected: the answer to a durable submission is `Accepted`, so its state is asked for.

--- a/crates/core/src/executor/machine.rs
+++ b/crates/core/src/executor/machine.rs
@@ -256,7 +256,11 @@
                 self.runs
                     .update(id, |run| run.request_stop(now.mono, cause));
             }
-            RunState::Stopping(_) => {}
+            // A run that is stopped for its lack of progress may also be abandoned.
+            RunState::Stopping(_) => {
+                self.runs
+                    .update(id, |run| run.request_stop(now.mono, cause));
+            }
         }
     }
 
--- a/crates/core/src/executor/renewals.rs
+++ b/crates/core/src/executor/renewals.rs
@@ -20,6 +20,13 @@
 /// to such a renewal without waiting.
 const MIN_RENEWAL_INTERVAL_WITH_RETAINED_RUNS: Duration = Duration::from_millis(5);
 
+/// Time after the owner's request to stop a run of a non-durable job at which the worker's lease ends at
+/// the latest, also if no stop request gets through. The lease may last for 1,000 ms already, and a
+/// deadline never shortens, so a lower limit would change nothing. A clock that is 2% slow, read at most
+/// 600 ms before, adds 32 ms. Of the 1,300 ms after which a client resubmits its job, 268 ms are left for
+/// the request to reach the agent.
+const STOP_LEASE_LIMIT: Duration = Duration::from_millis(1_000);
+
 /// Minimum and maximum backoff after a failed lease renewal.
 pub(super) const RENEWAL_BACKOFF: (Duration, Duration) =
     (Duration::from_millis(10), Duration::from_secs(1));
@@ -31,6 +38,7 @@
             if self.runs.get(&run).is_none() {
                 continue;
             }
+            self.runs.update(&run, |run| run.record_stop_sent(now.mono));
             let call = self.record_call(now, Purpose::Stop(run.clone()));
             let fence = self.worker.fence;
             out.push(Action::StopRun { call, run, fence });
@@ -85,8 +93,9 @@
     }
 
     /// Returns when a lease that is extended now ends: for its full duration, unless a run of a
-    /// non-durable job must end earlier because its owner is silent. Zero while the owner of a run is
-    /// unknown: the agent that started the run has set its lease.
+    /// non-durable job must end earlier because its owner is silent or has requested its stop. The task
+    /// of a durable job is not started again before the end of the run is known. Zero while the owner of
+    /// a run is unknown: the agent that started the run has set its lease.
     pub(super) fn lease_end(&self, now: Now) -> Duration {
         let mut end = now.mono + self.settings.lease;
         for (_, run) in self.runs.iter() {
@@ -99,6 +108,9 @@
             let last_contact = self.owners.last_contact(owner);
             let limit = last_contact.map(|at| at + ORPHAN_LEASE_LIMIT);
             end = end.min(limit.unwrap_or_default());
+            if let Some(abandoned_at) = run.abandoned_at {
+                end = end.min(abandoned_at + STOP_LEASE_LIMIT);
+            }
         }
         end
     }
--- a/crates/core/src/executor/run_lists.rs
+++ b/crates/core/src/executor/run_lists.rs
@@ -229,6 +229,8 @@
             progress_times: (now.mono, now.mono),
             stop_cause: None,
             stop_requested_at: None,
+            abandoned_at: None,
+            unanswered_stop: None,
             start_failed_at: None,
             listed: true,
             crash: None,
--- a/crates/core/src/executor/runs.rs
+++ b/crates/core/src/executor/runs.rs
@@ -35,6 +35,15 @@
     Stalled,
 }
 
+/// A stop request without a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct UnansweredStop {
+    /// When it was sent.
+    pub(super) sent_at: Duration,
+    /// Number of requests that were sent before it without a response.
+    pub(super) repeats: u32,
+}
+
 /// A run.
 #[derive(Debug, Clone)]
 pub(super) struct Run {
@@ -65,6 +74,11 @@
     pub(super) stop_cause: Option<StopCause>,
     /// When a stop was first requested, if it was.
     pub(super) stop_requested_at: Option<Duration>,
+    /// When its owner first requested the stop, or was found unresponsive. From then on its task may be
+    /// submitted again.
+    pub(super) abandoned_at: Option<Duration>,
+    /// Last stop request that has no response.
+    pub(super) unanswered_stop: Option<UnansweredStop>,
     /// When the call that was to start the run ended without a valid response, if it did.
     pub(super) start_failed_at: Option<Duration>,
     /// Whether the current incarnation of the worker has listed the run.
@@ -90,10 +104,22 @@
         )
     }
 
-    /// Records that a stop is requested.
+    /// Records that a stop is requested. The first cause stands.
     pub(super) fn request_stop(&mut self, now: Duration, cause: StopCause) {
-        self.stop_cause = Some(cause);
+        self.stop_cause = self.stop_cause.or(Some(cause));
         self.stop_requested_at = self.stop_requested_at.or(Some(now));
+        if cause == StopCause::Owner {
+            self.abandoned_at = self.abandoned_at.or(Some(now));
+        }
+    }
+
+    /// Records that a stop request is sent.
+    pub(super) fn record_stop_sent(&mut self, now: Duration) {
+        let repeats = self.unanswered_stop.map_or(0, |stop| stop.repeats + 1);
+        self.unanswered_stop = Some(UnansweredStop {
+            sent_at: now,
+            repeats,
+        });
     }
 
     /// Returns the fields by which the log names the order of the run. `now` is the current time.
--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -128,6 +128,8 @@
                 progress_times: (now.mono, now.mono),
                 stop_cause: None,
                 stop_requested_at: None,
+                abandoned_at: None,
+                unanswered_stop: None,
                 start_failed_at: None,
                 listed: false,
                 crash: None,
@@ -314,7 +316,6 @@
             run.progress_times = (now.mono, now.mono);
         });
         if let Some(cause) = stop_cause {
-            self.runs.update(id, |run| run.stop_cause = None);
             self.stop_run(now, id, cause);
         }
     }
@@ -365,18 +366,26 @@
             StopOutcome::Accepted => {
                 self.worker.record_response(now.mono, clock_ms);
                 self.runs.update(&id, |run| {
+                    run.unanswered_stop = None;
                     run.state = RunState::Stopping(Some(now.mono));
                 });
             }
             StopOutcome::Fence => {
                 self.worker.raise_fence_above(call.fence);
-                self.pending_stops.push(id);
+                // The response to an earlier request changes nothing: a later one is on its way.
+                let run = self.runs.get(&id);
+                let last = run.and_then(|run| run.unanswered_stop);
+                if last.is_some_and(|stop| stop.sent_at == call.made_at) {
+                    self.pending_stops.push(id);
+                }
+            }
+            StopOutcome::WrongInstance => {
+                self.runs.update(&id, |run| run.unanswered_stop = None);
             }
-            StopOutcome::WrongInstance => {}
+            // `repeat_stops` repeats the request.
             StopOutcome::NoAnswer(cause) => {
                 let fields = vec![("run", id.to_string()), ("cause", cause.to_string())];
                 log(out, 413, "no response to a stop request", true, fields);
-                self.pending_stops.push(id);
             }
         }
     }
--- a/crates/core/src/executor/timeouts.rs
+++ b/crates/core/src/executor/timeouts.rs
@@ -15,6 +15,14 @@
 /// task was started after all.
 const MIN_START_TIMEOUT: Duration = Duration::from_millis(25);
 
+/// Minimum time after which an unanswered stop request is sent again, for the same reason. The time
+/// doubles with each repeat, up to [`MAX_STOP_REPEAT_INTERVAL`].
+const MIN_STOP_TIMEOUT: Duration = MIN_START_TIMEOUT;
+
+/// Maximum time between the requests to stop a run: at least five are sent before the lease ends, which
+/// is not extended for longer than a second (`STOP_LEASE_LIMIT`).
+const MAX_STOP_REPEAT_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Time without progress in the worker's lists after which a run is stopped, so that its task can
 /// run on another worker.
 const STALL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -24,6 +32,7 @@
         self.stop_orphaned_runs(now, out);
         self.stop_stalled_runs(now, out);
         self.expire_starts(now, out);
+        self.repeat_stops(now);
         self.expire_waiting(now);
         self.expire_registration(now);
         let expired = self.worker.has_lease_expired(now.mono, self.settings.lease);
@@ -70,6 +79,23 @@
         }
     }
 
+    /// Repeats the stop requests that have no response yet, without waiting for their calls to fail. A
+    /// repeat is safe, also if an earlier request is executed later: it names one attempt, and stopping
+    /// that again, or after its end, changes nothing. The repeats end with the run. They
+    /// need no jitter, because no other agent calls the worker.
+    fn repeat_stops(&mut self, now: Now) {
+        let timeout = MIN_STOP_TIMEOUT.max(self.worker.late_response_limit());
+        let overdue = self.runs.iter().filter(|(_, run)| {
+            let stopping = matches!(run.state, RunState::Stopping(_));
+            run.unanswered_stop.is_some_and(|stop| {
+                let backoff = timeout.saturating_mul(2_u32.saturating_pow(stop.repeats));
+                stopping && now.since(stop.sent_at) >= backoff.min(MAX_STOP_REPEAT_INTERVAL)
+            })
+        });
+        let overdue: Vec<RunId> = overdue.map(|(id, _)| id.clone()).collect();
+        self.pending_stops.extend(overdue);
+    }
+
     /// Stops runs whose owner is not in contact.
     pub(super) fn stop_orphaned_runs(&mut self, now: Now, out: &mut Vec<Action>) {
         // Entry processes must claim the runs that the agent found on the worker within this time.
--- a/crates/core/tests/jobs/lost_stops.rs
+++ b/crates/core/tests/jobs/lost_stops.rs
@@ -99,6 +99,26 @@
     assert_eq!(fleet.answer_to(stays), Some(&Answer::Completed));
 }
 
+/// Guards against a first run that goes on because its owner requests the stop late, and all of its
+/// stops are lost.
+#[rstest]
+fn late_requests(#[values(100, 250)] late_ms: u64, #[values(0, 17, 40, 61)] delay_ms: u64) {
+    let mut fleet = fleet(delay_ms, true);
+    fleet.run(2_000);
+    fleet.submit(0, "patient", Job::new(2, 1_000, 4_500));
+    let leaves = fleet.submit(0, "patient", Job::new(2, 1_000, 4_500));
+    fleet.run(500 + delay_ms);
+    let worker = worker_with(&fleet, 4);
+    fleet.lost_calls = lost(u32::MAX);
+    let left_ms = fleet.now_ms;
+    fleet.freeze_entry(0, true);
+    fleet.leave(leaves);
+    fleet.run(late_ms);
+    fleet.freeze_entry(0, false);
+    submit_again(&mut fleet, leaves, worker, left_ms);
+    fleet.assert_rules();
+}
+
 /// Guards against a first run that goes on because the answer to its start was lost: it gets no stop
 /// before its start is confirmed.
 #[rstest]
@@ -162,8 +182,9 @@
     fleet.cancel(0, cancelled);
     fleet.run(400);
     assert_eq!(fleet.running(0) + fleet.running(1), 2);
-    fleet.finish(15_000);
-    assert_eq!(fleet.answer_to(stays), Some(&Answer::Completed));
+    fleet.run(6_000);
+    assert_eq!(fleet.query(0, stays), Some(Answer::Completed));
+    assert_eq!(fleet.query(0, cancelled), Some(Answer::Cancelled));
     assert_eq!(fleet.starts(), 4);
     fleet.assert_rules();
 }
