--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -127,6 +127,9 @@
                 progress_percent: 0,
                 progress_times: (now.mono, now.mono),
                 stop_cause: None,
+                stop_requested_at: None,
+                abandoned_at: None,
+                unanswered_stop: None,
                 start_failed_at: None,
                 listed: false,
                 crash: None,
@@ -291,8 +294,9 @@
             return;
         };
         let (stop_cause, ordered_at) = (run.stop_cause, run.ordered_at);
+        let order = run.log_fields(now.mono);
         self.metrics.started.inc();
-        let fields = vec![
+        let mut fields = vec![
             ("run", id.to_string()),
             ("worker", self.worker.instance().to_string()),
             (
@@ -303,6 +307,7 @@
                     .to_string(),
             ),
         ];
+        fields.extend(order);
         log(out, 411, "run started", false, fields);
         self.runs.update(id, |run| {
             run.state = RunState::Running(now.mono);
@@ -311,7 +316,6 @@
             run.progress_times = (now.mono, now.mono);
         });
         if let Some(cause) = stop_cause {
-            self.runs.update(id, |run| run.stop_cause = None);
             self.stop_run(now, id, cause);
         }
     }
@@ -362,18 +366,26 @@
             StopOutcome::Accepted => {
                 self.worker.record_response(now.mono, clock_ms);
                 self.runs.update(&id, |run| {
+                    run.unanswered_stop = None;
                     run.state = RunState::Stopping(Some(now.mono));
                 });
             }
             StopOutcome::Fence => {
                 self.worker.raise_fence_above(call.fence);
-                self.pending_stops.push(id);
+                // The response to an earlier request changes nothing: a later one is on its way.
+                let run = self.runs.get(&id);
+                let last = run.and_then(|run| run.unanswered_stop);
+                if last.is_some_and(|stop| stop.sent_at == call.made_at) {
+                    self.pending_stops.push(id);
+                }
+            }
+            StopOutcome::WrongInstance => {
+                self.runs.update(&id, |run| run.unanswered_stop = None);
             }
-            StopOutcome::WrongInstance => {}
+            // `repeat_stops` repeats the request.
             StopOutcome::NoAnswer(cause) => {
                 let fields = vec![("run", id.to_string()), ("cause", cause.to_string())];
                 log(out, 413, "no response to a stop request", true, fields);
-                self.pending_stops.push(id);
             }
         }
     }
