test(agent): an order that comes late while its owner and its agent are lost

Callers would see a task run on two workers at a time: the caller of a lost entry process is back after 1.3 s, and the first run still goes on.

Cause: not changed here. An order is accepted for up to 800 ms after the report that it acknowledges. The lease that its own start asks for is bounded by 1.25 s from that contact (`lease_end`), but the runs of other owners may have extended the lease of the worker beyond it before, and a lease never shortens.

Ruled out: an order to a worker without other runs.

Change: a directed test of orders that are 0 to 790 ms late, alone and beside runs of jobs of both kinds, in one zone and two.

At 600 ms and more the order is declined, because the acknowledged report is up to 250 ms older than the order.

--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -379,4 +379,11 @@
     pub fn running(&self, at: usize) -> usize {
         self.hosts[at].worker.runs.len()
     }
+
+    /// Whether a run of a caller's job is on a worker.
+    pub fn has_run_of(&self, caller: usize, at: usize) -> bool {
+        let job = &self.callers[caller].request.id;
+        let mut runs = self.hosts[at].worker.runs.keys();
+        runs.any(|run| run.task.job == *job)
+    }
 }
--- a/crates/core/tests/jobs/links.rs
+++ b/crates/core/tests/jobs/links.rs
@@ -16,6 +16,14 @@
         link.cut = cut;
     }
 
+    /// Delays what is on its way from an entry process to an agent.
+    pub fn delay_orders(&mut self, entry: usize, host: usize, ms: u64) {
+        let link = self.links.get_mut(&(entry, host)).unwrap();
+        for (due_ms, _) in &mut link.down {
+            *due_ms += ms;
+        }
+    }
+
     /// Whether an entry process and an agent are connected.
     pub fn is_linked(&self, entry: usize, host: usize) -> bool {
         self.links[&(entry, host)].key.is_some()
--- a/crates/core/tests/jobs/orphaned_runs.rs
+++ b/crates/core/tests/jobs/orphaned_runs.rs
@@ -140,3 +140,33 @@
     fleet.run(5_000);
     fleet.assert_rules();
 }
+
+/// Guards against a run whose order was under way while its owner ended, and that outlives the return of
+/// the caller because the runs of another owner have extended the lease of the worker.
+#[rstest]
+fn late_orders_end_before_the_resubmission(
+    #[values(0, 100, 240, 300, 400, 500, 600, 700, 790)] delay_ms: u64,
+    #[values(None, Some(false), Some(true))] beside_durable: Option<bool>,
+    #[values(1, 2)] zones: usize,
+) {
+    let mut fleet = Fleet::in_zones(zones, 2, &[(4_000, 1.0), (4_000, 1.0)], 1);
+    fleet.run(2_000);
+    if let Some(durable) = beside_durable {
+        let mut beside = Job::new(2, 2_200, 9_000);
+        beside.durable = durable;
+        fleet.submit(1, "patient", beside);
+        fleet.run(500);
+        assert_eq!((fleet.running(0), fleet.running(1)), (1, 1));
+    }
+    let first = fleet.submit(0, "patient", Job::new(1, 1_000, 3_000));
+    fleet.run(1);
+    for host in 0..2 {
+        fleet.delay_orders(0, host, delay_ms);
+    }
+    fleet.lose_entry(0);
+    fleet.run(delay_ms + 3);
+    fleet.kill_agent(usize::from(!fleet.has_run_of(first, 0)));
+    fleet.reset_links(|entry, _| entry == 0);
+    fleet.run(4_000);
+    fleet.assert_rules();
+}
--- a/crates/core/tests/jobs/processes.rs
+++ b/crates/core/tests/jobs/processes.rs
@@ -88,6 +88,18 @@
         }
     }
 
+    /// Ends an entry process at once, like [`Fleet::kill_entry`], but what it has sent to agents still
+    /// arrives there. The links to them go down when they are reset.
+    pub fn lose_entry(&mut self, at: usize) {
+        let links = self.links.iter_mut();
+        let own = links.filter(|((entry, _), _)| *entry == at);
+        let kept: Vec<_> = own
+            .map(|(way, link)| (*way, std::mem::take(link)))
+            .collect();
+        self.kill_entry(at);
+        self.links.extend(kept);
+    }
+
     /// Ends an entry process that has exited by itself.
     pub fn end_entry(&mut self, at: usize) {
         for (number, caller) in self.callers.iter().enumerate() {
