fix(agent): decline an order whose run could outlive the return of its caller

Callers saw (in the model) a task run on two workers for up to 0.3 s: the first owner was lost while its order was under way, the agent right after it, and the caller was back after 1.3 s.

Cause: the lease that a start asks for ends 1.25 s after the last contact to its owner, but renewals for runs of other owners may have extended the lease of the worker for longer, and a lease never shortens.

Ruled out: a bound on the start alone, which `lease_end` has; orders to a worker without other runs hold at every delay.

Change: the agent keeps the latest end of a lease that it has asked for, and one lease from its own start, for its predecessor. It declines an order of a job that need not be kept (UNUSABLE) if that is later than 1.25 s after the last contact to the owner, and checks it again before a waiting run starts. The next order of the owner acknowledges the report on it, so it is accepted.

While other owners' runs keep the lease at a full second, an owner must have acknowledged a report of the last 250 ms or so; one of another zone without runs there, which gets a report each 400 ms, may need a second order.

--- a/crates/core/src/executor/machine.rs
+++ b/crates/core/src/executor/machine.rs
@@ -74,9 +74,10 @@
             address: settings.worker.clone(),
             instance: "".into(),
         });
+        let lease = settings.lease;
         Self {
             settings,
-            worker: Worker::new(now.mono, now.wall_ms),
+            worker: Worker::new(now.mono, lease, now.wall_ms),
             profile: wire::WorkerProfile::default(),
             runs: Runs::default(),
             owners: Owners::default(),
--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -7,6 +7,7 @@
 
 use super::io::{Action, CallKey, Refusal, StartOutcome, StartRequest, StopOutcome};
 use super::machine::{Machine, log};
+use super::owners::ORPHAN_LEASE_LIMIT;
 use super::pending_calls::Purpose;
 use super::runs::{Run, RunState, StopCause, run_report};
 use crate::clock::Now;
@@ -102,7 +103,9 @@
                 || (resources.cpu > 0 && self.free_resources().can_fit(resources));
             // The owner may have given up on an order that was delayed in transit.
             let owner_in_contact = self.owners.is_in_contact(now.mono, owner);
-            let usable = self.is_usable(now) && suitable && owner_in_contact && current_owner;
+            let in_time = durable || self.ends_before_resubmission(owner);
+            let usable =
+                self.is_usable(now) && suitable && owner_in_contact && in_time && current_owner;
             if !usable || !admissible {
                 self.metrics.declined.inc();
                 let outcome = if usable {
@@ -139,6 +142,15 @@
         }
     }
 
+    /// Returns whether a run of a non-durable job that starts now would end in time if its owner had been
+    /// lost after its last contact and the agent were lost now. The lease may already last longer, because
+    /// of runs of other owners. The owner places a task that is declined for this again, and the order
+    /// then acknowledges the report on it.
+    fn ends_before_resubmission(&self, owner: Instance) -> bool {
+        let last_contact = self.owners.last_contact(owner);
+        last_contact.is_some_and(|at| self.worker.lease_ends_by(at + ORPHAN_LEASE_LIMIT))
+    }
+
     /// Starts waiting tasks in order of urgency, as long as free resources suffice.
     pub(super) fn start_waiting(&mut self, now: Now, out: &mut Vec<Action>) {
         if !self.runs.has_waiting() || !self.is_usable(now) {
@@ -162,6 +174,14 @@
     }
 
     fn start_run(&mut self, now: Now, id: &RunId, out: &mut Vec<Action>) {
+        // The lease may have been extended since the order was accepted.
+        let late = self.runs.get(id).is_some_and(|run| {
+            let owner = run.owner.filter(|_| !run.durable);
+            owner.is_some_and(|owner| !self.ends_before_resubmission(owner))
+        });
+        if late {
+            return;
+        }
         let lease_end = self.lease_end(now);
         let lease = self.worker.lease_deadline_ms(now.mono, lease_end);
         let (Some(lease_deadline_ms), Some(run)) = (lease, self.runs.get(id)) else {
--- a/crates/core/src/executor/worker.rs
+++ b/crates/core/src/executor/worker.rs
@@ -85,6 +85,8 @@
     refused_at: Duration,
     /// Time of the last call that may have extended the lease.
     last_extension: Duration,
+    /// Latest end of a lease that was asked for. Leases never shorten, and apply to all runs.
+    lease_end: Duration,
     /// Moving average of the response time of start requests.
     mean_response_time: Duration,
 }
@@ -92,8 +94,8 @@
 impl Worker {
     /// Creates the state of an unknown worker. `fence` is the wall-clock time in milliseconds: unless
     /// the clock was set back, it is greater than the fences of earlier agents, and the worker accepts it
-    /// at once.
-    pub(super) fn new(now: Duration, fence: u64) -> Self {
+    /// at once. An earlier agent may have extended the lease by `lease` until now.
+    pub(super) fn new(now: Duration, lease: Duration, fence: u64) -> Self {
         Self {
             heartbeat: None,
             announced: AnnouncedHeartbeats::default(),
@@ -116,6 +118,7 @@
             refusals: 0,
             refused_at: Duration::ZERO,
             last_extension: now,
+            lease_end: now + lease,
             mean_response_time: Duration::ZERO,
         }
     }
@@ -192,11 +195,17 @@
             return None;
         }
         self.last_extension = now;
+        self.lease_end = self.lease_end.max(end);
         let end = end.saturating_sub(read_at);
         let end_ms = u64::try_from(end.as_millis()).unwrap_or(u64::MAX);
         Some(clock_ms.saturating_add(end_ms))
     }
 
+    /// Returns whether a run that starts now would end by `limit` without further calls to the worker.
+    pub(super) fn lease_ends_by(&self, limit: Duration) -> bool {
+        self.lease_end <= limit
+    }
+
     /// Returns whether the lease has certainly expired, so that nothing runs on the worker.
     pub(super) fn has_lease_expired(&self, now: Duration, lease: Duration) -> bool {
         let drift = lease * MAX_CLOCK_DRIFT_PERCENT / 100;
