test(agent): random play of runs that their owner takes for ended

No play before had tasks that last longer than the pauses, links that are cut one way, and bursts that leave no room, all at once.

No caller submits a job twice, so both runs of a double run would have one owner. The model can hold up one way of a link.

--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -67,6 +67,8 @@
     pub down: VecDeque<(u64, Body)>,
     pub up: VecDeque<(u64, Body)>,
     pub cut: bool,
+    /// Whether what is sent to the agent, or to the entry process, is held up.
+    pub held: (bool, bool),
     pub relink_ms: u64,
 }
 
--- a/crates/core/tests/jobs/links.rs
+++ b/crates/core/tests/jobs/links.rs
@@ -16,6 +16,12 @@
         link.cut = cut;
     }
 
+    /// Holds up what is sent to the agent, to the entry process, or neither; nothing is reset.
+    pub fn cut_way(&mut self, entry: usize, host: usize, held: (bool, bool)) {
+        let link = self.links.get_mut(&(entry, host)).unwrap();
+        link.held = held;
+    }
+
     /// Delays what is on its way from an entry process to an agent.
     pub fn delay_orders(&mut self, entry: usize, host: usize, ms: u64) {
         let link = self.links.get_mut(&(entry, host)).unwrap();
@@ -55,48 +61,54 @@
         let keys: Vec<(usize, usize)> = self.links.keys().copied().collect();
         for (entry, host) in keys {
             let link = &self.links[&(entry, host)];
-            let ready = link.key.is_none() && !link.cut && self.now_ms >= link.relink_ms;
+            let open = !link.cut && link.held == (false, false);
+            let ready = link.key.is_none() && open && self.now_ms >= link.relink_ms;
             let (process, agent) = (&self.entries[entry], &self.hosts[host]);
             let alive = process.machine.is_some() && agent.agent.is_some();
             if !ready || !alive || process.frozen || agent.frozen {
                 continue;
             }
-            let key = LinkKey(self.key());
-            let peer = |role, name: String, zone, instance| PeerInfo {
-                role,
-                name: name.into(),
-                zone,
-                instance: Instance(instance),
-                address: "127.0.0.1:1".into(),
-                slots: 0,
-            };
-            let to_agent = peer(
-                Role::Entry,
-                format!("entry-{entry}"),
-                self.zone(entry),
-                self.entries[entry].instance,
-            );
-            let to_entry = peer(
-                Role::Agent,
-                format!("agent-{host}"),
-                self.zone(host),
-                self.hosts[host].instance,
-            );
-            self.links.get_mut(&(entry, host)).unwrap().key = Some(key);
-            let input = executor::Input::LinkUp {
-                link: key,
-                peer: to_agent,
-                entries: Vec::new(),
-            };
-            self.agent_input(host, input);
-            let input = scheduler::Input::LinkUp {
-                link: key,
-                peer: to_entry,
-            };
-            self.entry_input(entry, input);
+            self.connect(entry, host);
         }
     }
 
+    /// Connects an entry process and an agent. An agent that stands still reads of it later.
+    pub fn connect(&mut self, entry: usize, host: usize) {
+        let key = LinkKey(self.key());
+        let peer = |role, name: String, zone, instance| PeerInfo {
+            role,
+            name: name.into(),
+            zone,
+            instance: Instance(instance),
+            address: "127.0.0.1:1".into(),
+            slots: 0,
+        };
+        let to_agent = peer(
+            Role::Entry,
+            format!("entry-{entry}"),
+            self.zone(entry),
+            self.entries[entry].instance,
+        );
+        let to_entry = peer(
+            Role::Agent,
+            format!("agent-{host}"),
+            self.zone(host),
+            self.hosts[host].instance,
+        );
+        self.links.get_mut(&(entry, host)).unwrap().key = Some(key);
+        let input = executor::Input::LinkUp {
+            link: key,
+            peer: to_agent,
+            entries: Vec::new(),
+        };
+        self.agent_input(host, input);
+        let input = scheduler::Input::LinkUp {
+            link: key,
+            peer: to_entry,
+        };
+        self.entry_input(entry, input);
+    }
+
     pub fn link_of(&mut self, key: LinkKey) -> Option<((usize, usize), &mut Link)> {
         let mut links = self.links.iter_mut();
         links
@@ -110,7 +122,8 @@
             loop {
                 let now_ms = self.now_ms;
                 let link = self.links.get_mut(&(entry, host)).unwrap();
-                let ready = !link.cut && link.down.front().is_some_and(|(due, _)| *due <= now_ms);
+                let open = !link.cut && !link.held.0;
+                let ready = open && link.down.front().is_some_and(|(due, _)| *due <= now_ms);
                 let Some(key) = link.key.filter(|_| ready) else {
                     break;
                 };
@@ -120,7 +133,8 @@
             loop {
                 let now_ms = self.now_ms;
                 let link = self.links.get_mut(&(entry, host)).unwrap();
-                let ready = !link.cut && link.up.front().is_some_and(|(due, _)| *due <= now_ms);
+                let open = !link.cut && !link.held.1;
+                let ready = open && link.up.front().is_some_and(|(due, _)| *due <= now_ms);
                 let Some(key) = link.key.filter(|_| ready) else {
                     break;
                 };
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -23,6 +23,7 @@
 mod config_age;
 mod config_repair;
 mod crashing_tasks;
+mod declined_orders;
 mod durable_jobs;
 mod earlier_start_times;
 mod foreign_heartbeats;
