test(agent): a connection that an agent reads late

Callers would see a task run on two workers at a time: an entry process answers the dial of an agent and is lost, the agent stands still meanwhile, and the caller is back after 1.3 s.

Cause: not changed here. A connection counts as contact to the owner of earlier runs from when the agent reads of it, up to 0.8 s after the owner has answered. The runs then go on for 0.8 s more, and their lease is extended for 1.25 s.

Ruled out: agents whose last contact is over 0.8 s old when they read of the connection; they stop the runs first.

--- a/crates/core/tests/jobs/orphaned_runs.rs
+++ b/crates/core/tests/jobs/orphaned_runs.rs
@@ -170,3 +170,31 @@
     fleet.run(4_000);
     fleet.assert_rules();
 }
+
+/// Guards against a run that goes on beside the second one because its agent stood still while its link
+/// was made anew: the owner was last there when it answered, not when the agent read that.
+#[rstest]
+fn connections_read_late_are_no_contact(
+    #[values(300, 400, 500, 540, 600, 700)] frozen_ms: u64,
+    #[values(1, 5, 10, 60)] phase_ms: u64,
+) {
+    let mut fleet = Fleet::new(2, &[(4_000, 1.0), (4_000, 1.0)], 1);
+    fleet.run(2_000);
+    let first = fleet.submit(0, "patient", Job::new(1, 1_000, 4_000));
+    // Short tasks on both workers, so that the owner often acknowledges what the agents report.
+    for _ in 0..30 {
+        fleet.submit(0, "patient", Job::new(4, 700, 8));
+        fleet.run(10);
+    }
+    fleet.run(phase_ms);
+    let host = usize::from(!fleet.has_run_of(first, 0));
+    fleet.freeze_agent(host, true);
+    fleet.reset_link(0, host);
+    fleet.connect(0, host);
+    fleet.run(2);
+    fleet.kill_entry(0);
+    fleet.run(frozen_ms);
+    fleet.freeze_agent(host, false);
+    fleet.run(4_000);
+    fleet.assert_rules();
+}
