fix(agent): a connection is no contact to the owner of earlier runs

Callers saw (in the model) a task run on two workers: the agent stood still while its link was made anew, and the owner was lost after it had answered.

Cause: `Owners::link_up` set the last contact to the time at which the agent read of the connection. The runs of that owner then went on for 0.8 s from there, and their lease was extended up to 1.25 s from there, although the owner had last been there when it answered the dial.

Ruled out: the time of the dial as contact. It would need another field in the input, and the claims that follow the listing acknowledge a report within a round trip anyway.

Change: a connection counts only for whether a silent link is to be closed. Runs and their lease go by the reports that the owner acknowledges.

An owner that is connected again 0.75 s after its last contact has the rest of the 0.8 s to acknowledge the listing.

--- a/crates/core/src/executor/owners.rs
+++ b/crates/core/src/executor/owners.rs
@@ -62,8 +62,11 @@
     /// Whether the entry process is in the zone of the agent.
     in_zone: bool,
     link: Option<LinkKey>,
-    /// Send time of the last message that the owner has acknowledged, or time of the connection.
+    /// Send time of the last message that the owner has acknowledged, or time of the first connection.
     last_contact: Duration,
+    /// Time of the last connection. It may have been read late, so it is no contact for runs that were
+    /// ordered before.
+    linked_at: Duration,
     /// Sequence numbers and send times of unacknowledged messages.
     sent_messages: VecDeque<(u64, Duration)>,
     /// Sequence number of the last `RunReports` message sent on this connection.
@@ -118,6 +121,7 @@
             in_zone: peer.zone == zone,
             link: None,
             last_contact: now,
+            linked_at: now,
             sent_messages: VecDeque::new(),
             last_message_number: 0,
             last_orders_number: 0,
@@ -128,7 +132,7 @@
             profile: None,
         });
         owner.link = Some(link);
-        owner.last_contact = now;
+        owner.linked_at = now;
         owner.sent_messages.clear();
         owner.last_message_number = 0;
         owner.last_orders_number = 0;
@@ -205,7 +209,7 @@
             } else {
                 IDLE_REMOTE_TIMEOUT
             };
-            if now.saturating_sub(owner.last_contact) >= timeout {
+            if now.saturating_sub(owner.last_contact.max(owner.linked_at)) >= timeout {
                 links.extend(owner.link);
             }
         }
