test(agent): starts that a worker carries out late, but within the lease

Cause: calls without an answer were carried out 2 to 12 s late in the model, after the lease that they ask for, so the worker refused each such start. The random play of declined orders could not show a run that is reported as not started and starts all the same.

Change: in `declined_orders` such calls are 1 to 200 ms, 1 to 1,000 ms or 2 to 12 s late. All other tests keep the 2 to 12 s.

--- a/crates/core/tests/jobs/calls.rs
+++ b/crates/core/tests/jobs/calls.rs
@@ -110,7 +110,7 @@
             };
             let unheard = self.slow_ms > limit;
             let due_ms = if late {
-                due + 2_000 + self.random(10_000)
+                due + self.late_ms.0 + self.random(self.late_ms.1)
             } else {
                 called
             };
--- a/crates/core/tests/jobs/declined_orders.rs
+++ b/crates/core/tests/jobs/declined_orders.rs
@@ -96,6 +96,9 @@
             }
             9 => {
                 fleet.late_percent = 10 + u32::try_from(fleet.random(60)).unwrap();
+                // Late within the lease, so that the worker carries out starts without an answer, or after it.
+                fleet.late_ms = [(1, 200), (1, 1_000), (2_000, 10_000)]
+                    [usize::try_from(fleet.random(3)).unwrap()];
                 self.calls_ms = until_ms;
             }
             10 => {
--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -90,6 +90,8 @@
     pub late_answers: Vec<LateAnswer>,
     /// Share of the calls to workers without an answer, in percent; they are carried out late.
     pub late_percent: u32,
+    /// By how much such a call is late at least, and by how much at most beyond that.
+    pub late_ms: (u64, u64),
     /// Time that each call to a worker takes longer than usual.
     pub slow_ms: u64,
     /// Limits of callers in the store.
@@ -140,6 +142,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             late_answers: Vec::new(),
             late_percent: 0,
+            late_ms: (2_000, 10_000),
             slow_ms: 0,
             caller_limits: Vec::new(),
             faults: Vec::new(),
