--- a/crates/core/tests/jobs/fleet.rs
+++ b/crates/core/tests/jobs/fleet.rs
@@ -67,6 +67,8 @@
     pub down: VecDeque<(u64, Body)>,
     pub up: VecDeque<(u64, Body)>,
     pub cut: bool,
+    /// Whether what is sent to the agent, or to the entry process, is held up.
+    pub held: (bool, bool),
     pub relink_ms: u64,
 }
 
@@ -90,6 +92,8 @@
     pub late_percent: u32,
     /// Calls that get no answer.
     pub lost_calls: LostCalls,
+    /// By how much such a call is late at least, and by how much at most beyond that.
+    pub late_ms: (u64, u64),
     /// Time that each call to a worker takes longer than usual.
     pub slow_ms: u64,
     /// Limits of callers in the store.
@@ -141,6 +145,7 @@
             late_answers: Vec::new(),
             late_percent: 0,
             lost_calls: LostCalls::default(),
+            late_ms: (2_000, 10_000),
             slow_ms: 0,
             caller_limits: Vec::new(),
             faults: Vec::new(),
@@ -382,4 +387,11 @@
     pub fn running(&self, at: usize) -> usize {
         self.hosts[at].worker.runs.len()
     }
+
+    /// Whether a run of a caller's job is on a worker.
+    pub fn has_run_of(&self, caller: usize, at: usize) -> bool {
+        let job = &self.callers[caller].request.id;
+        let mut runs = self.hosts[at].worker.runs.keys();
+        runs.any(|run| run.task.job == *job)
+    }
 }
