test(soak): callers that abandon connections and submit again elsewhere

Its tasks last 25 to 600 ms, less than the 1.3 s after which a caller submits again, so that no second submission met the first one at work; and each broken connection was seen by the process. Ruled out: a change of the present mixes. Their plans come from the same draws, and their callers draw as before; `--mix callers` is a new value. Change: in the mix `callers` one caller of ten leaves its connection open, waits for nothing, and submits the job again at another process 1.3 s after a pause of 1 to 400 ms. Tasks take 0.8 s on average and up to 4 s, callers wait 1.75 to 20 s. A violation of Twice names the submissions of the job (number, process, time) and when the other runs began. How a second submission is answered is not judged, only that it is answered in time.

--- a/crates/lab/src/soak/job.rs
+++ b/crates/lab/src/soak/job.rs
@@ -22,6 +22,18 @@
 /// in any case.
 pub const CRASHES: (u32, u32) = (2, 4);
 
+/// Bounds of the run times of long tasks in milliseconds, at speed 1: of most, and of the longest.
+const LONG_MS: [(u64, u64); 2] = [(200, 900), (900, 2_000)];
+
+/// Most long tasks of a phase, so that the usual load takes about half of the workers' room.
+const LONG_TASKS: u64 = 3;
+
+/// Least time that a caller waits for a job with long tasks.
+const LEAST_PATIENCE_MS: u64 = 1_750;
+
+/// Multiple of the run times for which a caller waits; the slowest workers take 2.2 times as long.
+const PATIENCE: u64 = 5;
+
 /// Equal tasks.
 #[derive(Debug, Clone)]
 pub struct Phase {
@@ -80,6 +92,27 @@
         }
     }
 
+    /// Draws a job whose tasks may outlast the pause before a job is submitted again: 0.8 s on average
+    /// and up to 4 s, as those of `load-confirm` of the users' site.
+    pub(super) fn draw_long(rng: &mut ChaCha8Rng) -> Self {
+        let mut job = Self::draw(rng);
+        let (least, most) = LONG_MS[usize::from(rng.random_ratio(1, 6))];
+        let ms = rng.random_range(least..most);
+        for phase in &mut job.phases {
+            phase.count = phase.count.min(LONG_TASKS);
+        }
+        job.spec = json!({"ms": ms, "fails": job.fails}).to_string();
+        job.estimate_ms = ms;
+        job
+    }
+
+    /// How long the caller of a job with long tasks waits: several times the expected time, at least
+    /// 1.75 s, as on the users' site.
+    pub(super) fn patience(&self) -> Duration {
+        let chain = self.estimate_ms * self.phases.len() as u64;
+        Duration::from_millis((PATIENCE * chain).max(LEAST_PATIENCE_MS))
+    }
+
     /// Time in which the job ends while nothing is disturbed, as the queues of the soak say.
     #[must_use]
     pub fn objective(&self) -> Duration {
--- a/crates/lab/src/soak/load.rs
+++ b/crates/lab/src/soak/load.rs
@@ -9,6 +9,7 @@
 use tokio::time::sleep;
 
 use super::caller::Caller;
+use super::plan::Mix;
 use super::witness::Witness;
 use crate::client::Http;
 use hyper::Method;
@@ -33,6 +34,9 @@
     ended: AtomicBool,
     /// Load in percent of the usual one.
     percent: AtomicU64,
+    pub(super) mix: Mix,
+    /// Connections that callers have abandoned.
+    abandoned: Mutex<JoinSet<()>>,
 }
 
 impl Shared {
@@ -54,6 +58,29 @@
         }
         self.entries[ready[position % ready.len()]]
     }
+
+    /// A process for a new connection, if possible another than `former`.
+    pub(super) fn choose_other(&self, position: usize, former: SocketAddr) -> SocketAddr {
+        let positions = (position..).take(self.entries.len());
+        let mut peers = positions.map(|position| self.choose(position));
+        let other = peers.find(|peer| *peer != former);
+        other.unwrap_or_else(|| self.choose(position))
+    }
+
+    /// Name of the process with this address.
+    pub(super) fn name(&self, peer: SocketAddr) -> String {
+        let position = self.entries.iter().position(|entry| *entry == peer);
+        position.map_or_else(|| peer.to_string(), |at| format!("entry-{}", at + 1))
+    }
+
+    /// Keeps an abandoned connection until the load ends.
+    pub(super) fn keep(&self, connection: impl Future<Output = ()> + Send + 'static) {
+        let mut abandoned = self
+            .abandoned
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        abandoned.spawn(connection);
+    }
 }
 
 /// The running load.
@@ -71,6 +98,7 @@
         entries: Vec<(SocketAddr, SocketAddr)>,
         count: usize,
         seed: u64,
+        mix: Mix,
     ) -> Self {
         let checks = entries.iter().map(|(_, check)| *check).collect();
         let shared = Arc::new(Shared {
@@ -79,6 +107,8 @@
             ready: Mutex::default(),
             ended: AtomicBool::new(false),
             percent: AtomicU64::new(100),
+            mix,
+            abandoned: Mutex::default(),
         });
         tokio::spawn(check_ready(Arc::clone(&shared), checks));
         let mut callers = JoinSet::new();
@@ -94,10 +124,14 @@
         self.shared.percent.store(percent, Ordering::Relaxed);
     }
 
-    /// Lets each caller finish its job.
+    /// Lets each caller finish its job, then closes abandoned connections.
     pub(super) async fn end(mut self) {
         self.shared.ended.store(true, Ordering::Relaxed);
         while self.callers.join_next().await.is_some() {}
+        let abandoned = self.shared.abandoned.lock();
+        abandoned
+            .unwrap_or_else(PoisonError::into_inner)
+            .abort_all();
     }
 }
 
--- a/crates/lab/src/soak/witness.rs
+++ b/crates/lab/src/soak/witness.rs
@@ -89,6 +89,8 @@
 #[derive(Debug)]
 struct JobRecord {
     job: Job,
+    /// Time of each submission, and the process that got it.
+    submissions: Vec<(Duration, String)>,
     /// Submissions without an answer.
     open: u32,
     /// Whether a submission had another answer than a refusal.
@@ -101,10 +103,24 @@
     started: bool,
 }
 
+impl JobRecord {
+    /// Its submissions, which tell a second submission from a second start by the same process.
+    fn history(&self) -> String {
+        let kind = if self.job.durable { "kept" } else { "not kept" };
+        let submissions = self.submissions.iter().zip(1..);
+        let submissions = submissions.map(|((at, process), number)| {
+            let at = at.as_secs_f64();
+            format!("{number} to {process} at {at:.3} s")
+        });
+        let submissions = submissions.collect::<Vec<_>>().join(", ");
+        format!("job {kind}, submissions: {submissions}")
+    }
+}
+
 #[derive(Debug, Default)]
 struct TaskRecord {
-    /// Workers and attempts that run it.
-    running: Vec<(usize, u64)>,
+    /// Workers and attempts that run it, and when each began.
+    running: Vec<(usize, u64, Duration)>,
     done: bool,
     failed: u32,
     /// Crashes of workers that ran it, and whether at one of them from the second on no other job
@@ -119,6 +135,15 @@
 }
 
 impl TaskRecord {
+    /// What runs now.
+    fn runs(&self) -> String {
+        let runs = self.running.iter().map(|(worker, attempt, at)| {
+            let at = at.as_secs_f64();
+            format!("#{attempt} on worker {worker} since {at:.3} s")
+        });
+        runs.collect::<Vec<_>>().join(", ")
+    }
+
     /// Whether its runs are cause to show its job as failed.
     fn may_be_given_up(&self) -> bool {
         self.failed >= ATTEMPTS || self.crash_proved || self.crashes >= CRASHES.1
@@ -197,6 +222,7 @@
         let mut state = self.state();
         let record = state.jobs.entry(job.id.clone()).or_insert(JobRecord {
             job: job.clone(),
+            submissions: Vec::new(),
             open: 0,
             accepted: false,
             stored: false,
@@ -207,6 +233,14 @@
         record.open += 1;
     }
 
+    /// Notes the process that gets the submission of a job.
+    pub fn submitted(&self, id: &str, process: &str) {
+        let at = self.began.elapsed();
+        if let Some(record) = self.state().jobs.get_mut(id) {
+            record.submissions.push((at, process.to_owned()));
+        }
+    }
+
     /// A submission has ended for its caller.
     pub fn answered(&self, id: &str, answer: Answer) {
         let mut state = self.state();
@@ -362,7 +396,8 @@
         if let Some(known) = self.tasks.get(task)
             && !known.running.is_empty()
         {
-            faults.push((Rule::Twice, format!("beside {:?}", known.running)));
+            let text = format!("beside {}; {}", known.runs(), record.history());
+            faults.push((Rule::Twice, text));
         }
         let ended = self
             .tasks
@@ -398,7 +433,8 @@
             record.started = true;
         }
         let task = state.tasks.entry(run.0.clone()).or_default();
-        task.running.push((worker, run.1));
+        let at = self.began.elapsed();
+        task.running.push((worker, run.1, at));
         task.started = Some(Instant::now());
         let record = state.workers.entry(worker).or_default();
         record.running.insert(run.clone(), room);
@@ -420,7 +456,8 @@
         let record = state.workers.entry(worker).or_default();
         record.running.remove(run);
         let task = state.tasks.entry(run.0.clone()).or_default();
-        task.running.retain(|known| *known != (worker, run.1));
+        task.running
+            .retain(|(at, attempt, _)| (*at, *attempt) != (worker, run.1));
         if cause == "done" {
             task.done = true;
             task.finished = Some(Instant::now());
--- a/crates/lab/tests/soak/broken_promises.rs
+++ b/crates/lab/tests/soak/broken_promises.rs
@@ -65,6 +65,24 @@
     assert_eq!(rules(&witness), [Rule::Twice]);
 }
 
+/// Guards against a report of two runs that does not tell a second submission from a second start by
+/// the same process.
+#[rstest]
+fn submissions_are_reported() {
+    let witness = Witness::new(Calm::default(), (2_000, 1_000));
+    for process in ["entry-2", "entry-3"] {
+        witness.submits(&job(vec![phase(1)]));
+        witness.submitted(ID, process);
+    }
+    witness.started(0, &run(0, 0, 1), "work");
+    witness.started(1, &run(0, 0, 1), "work");
+    let found = witness.finish().remove(0);
+    assert_eq!(found.rule, Rule::Twice);
+    for part in ["#1 on worker 0 since", "1 to entry-2 at", "2 to entry-3 at"] {
+        assert!(found.text.contains(part), "{found}");
+    }
+}
+
 /// Guards against work beyond a worker's room, ahead of its phase, or that nobody submitted.
 #[rstest]
 fn wrong_starts_are_noticed() {
