--- a/crates/lab/src/proxy/rules.rs
+++ b/crates/lab/src/proxy/rules.rs
@@ -22,6 +22,8 @@
     pub delay: Duration,
     /// Grows with each reset of all connections.
     pub(super) resets: u64,
+    /// Grows when the present connections break on the connecting side only.
+    pub(super) breaks: u64,
     /// Grows when the present connections fall silent; later ones are not concerned.
     pub(super) silences: u64,
 }
--- a/crates/lab/src/proxy/server.rs
+++ b/crates/lab/src/proxy/server.rs
@@ -81,6 +81,7 @@
         self.rules.send_modify(|rules| {
             *rules = Rules {
                 resets: rules.resets,
+                breaks: rules.breaks,
                 silences: rules.silences,
                 ..Rules::default()
             }
@@ -92,6 +93,12 @@
         self.rules.send_modify(|rules| rules.silences += 1);
     }
 
+    /// Resets the connecting side of all present connections. The side to the target stays open and
+    /// sends nothing until the target closes it or [`Proxy::reset`], so that the target does not notice.
+    pub fn break_near(&self) {
+        self.rules.send_modify(|rules| rules.breaks += 1);
+    }
+
     /// Resets all present connections (RST on both sides).
     pub fn reset(&self) {
         self.rules.send_modify(|rules| rules.resets += 1);
@@ -124,7 +131,10 @@
 
 async fn connection(mut client: TcpStream, target: SocketAddr, mut rules: watch::Receiver<Rules>) {
     let Rules {
-        resets, silences, ..
+        resets,
+        breaks,
+        silences,
+        ..
     } = *rules.borrow_and_update();
     if open(&mut rules, (Direction::Forward, silences))
         .await
@@ -142,12 +152,18 @@
     let mut reset = rules.clone();
     tokio::select! {
         () = relay(&mut client, &mut server, silences, &rules) => return,
-        _ = reset.wait_for(|rules| rules.resets != resets) => {}
+        _ = reset.wait_for(|rules| (rules.resets, rules.breaks) != (resets, breaks)) => {}
     }
-    for stream in [&client, &server] {
-        // Closing a socket that does not linger sends RST; if this fails it sends FIN.
-        let _ = stream.set_zero_linger();
+    // Closing a socket that does not linger sends RST; if this fails it sends FIN.
+    let _ = client.set_zero_linger();
+    drop(client);
+    // Answers are read, so that the target does not notice by a full buffer.
+    let mut unread = tokio::io::sink();
+    tokio::select! {
+        _ = tokio::io::copy(&mut server, &mut unread) => {}
+        _ = reset.wait_for(|rules| rules.resets != resets) => {}
     }
+    let _ = server.set_zero_linger();
 }
 
 async fn relay(
--- a/crates/lab/src/site/runs.rs
+++ b/crates/lab/src/site/runs.rs
@@ -106,6 +106,12 @@
 }
 
 impl Runs {
+    /// Attempt of a task that runs; a start of a higher one takes its place.
+    #[must_use]
+    pub fn attempt(&self, task: &str) -> Option<u64> {
+        self.running.get(task).map(|run| run.attempt)
+    }
+
     /// Starts a run. True when it is new, false when it was there already.
     ///
     /// # Errors
--- a/crates/lab/src/site/worker.rs
+++ b/crates/lab/src/site/worker.rs
@@ -249,10 +249,16 @@
             lease_ms: lease_ms.min(now_ms + LEASE_MS),
             fence: call.fence,
         };
+        let replaced = state.runs.attempt(&run.0);
         if !state.runs.start(now_ms, start, length_ms)? {
             return Ok(());
         }
         self.watcher.started(self.spec.index, &run, &call.spec);
+        if let Some(attempt) = replaced {
+            // It ran until now, beside the new one for the watcher; nothing ends it later.
+            let replaced = (run.0.clone(), attempt);
+            self.watcher.ended(self.spec.index, &replaced, "replaced");
+        }
         let fails = work.fails || faults.fails;
         if let Some(length_ms) = length_ms {
             let cause = if fails { "failed" } else { "done" };
--- a/crates/lab/src/soak/faults.rs
+++ b/crates/lab/src/soak/faults.rs
@@ -10,7 +10,7 @@
 use super::load::Load;
 use super::node::{GRACE, Node};
 use super::operator::Operator;
-use super::plan::{Fault, Step, Target};
+use super::plan::{Fault, Harm, Step, Target};
 use super::witness::{Rule, Witness};
 use crate::proxy::{Direction, Proxy};
 use crate::site::{Outage, SiteStore, StoreFaults};
@@ -85,6 +85,7 @@
             | Fault::StoreSlow
             | Fault::StoreLost
             | Fault::StoreForgets => self.disturb_store(step).await,
+            Fault::Callers(entry, harm) => self.harm(entry, harm, step.span).await,
             Fault::WorkerRestarts(restart) => self.restart(restart, step.span).await,
             Fault::WorkerCrash { .. }
             | Fault::WorkerFails(_)
@@ -171,6 +172,19 @@
         }
     }
 
+    async fn harm(&self, entry: usize, harm: Harm, span: Duration) {
+        let channels = &self.fleet.entries[entry].channels;
+        match harm {
+            Harm::Abandoned => return channels.break_near(),
+            Harm::Reset => return channels.reset(),
+            Harm::Slow => channels.delay(LINK_DELAY),
+            Harm::CutForward => channels.cut(Direction::Forward),
+            Harm::CutBackward => channels.cut(Direction::Backward),
+        }
+        sleep(span).await;
+        channels.repair();
+    }
+
     async fn disturb_store(&self, step: Step) {
         let mut faults = StoreFaults::default();
         match step.fault {
--- a/crates/lab/src/soak/fleet.rs
+++ b/crates/lab/src/soak/fleet.rs
@@ -29,6 +29,8 @@
     pub(super) callers: SocketAddr,
     /// Address for readiness checks.
     pub(super) readiness: SocketAddr,
+    /// On the way of callers whose connections are harmed.
+    pub(super) channels: Proxy,
     /// On the way of all other processes to its links.
     pub(super) links: Proxy,
     /// On its way to the store.
@@ -104,6 +106,7 @@
     /// Ends the faults of all proxies.
     pub(super) fn repair(&self) {
         for entry in &self.entries {
+            entry.channels.repair();
             entry.links.repair();
             entry.store.repair();
         }
@@ -125,9 +128,10 @@
     let port = |at: usize| ports[at].address();
     let open = SystemSnafu {
         step: "open proxy",
-        name: &name,
+        name: name.as_str(),
     };
     let links = Proxy::listen(address, port(3)).context(open)?;
+    let channels = Proxy::open(port(0)).context(open)?;
     let store = Proxy::open(store).context(open)?;
     let settings = format!(
         "name: {name}\nzone: z{zone}\ncallers: {callers}\nreadiness: {readiness}\n\
@@ -148,6 +152,7 @@
         node: Node::new(launch),
         callers: port(0),
         readiness: port(1),
+        channels,
         links,
         store,
         _ports: ports,
--- a/crates/lab/src/soak/job.rs
+++ b/crates/lab/src/soak/job.rs
@@ -28,11 +28,8 @@
 /// Most long tasks of a phase, so that the usual load takes about half of the workers' room.
 const LONG_TASKS: u64 = 3;
 
-/// Least time that a caller waits for a job with long tasks.
-const LEAST_PATIENCE_MS: u64 = 1_750;
-
-/// Multiple of the run times for which a caller waits; the slowest workers take 2.2 times as long.
-const PATIENCE: u64 = 5;
+/// Multiple of the run times for which a caller waits beyond the objective.
+const PATIENCE: u32 = 2;
 
 /// Equal tasks.
 #[derive(Debug, Clone)]
@@ -103,14 +100,19 @@
         }
         job.spec = json!({"ms": ms, "fails": job.fails}).to_string();
         job.estimate_ms = ms;
+        // Few are kept: the jobs of that site need not be.
+        job.durable &= rng.random_ratio(1, 3);
         job
     }
 
-    /// How long the caller of a job with long tasks waits: several times the expected time, at least
-    /// 1.75 s, as on the users' site.
+    /// How long the caller of a job with long tasks waits: several times the expected time, as on the
+    /// users' site, and longer than the objective of the queue; 2 to 29 s. A task that fails runs more
+    /// than once.
     pub(super) fn patience(&self) -> Duration {
-        let chain = self.estimate_ms * self.phases.len() as u64;
-        Duration::from_millis((PATIENCE * chain).max(LEAST_PATIENCE_MS))
+        let runs = if self.fails { ATTEMPTS } else { 1 };
+        let tasks = u32::try_from(self.phases.len()).unwrap_or(1) * runs;
+        let chain = Duration::from_millis(self.estimate_ms) * tasks;
+        self.objective() + chain * PATIENCE
     }
 
     /// Time in which the job ends while nothing is disturbed, as the queues of the soak say.
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -23,7 +23,7 @@
 pub use args::Args;
 pub use calm::Calm;
 pub use job::{Job, Phase};
-pub use plan::{Fault, Mix, Plan, Step};
+pub use plan::{Fault, Harm, Mix, Plan, Step};
 pub use restarts::{Flood, Restart, Throttle};
 pub use run::{Outcome, Sizes, run, soak};
 pub use witness::{Answer, Rule, Violation, Witness};
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -29,6 +29,9 @@
 const BESIDE_CALLERS: usize = 2;
 const RESTARTS_BESIDE_CALLERS: usize = 6;
 
+/// Mean time between the beginnings of two faults of callers' connections.
+const CHANNEL_GAP_MS: u64 = 1_500;
+
 /// A process: an entry process or an agent, by position.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Target {
@@ -105,6 +108,23 @@
     Configure,
     /// The load is three times the usual one.
     Burst,
+    /// The connections of callers to an entry process are harmed.
+    Callers(usize, Harm),
+}
+
+/// What happens to connections of callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Harm {
+    /// They break for the callers; for the process they stay open and silent.
+    Abandoned,
+    /// They are reset on both sides.
+    Reset,
+    /// They are slow.
+    Slow,
+    /// Bytes to the process are held.
+    CutForward,
+    /// Bytes to the callers are held.
+    CutBackward,
 }
 
 impl Fault {
@@ -137,8 +157,8 @@
     All,
     /// Restarts of workers, beside a part of the others.
     Restarts,
-    /// Callers that abandon connections without closing them and submit their jobs again at other
-    /// processes while long tasks are at work, beside a part of all others.
+    /// Callers whose connections break, also without the process noticing, and that submit their jobs
+    /// again at other processes while long tasks are at work; beside a part of all others.
     Callers,
 }
 
@@ -155,14 +175,19 @@
     pub fn draw_mix(mix: Mix, seed: u64, counts: (usize, usize), length: Duration) -> Self {
         let (entries, workers) = counts;
         let mut plan = Self::draw(seed, entries, workers, length);
+        let mut channels = Vec::new();
         let (beside, among) = match mix {
             Mix::All => return plan,
             Mix::Restarts => (BESIDE_RESTARTS, 1),
             Mix::Callers => (BESIDE_CALLERS, RESTARTS_BESIDE_CALLERS),
         };
+        if mix == Mix::Callers {
+            channels = draw_channels(seed, entries, length);
+        }
         let others = plan.steps.into_iter().step_by(beside);
         let restarts = restarts::draw(seed, workers, length).into_iter();
-        plan.steps = others.chain(restarts.step_by(among)).collect();
+        let others = others.chain(restarts.step_by(among));
+        plan.steps = others.chain(channels).collect();
         plan.steps.sort_by_key(|step| step.at);
         plan
     }
@@ -197,6 +222,33 @@
     }
 }
 
+/// Draws harm to the connections of callers that begins within `length`.
+fn draw_channels(seed: u64, entries: usize, length: Duration) -> Vec<Step> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut steps = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        at += Duration::from_millis(rng.random_range(0..2 * CHANNEL_GAP_MS));
+        if at >= length {
+            return steps;
+        }
+        let harm = match rng.random_range(0..6) {
+            0 | 1 => Harm::Abandoned,
+            2 => Harm::Reset,
+            3 => Harm::Slow,
+            4 => Harm::CutForward,
+            _ => Harm::CutBackward,
+        };
+        let entry = rng.random_range(0..entries);
+        let span = rng.random_range(SPAN_MS.0..SPAN_MS.1);
+        steps.push(Step {
+            at,
+            span: Duration::from_millis(span),
+            fault: Fault::Callers(entry, harm),
+        });
+    }
+}
+
 fn draw_fault(rng: &mut ChaCha8Rng, entries: usize, workers: usize) -> Fault {
     let entry = rng.random_range(0..entries);
     let worker = rng.random_range(0..workers);
--- a/crates/lab/src/soak/run.rs
+++ b/crates/lab/src/soak/run.rs
@@ -190,7 +190,13 @@
     }
     wait_ready(&fleet).await?;
     let entries = fleet.entries.iter();
-    let entries = entries.map(|entry| (entry.callers, entry.readiness));
+    let entries = entries.map(|entry| {
+        let callers = match sizes.mix {
+            Mix::Callers => entry.channels.address(),
+            Mix::All | Mix::Restarts => entry.callers,
+        };
+        (callers, entry.readiness)
+    });
     let entries = entries.collect();
     let caller = Arc::clone(&witness);
     let load = Load::spawn(caller, entries, sizes.callers, seed, sizes.mix);
@@ -221,6 +227,10 @@
         unreachable!("all steps have ended");
     };
     stage.load.end().await;
+    for entry in &stage.fleet.entries {
+        // Ends the connections that are still open for the process only.
+        entry.channels.reset();
+    }
     sleep(DRAIN_TIME).await;
     watches.shutdown().await;
     let violations = stage.witness.finish();
--- a/crates/lab/tests/lab/proxy_faults.rs
+++ b/crates/lab/tests/lab/proxy_faults.rs
@@ -58,6 +58,28 @@
     }
 }
 
+/// Guards against a break of the connecting side that the target notices, which a process would take for
+/// a caller that has left.
+#[test]
+fn a_near_break_is_not_seen_by_the_target() {
+    let (proxy, mut client, mut server) = connect();
+    proxy.break_near();
+    client
+        .set_read_timeout(Some(Duration::from_secs(10)))
+        .unwrap();
+    let error = client.read(&mut [0; 1]).unwrap_err();
+    assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+    assert!(quiet(&mut server), "the target noticed");
+    server.write_all(b"back").unwrap();
+    assert!(quiet(&mut server), "the target noticed after an answer");
+    proxy.reset();
+    server
+        .set_read_timeout(Some(Duration::from_secs(10)))
+        .unwrap();
+    let error = server.read(&mut [0; 1]).unwrap_err();
+    assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+}
+
 #[test]
 fn silence_concerns_present_connections_only() {
     let (proxy, mut client, mut server) = connect();
--- a/crates/lab/tests/soak/plan_seeds.rs
+++ b/crates/lab/tests/soak/plan_seeds.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use knapweedwall_lab::soak::{Fault, Mix, Plan};
+use knapweedwall_lab::soak::{Fault, Harm, Mix, Plan};
 use rstest::rstest;
 
 const LENGTH: Duration = Duration::from_secs(30);
@@ -61,6 +61,11 @@
     assert!(pairs.any(|(first, next)| first.at + first.span > next.at));
     let any = |kind: fn(&Fault) -> bool| steps.iter().any(|step| kind(&step.fault));
     assert!(any(|fault| matches!(fault, Fault::WorkerRestarts(_))));
+    assert!(any(|fault| matches!(
+        fault,
+        Fault::Callers(_, Harm::Abandoned)
+    )));
+    assert!(any(|fault| matches!(fault, Fault::Callers(_, Harm::Reset))));
     assert!(any(|fault| matches!(
         fault,
         Fault::Kill(_) | Fault::Stop(_) | Fault::Pause(_)
--- a/crates/lab/tests/soak/short_soak.rs
+++ b/crates/lab/tests/soak/short_soak.rs
@@ -71,3 +71,21 @@
     let outcome = play(seed, sizes);
     assert!(outcome.violations.is_empty(), "{outcome}");
 }
+
+/// Guards against a job that need not be kept and runs twice at the same time: its caller's connection
+/// broke without the process noticing, and it was submitted again at another process.
+#[rstest]
+#[case(41101)]
+#[case(41102)]
+#[case(41103)]
+fn resubmitted_jobs_run_once(#[case] seed: u64) {
+    let sizes = Sizes {
+        workers: 8,
+        callers: 24,
+        mix: Mix::Callers,
+        ..SIZES
+    };
+    let outcome = play(seed, sizes);
+    assert!(outcome.violations.is_empty(), "{outcome}");
+    assert!(outcome.answers.0 > 0, "no job was completed: {outcome}");
+}
