fix(scheduler): a caller that waits for the end of an earlier job is answered in time

Cause: a submission whose id belongs to a job that is being stopped waits until all runs of that job have ended, without a limit. Change: such a caller is told that the outcome is unknown when its time limit comes. Measured: callers_gone::a_job_submitted_again_is_answered_in_time fails before and passes after.

--- a/crates/core/src/scheduler/graceful_stop.rs
+++ b/crates/core/src/scheduler/graceful_stop.rs
@@ -78,7 +78,7 @@
                 unknown.extend(mem::take(&mut durable.query_calls));
             }
             let mut refused: SmallVec<[CallKey; 4]> = SmallVec::new();
-            refused.extend(resubmission.map(|resubmission| resubmission.0));
+            refused.extend(resubmission.map(|later| later.call));
             if unstarted {
                 refused.extend(calls);
             } else {
--- a/crates/core/src/scheduler/jobs.rs
+++ b/crates/core/src/scheduler/jobs.rs
@@ -72,6 +72,14 @@
     Closed,
 }
 
+/// A submission that waits until an earlier job with its id is removed.
+#[derive(Debug)]
+pub(super) struct Resubmission {
+    pub(super) call: CallKey,
+    pub(super) request: JobRequest,
+    pub(super) received_at: Duration,
+}
+
 /// One job.
 #[derive(Debug)]
 pub(super) struct Job {
@@ -108,7 +116,7 @@
     /// Whether at least one of the ended runs started or may have started.
     pub(super) may_have_run: bool,
     /// A later submission with the same id, processed once this job is removed.
-    pub(super) resubmission: Option<Box<(CallKey, JobRequest)>>,
+    pub(super) resubmission: Option<Box<Resubmission>>,
     /// Requests of other entry processes to join this job, received after it was closed and answered
     /// once it is removed: connection, and number on that connection.
     pub(super) late_joins: SmallVec<[(LinkKey, u64); 1]>,
--- a/crates/core/src/scheduler/requests.rs
+++ b/crates/core/src/scheduler/requests.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
+use smallvec::SmallVec;
 use smol_str::SmolStr;
 
 use super::durable_jobs::job_end_fields;
 use super::forwarding::{ForwardedRequest, encode_reply};
 use super::io::{Action, Answer, CallKey, JobState};
-use super::jobs::{Job, JobKey, Progress};
+use super::jobs::{Job, JobKey, Progress, Resubmission};
 use super::machine::{Machine, PLACEMENT_DELAY_AFTER_STALL, log, ms};
 use super::placement::Tier;
 use super::stored_job::JobEnd;
@@ -62,7 +63,7 @@
             return self.refuse(call, &request.id, "stopping", out);
         }
         if let Some(key) = self.jobs.find(&request.id) {
-            return self.resubmit(key, call, request, out);
+            return self.resubmit(now, key, call, request, out);
         }
         if self.jobs.open_len() >= MAX_OPEN_JOBS {
             let retry = self.schedule_retry(now, &request);
@@ -134,7 +135,14 @@
 
     /// Handles a submission whose id is in use: the caller joins an open job, or its submission is
     /// processed once a closing job is removed.
-    fn resubmit(&mut self, key: JobKey, call: CallKey, request: JobRequest, out: &mut Vec<Action>) {
+    fn resubmit(
+        &mut self,
+        now: Now,
+        key: JobKey,
+        call: CallKey,
+        request: JobRequest,
+        out: &mut Vec<Action>,
+    ) {
         let fields = vec![("job", request.id.to_string())];
         log(out, 302, "job submitted again", false, fields);
         let Some(job) = self.jobs.get_mut(key) else {
@@ -146,9 +154,14 @@
         if job.progress != Progress::Closed {
             return self.jobs.add_caller(key, call);
         }
-        let replaced = job.resubmission.replace(Box::new((call, request)));
-        if let Some((earlier, _)) = replaced.map(|resubmission| *resubmission) {
-            self.reply(earlier, Answer::OutcomeUnknown, out);
+        let received_at = now.mono;
+        let replaced = job.resubmission.replace(Box::new(Resubmission {
+            call,
+            request,
+            received_at,
+        }));
+        if let Some(earlier) = replaced {
+            self.reply(earlier.call, Answer::OutcomeUnknown, out);
         }
     }
 
@@ -300,6 +313,27 @@
         for (key, cause) in expired {
             self.abandon_job(now, key, cause, out);
         }
+        self.expire_resubmissions(now, out);
+    }
+
+    /// Answers callers that wait for the end of an earlier job with their id, before their time limit.
+    fn expire_resubmissions(&mut self, now: Now, out: &mut Vec<Action>) {
+        let mut expired: SmallVec<[JobKey; 4]> = SmallVec::new();
+        for (key, job) in self.jobs.iter_open() {
+            let Some(later) = &job.resubmission else {
+                continue;
+            };
+            let wait = later.request.wait.unwrap_or(Duration::MAX);
+            if now.since(later.received_at) + REPLY_MARGIN >= wait {
+                expired.push(key);
+            }
+        }
+        for key in expired {
+            let job = self.jobs.get_mut(key);
+            if let Some(later) = job.and_then(|job| job.resubmission.take()) {
+                self.reply(later.call, Answer::OutcomeUnknown, out);
+            }
+        }
     }
 
     /// Abandons a job. The answer tells whether tasks of it may have run.
@@ -361,9 +395,8 @@
         for (link, number) in job.late_joins {
             out.push(Action::Send(link, encode_reply(number, &Answer::NoJob)));
         }
-        let resubmission = job.resubmission;
-        if let Some((call, request)) = resubmission.map(|resubmission| *resubmission) {
-            self.submit(now, call, request, out);
+        if let Some(later) = job.resubmission {
+            self.submit(now, later.call, later.request, out);
         }
     }
 }
--- a/crates/core/tests/jobs/callers_gone.rs
+++ b/crates/core/tests/jobs/callers_gone.rs
@@ -32,6 +32,27 @@
     fleet.assert_rules();
 }
 
+/// Guards against a caller that comes back and gets no answer within its time limit, because runs of its
+/// first submission end late.
+#[rstest]
+fn a_job_submitted_again_is_answered_in_time() {
+    let mut fleet = Fleet::new(1, &[(16_000, 1.0)], 1);
+    let job = Job {
+        wait_ms: Some(900),
+        ..Job::new(4, 1_000, 600)
+    };
+    let job = fleet.submit(0, "checks", job);
+    fleet.run(100);
+    fleet.freeze_agent(0, true);
+    fleet.leave(job);
+    fleet.run(5);
+    let again = fleet.submit_again(job);
+    fleet.run(895);
+    let caller = &fleet.callers[again];
+    assert!(caller.resend_ms.is_some() || caller.answer.is_some());
+    fleet.assert_rules();
+}
+
 /// Guards against a refusal that comes only at the caller's limit: the room that there is does not
 /// suffice in time, so the answer says that nothing ran.
 #[rstest]
