fix(scheduler): losses of entry processes leave no gap for repeated submissions

Cause: a new connection counted as contact before anything had arrived on it; a standstill of less than 300 ms before a request was read did not count; the list of a process that exits as planned was dropped at once; a process that starts after the loss of another never learned its list; two callers that wait for the end of one job were both told to submit it anew; a process that is about to end refused a repeated submission as not run. Change: only the first connection to an instance is excused, for 150 ms, and its first heartbeat is answered at once; late turns from 20 ms on count; jobs are listed at 200 ms and given up at 1.1 s; lists of lost and ended processes are kept for 2.1 s and passed on in heartbeats; the first of several late joins may submit; a repeated submission is joined before any refusal. Lists are bounded.

--- a/crates/core/src/scheduler/forwarding.rs
+++ b/crates/core/src/scheduler/forwarding.rs
@@ -46,14 +46,18 @@
     Query(SmolStr),
     /// Cancels a job.
     Cancel(SmolStr),
-    /// Waits for the end of a non-durable job that the other process holds.
+    /// Waits for the end of a non-durable job that the other process holds. The job is submitted here if
+    /// the other process does not.
     Join(Box<JobRequest>),
+    /// The same for a job that was held here as well. It is not submitted again, since the other process
+    /// may have handed it over at the same time.
+    HandOver(Box<JobRequest>),
 }
 
 impl ForwardedRequest {
     fn id(&self) -> &SmolStr {
         match self {
-            Self::Submit(request) | Self::Join(request) => &request.id,
+            Self::Submit(request) | Self::Join(request) | Self::HandOver(request) => &request.id,
             Self::Query(id) | Self::Cancel(id) => id,
         }
     }
@@ -154,7 +158,10 @@
                     let request = ForwardedRequest::Join(request);
                     self.park(PendingCall { request, ..pending }, out);
                 }
-                _ => self.submit(now, pending.call, *request, out),
+                _ => {
+                    let request = with_time_left(now, request, pending.since);
+                    self.submit(now, pending.call, *request, out);
+                }
             };
         }
         let Some(shard) = shard_of(pending.request.id()) else {
@@ -194,7 +201,7 @@
             ForwardedRequest::Submit(request) => Call::Submit(encode_request(request)),
             ForwardedRequest::Query(id) => Call::Query(id.to_string()),
             ForwardedRequest::Cancel(id) => Call::Cancel(id.to_string()),
-            ForwardedRequest::Join(request) => {
+            ForwardedRequest::Join(request) | ForwardedRequest::HandOver(request) => {
                 let wait = request.wait.unwrap_or_default().as_millis();
                 Call::Join(wire::Join {
                     job: request.id.to_string(),
@@ -225,7 +232,9 @@
             }
             ForwardedRequest::Query(id) => return self.query_durable(now, call, &id, out),
             ForwardedRequest::Cancel(id) => id,
-            ForwardedRequest::Join(request) => return self.submit(now, call, *request, out),
+            ForwardedRequest::Join(request) | ForwardedRequest::HandOver(request) => {
+                return self.submit(now, call, *request, out);
+            }
         };
         let key = self.jobs.find(&id);
         let durable =
@@ -272,7 +281,9 @@
         let sent = self.forwarding.sent.iter();
         let late = sent.filter(|(_, (_, pending))| {
             let timeout = match &pending.request {
-                ForwardedRequest::Join(request) => request.wait.unwrap_or(Duration::MAX),
+                ForwardedRequest::Join(request) | ForwardedRequest::HandOver(request) => {
+                    request.wait.unwrap_or(Duration::MAX)
+                }
                 _ => REPLY_TIMEOUT,
             };
             now.since(pending.since) + REPLY_MARGIN >= timeout
@@ -290,7 +301,9 @@
         };
         match pending.request {
             // The job may have been accepted, or may run on, so the outcome is unknown.
-            ForwardedRequest::Submit(_) | ForwardedRequest::Join(_) => {
+            ForwardedRequest::Submit(_)
+            | ForwardedRequest::Join(_)
+            | ForwardedRequest::HandOver(_) => {
                 self.reply(pending.call, Answer::OutcomeUnknown, out)
             }
             ForwardedRequest::Query(_) | ForwardedRequest::Cancel(_) => self.park(pending, out),
@@ -373,11 +386,17 @@
         if let ForwardedRequest::Join(request) = pending.request {
             if reply.answer() == wire::JobAnswer::NoJob {
                 self.peers.remove_held(link, job_hash(&request.id));
+                let request = with_time_left(now, request, pending.since);
                 return self.submit(now, pending.call, *request, out);
             }
             let answer = decode_answer(reply).unwrap_or(Answer::OutcomeUnknown);
             return self.reply(pending.call, answer, out);
         }
+        if matches!(pending.request, ForwardedRequest::HandOver(_)) {
+            let answer = decode_answer(reply).filter(|answer| *answer != Answer::NoJob);
+            let answer = answer.unwrap_or(Answer::OutcomeUnknown);
+            return self.reply(pending.call, answer, out);
+        }
         match decode_answer(reply) {
             Some(answer) => self.reply(pending.call, answer, out),
             None => self.park(pending, out),
@@ -385,6 +404,13 @@
     }
 }
 
+/// Returns a submission that has waited since `since`, with the time that its caller still waits.
+fn with_time_left(now: Now, mut request: Box<JobRequest>, since: Duration) -> Box<JobRequest> {
+    let waited = now.since(since);
+    request.wait = request.wait.map(|wait| wait.saturating_sub(waited));
+    request
+}
+
 /// Decodes the reply to a forwarded request; `None` if the replying process does not own the shard.
 fn decode_answer(reply: &wire::JobReply) -> Option<Answer> {
     Some(match reply.answer() {
--- a/crates/core/src/scheduler/graceful_stop.rs
+++ b/crates/core/src/scheduler/graceful_stop.rs
@@ -49,7 +49,7 @@
         let idle = self.is_out_of_rotation(now) && !calls_open && !self.holds_any_shard();
         if (idle || now.since(since) >= self.settings.stop_limit) && !self.exited {
             self.exited = true;
-            self.answer_open_calls(out);
+            self.answer_open_calls(now, out);
             // The other processes need not take this one into account any more.
             self.send_peer_beats(now, false, out);
             let fields = vec![("open_jobs", self.jobs.open_len().to_string())];
@@ -60,15 +60,17 @@
 
     /// Answers all callers that still wait, before the process ends. Jobs without a started task are
     /// refused, since none can start any more; the outcome of the others is unknown.
-    fn answer_open_calls(&mut self, out: &mut Vec<Action>) {
+    fn answer_open_calls(&mut self, now: Now, out: &mut Vec<Action>) {
         self.end_forwarded_calls(out);
         let keys: Vec<JobKey> = self.jobs.iter_all().map(|(key, _)| key).collect();
         for key in keys {
+            let awaiting = self.jobs.get(key);
+            let awaiting = awaiting.is_some_and(|job| self.awaits_acknowledgement(now, job));
             let Some(job) = self.jobs.get_mut(key) else {
                 continue;
             };
             let id = job.request.id.clone();
-            let unstarted = job.is_unstarted();
+            let unstarted = job.is_unstarted() && !awaiting;
             let calls = mem::take(&mut job.calls);
             let resubmission = job.resubmission.take();
             let mut unknown: SmallVec<[CallKey; 4]> = SmallVec::new();
--- a/crates/core/src/scheduler/held_jobs.rs
+++ b/crates/core/src/scheduler/held_jobs.rs
@@ -17,7 +17,7 @@
 use super::forwarding::{ForwardedRequest, encode_reply};
 use super::io::{Action, Answer, CallKey};
 use super::jobs::{Job, JobKey, Progress};
-use super::machine::{Machine, log, ms};
+use super::machine::{Machine, PLACEMENT_DELAY_AFTER_STALL, log, ms};
 use super::peers::{Grace, Holder};
 use super::shard_claims::HeartbeatReading;
 use super::shards::CallPurpose;
@@ -29,29 +29,37 @@
 
 /// Age at which a job is listed in heartbeats. With two heartbeat intervals for the next heartbeat and
 /// for its acknowledgement, it is acknowledged well before [`HOLD_LIMIT`].
-const ANNOUNCEMENT_AGE: Duration = Duration::from_millis(300);
+const ANNOUNCEMENT_AGE: Duration = Duration::from_millis(200);
 
 /// Age at which a job is given up that another process may not know of. Its runs end within 75 ms: 15 ms
-/// until the next round, 10 ms for the order and the call to the worker, and 50 ms for the stop. The other
-/// 25 ms before the caller is back are for clocks that differ by 2%.
-const HOLD_LIMIT: Duration = Duration::from_millis(1_200);
+/// until the next round, 10 ms for the order and the call to the worker, and 50 ms for the stop. Clocks that
+/// differ by 2% take 25 ms. The other 100 ms before the caller is back are for the way of the request and
+/// for delays of this process that are too short for [`ReadDelay`].
+const HOLD_LIMIT: Duration = Duration::from_millis(1_100);
 
-/// Time after a new connection in which the other process need not have acknowledged anything: the first
-/// frame on the connection lists all jobs that are old enough.
-pub(super) const CONNECTION_GRACE: Duration = Duration::from_millis(400);
+/// Time after the first connection to a process in which it need not have acknowledged anything. The first
+/// frame on the connection lists all jobs that are old enough, and is answered at once.
+pub(super) const CONNECTION_GRACE: Duration = Duration::from_millis(150);
 
 /// Time after the loss of a connection in which the acknowledgements received on it still count.
 pub(super) const LOSS_GRACE: Duration = Duration::from_millis(300);
 
 /// Time after the loss of a connection in which the jobs of the other process are not started here. It
-/// may notice the loss 1.5 s later than this process, uses [`LOSS_GRACE`], and then stops its runs.
-pub(super) const LOST_JOBS_RETENTION: Duration = Duration::from_millis(1_900);
+/// may notice the loss 1.5 s later than this process, uses [`LOSS_GRACE`], and then stops its runs, which
+/// takes 75 ms. The rest is for the way and for clocks that differ by 2%.
+pub(super) const LOST_JOBS_RETENTION: Duration = Duration::from_millis(2_100);
+
+/// Maximum number of jobs of another process that are kept.
+pub(super) const MAX_LISTED_JOBS: usize = 16_384;
 
 /// Time in which a process that has stood still connects to all others again.
 const RECONNECTION_TIME: Duration = Duration::from_millis(1_000);
 
-/// Time without any turn after which requests may have waited unread.
-const UNREAD_THRESHOLD: Duration = Duration::from_millis(300);
+/// Time by which a turn is late after which requests may have waited unread.
+const UNREAD_THRESHOLD: Duration = Duration::from_millis(20);
+
+/// Time after a delay within which requests are read that waited unread.
+const READ_WINDOW: Duration = PLACEMENT_DELAY_AFTER_STALL;
 
 /// Number of refused connections after which a process is known to have ended. The first one may have
 /// been answered for an earlier process at the address.
@@ -80,7 +88,7 @@
     pub(super) read_at: Option<Duration>,
 }
 
-/// When requests that arrive now were sent at the earliest.
+/// When requests that are read now have arrived at the earliest.
 #[derive(Debug, Default)]
 pub(super) struct ReadDelay {
     /// End of the last time without any turn.
@@ -89,18 +97,18 @@
 }
 
 impl ReadDelay {
-    /// Records the time between two turns.
-    pub(super) fn observe(&mut self, now: Duration, gap: Duration) {
-        if gap >= UNREAD_THRESHOLD {
+    /// Records the time between two turns, of which the second one was due after `expected`.
+    pub(super) fn observe(&mut self, now: Duration, gap: Duration, expected: Duration) {
+        let settled = now >= self.woke_at + READ_WINDOW;
+        if gap >= expected + UNREAD_THRESHOLD && (settled || gap >= self.gap) {
             self.woke_at = now;
             self.gap = gap;
         }
     }
 
-    /// Returns the earliest time at which a request that is read now may have arrived. Requests that
-    /// waited unread are read within `window` after the process goes on.
-    pub(super) fn earliest_arrival(&self, now: Duration, window: Duration) -> Duration {
-        if self.gap > Duration::ZERO && now < self.woke_at + window {
+    /// Returns the earliest time at which a request that is read now may have arrived.
+    pub(super) fn earliest_arrival(&self, now: Duration) -> Duration {
+        if self.gap > Duration::ZERO && now < self.woke_at + READ_WINDOW {
             return self.woke_at.saturating_sub(self.gap);
         }
         now
@@ -325,6 +333,7 @@
             };
             let waits_here = job.is_unstarted() && self.awaits_acknowledgement(now, job);
             let yields = self.settings.instance < instance;
+            // The job that stays is the one with started tasks, or that of the higher instance.
             if waits_here && (started_there || yields) {
                 self.hand_over_job(now, key, link, out);
             } else if !waits_here && started_there && yields {
@@ -362,8 +371,10 @@
             fields,
         );
         for call in calls {
-            let request = ForwardedRequest::Join(Box::new(job.request.clone()));
-            self.forward(now, link, call, request, out);
+            let mut request = Box::new(job.request.clone());
+            let age = now.since(job.submitted_at);
+            request.wait = request.wait.map(|wait| wait.saturating_sub(age));
+            self.forward(now, link, call, ForwardedRequest::HandOver(request), out);
         }
     }
 
--- a/crates/core/src/scheduler/links.rs
+++ b/crates/core/src/scheduler/links.rs
@@ -52,7 +52,7 @@
                 ("instance", peer.instance.to_string()),
             ];
             log(out, 327, "entry process connected", false, fields);
-            self.send_peer_beat(now, link, out);
+            self.send_peer_beat(now, link, true, out);
             return self.add_entries(vec![(peer.name, peer.address)], out);
         }
         let key = self.workers.link_up(now.mono, &self.settings, link, peer);
--- a/crates/core/src/scheduler/machine.rs
+++ b/crates/core/src/scheduler/machine.rs
@@ -37,6 +37,12 @@
 /// closed caller connections, are processed first.
 pub(super) const PLACEMENT_DELAY_AFTER_STALL: Duration = Duration::from_millis(150);
 
+/// Longest time between two calls while a job is open, unless the process is delayed.
+pub const BUSY_TICK_INTERVAL: Duration = Duration::from_millis(15);
+
+/// Longest time between two calls while no job is open, unless the process is delayed.
+pub const IDLE_TICK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Interval of the periodic work in [`Machine::flush`].
 const ROUND_INTERVAL: Duration = Duration::from_millis(15);
 
@@ -195,7 +201,12 @@
         let started = self.last_activity > Duration::ZERO;
         self.last_activity = now.mono;
         if started {
-            self.read_delay.observe(now.mono, gap);
+            let expected = if self.is_busy() {
+                BUSY_TICK_INTERVAL
+            } else {
+                IDLE_TICK_INTERVAL
+            };
+            self.read_delay.observe(now.mono, gap, expected);
         }
         if gap < STALL_THRESHOLD {
             return;
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -1,7 +1,7 @@
 //! Scheduling decisions of an entry process: which tasks of which jobs run on which workers.
 //!
-//! A non-durable job belongs to the entry process that received it and lives no longer than the
-//! connection on which its caller waits. A durable job belongs to the owner of its shard.
+//! A non-durable job belongs to the entry process that received it, and lives no longer than a caller
+//! waits for it, as far as that process knows; other processes know of it by heartbeats. A durable job belongs to the owner of its shard.
 //!
 //! Agents enforce the capacity of their workers and stop runs whose entry process no longer sends
 //! heartbeats. Loss of a process is therefore handled by a timeout: [`LOST_AFTER`] after the last
@@ -40,6 +40,6 @@
 
 pub use io::{Action, Answer, CallKey, ConfigSource, Input, JobState, Settings};
 pub use links::LOST_AFTER;
-pub use machine::Machine;
+pub use machine::{BUSY_TICK_INTERVAL, IDLE_TICK_INTERVAL, Machine};
 pub use metrics::Metrics;
 pub use store::{StoreCall, StoreKey, StoreOutcome, StoreRow};
--- a/crates/core/src/scheduler/peers.rs
+++ b/crates/core/src/scheduler/peers.rs
@@ -8,7 +8,9 @@
 use smol_str::SmolStr;
 
 use super::blame::Blame;
-use super::held_jobs::{CONNECTION_GRACE, LOSS_GRACE, LOST_JOBS_RETENTION, LostPeer};
+use super::held_jobs::{
+    CONNECTION_GRACE, LOSS_GRACE, LOST_JOBS_RETENTION, LostPeer, MAX_LISTED_JOBS,
+};
 use super::io::Action;
 use super::machine::Machine;
 use crate::clock::Now;
@@ -33,6 +35,8 @@
     pub(super) instance: Instance,
     address: SmolStr,
     connected_at: Duration,
+    /// Whether it was connected before, as the same instance.
+    is_known: bool,
     last_heard: Duration,
     /// Number of its last heartbeat.
     number_seen: u64,
@@ -42,6 +46,8 @@
     pub(super) held: Vec<u64>,
     /// The same, of those that it does not start before all processes have acknowledged them.
     pub(super) awaiting: Vec<u64>,
+    /// The same, of processes to which it has just lost the connection.
+    lost: Vec<u64>,
     /// Whether it is about to exit and starts nothing any more.
     ended: bool,
     /// Shards that it owns.
@@ -102,17 +108,20 @@
         // The other process has kept the list that it acknowledged.
         let recent = |lost: &&LostPeer| now.saturating_sub(lost.since) < LOSS_GRACE;
         let acknowledged = lost.as_ref().filter(recent).map(|lost| lost.acknowledged);
+        let is_known = lost.is_some();
         let peer = Peer {
             name: peer.name.clone(),
             instance: peer.instance,
             address: peer.address.clone(),
             connected_at: now,
+            is_known,
             last_heard: now,
             number_seen: 0,
             acknowledged: acknowledged.unwrap_or_default(),
             // Its first heartbeat on this connection replaces the list.
             held: lost.map(|lost| lost.held).unwrap_or_default(),
             awaiting: Vec::new(),
+            lost: Vec::new(),
             ended: false,
             owned: Vec::new(),
             relinquished: Vec::new(),
@@ -133,7 +142,7 @@
         self.lost_pending_jobs.push((now, peer.pending_jobs));
         let mut others = self.by_link.values();
         let other = others.find(|other| other.name == peer.name);
-        if !peer.ended && other.is_none_or(|other| other.instance != peer.instance) {
+        if other.is_none_or(|other| other.instance != peer.instance) {
             let mut held = peer.held;
             held.extend(peer.awaiting);
             held.sort_unstable();
@@ -142,7 +151,7 @@
                 instance: peer.instance,
                 address: peer.address,
                 refusals: 0,
-                ended: other.is_some(),
+                ended: peer.ended || other.is_some(),
                 since: now,
                 acknowledged: peer.acknowledged,
                 held,
@@ -201,14 +210,27 @@
     pub(super) fn holder_of(&self, now: Duration, job: u64) -> Option<Holder> {
         for (link, peer) in &self.by_link {
             let lists = |jobs: &[u64]| jobs.binary_search(&job).is_ok();
-            if !peer.ended && (lists(&peer.held) || lists(&peer.awaiting)) {
-                return Some(Holder::Connected(*link));
+            if !lists(&peer.held) && !lists(&peer.awaiting) {
+                continue;
             }
+            if peer.ended {
+                return Some(Holder::Lost(peer.name.clone()));
+            }
+            return Some(Holder::Connected(*link));
+        }
+        let mut lost = self.recently_lost(now);
+        if let Some(lost) = lost.find(|lost| lost.held.binary_search(&job).is_ok()) {
+            return Some(Holder::Lost(lost.name.clone()));
         }
-        let retained = |since: Duration| now.saturating_sub(since) < LOST_JOBS_RETENTION;
-        let mut lost = self.lost.iter();
-        let lost = lost.find(|lost| retained(lost.since) && lost.held.binary_search(&job).is_ok());
-        lost.map(|lost| Holder::Lost(lost.name.clone()))
+        let mut peers = self.by_link.values();
+        let told = peers.find(|peer| peer.lost.binary_search(&job).is_ok());
+        told.map(|_| Holder::Lost(SmolStr::default()))
+    }
+
+    /// Iterates over the lost processes whose jobs are not started here yet.
+    fn recently_lost(&self, now: Duration) -> impl Iterator<Item = &LostPeer> {
+        let retained = move |since: Duration| now.saturating_sub(since) < LOST_JOBS_RETENTION;
+        self.lost.iter().filter(move |lost| retained(lost.since))
     }
 
     /// Records that a process no longer holds a job that it has listed.
@@ -229,7 +251,8 @@
         let grace = grace == Grace::Reconnection;
         let mut missing = SmallVec::new();
         for peer in self.by_link.values() {
-            let new = now.saturating_sub(peer.connected_at) < CONNECTION_GRACE;
+            let recent = now.saturating_sub(peer.connected_at) < CONNECTION_GRACE;
+            let new = recent && !peer.is_known;
             let excused = peer.ended || grace && new;
             if !excused && peer.acknowledged < number {
                 missing.push(peer.name.clone());
@@ -351,11 +374,17 @@
         if let Some(peer) = self.peers.by_link.get_mut(&link) {
             peer.last_heard = now.mono;
             peer.number_seen = beat.number;
-            peer.acknowledged = peer.acknowledged.max(beat.beat_seen);
+            let seen = beat.beat_seen.min(self.peers.last_number);
+            peer.acknowledged = peer.acknowledged.max(seen);
             peer.held = beat.held;
+            peer.held.truncate(MAX_LISTED_JOBS);
             peer.held.sort_unstable();
             peer.awaiting = beat.awaiting;
+            peer.awaiting.truncate(MAX_LISTED_JOBS);
             peer.awaiting.sort_unstable();
+            peer.lost = beat.lost;
+            peer.lost.truncate(MAX_LISTED_JOBS);
+            peer.lost.sort_unstable();
             peer.ended |= beat.ended;
             let owned = beat.owned;
             peer.owned.clone_from(&owned);
@@ -375,7 +404,7 @@
         }
         self.resolve_contested_jobs(now, link, out);
         if reply {
-            self.send_peer_beat(now, link, out);
+            self.send_peer_beat(now, link, false, out);
         }
     }
 
@@ -432,14 +461,25 @@
             beat_seen: peer.map_or(0, |peer| peer.number_seen),
             held,
             awaiting,
+            lost: self
+                .peers
+                .recently_lost(now.mono)
+                .flat_map(|lost| lost.held.iter().copied())
+                .collect(),
             reply,
             ended: self.exited,
         }
     }
 
-    /// Sends a heartbeat with the present state to one entry process.
-    pub(super) fn send_peer_beat(&mut self, now: Now, link: LinkKey, out: &mut Vec<Action>) {
-        let beat = self.peer_beat(now, Some(link), false);
+    /// Sends a heartbeat with the present state to one entry process. `reply` asks it to answer at once.
+    pub(super) fn send_peer_beat(
+        &mut self,
+        now: Now,
+        link: LinkKey,
+        reply: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let beat = self.peer_beat(now, Some(link), reply);
         out.push(Action::Send(link, Body::PeerBeat(beat)));
     }
 }
--- a/crates/core/src/scheduler/requests.rs
+++ b/crates/core/src/scheduler/requests.rs
@@ -9,7 +9,7 @@
 use super::forwarding::{ForwardedRequest, encode_reply};
 use super::io::{Action, Answer, CallKey, JobState};
 use super::jobs::{Job, JobKey, Progress, Resubmission};
-use super::machine::{Machine, PLACEMENT_DELAY_AFTER_STALL, log, ms};
+use super::machine::{Machine, log, ms};
 use super::placement::Tier;
 use super::stored_job::JobEnd;
 use crate::clock::Now;
@@ -58,21 +58,21 @@
                 out,
             );
         }
+        if let Some(key) = self.jobs.find(&request.id) {
+            return self.resubmit(now, key, call, request, out);
+        }
+        let Some(request) = self.join_elsewhere(now, call, Box::new(request), out) else {
+            return;
+        };
         // Callers may use their connections for one more request after they are routed elsewhere.
         if self.outlives_process(now, self.objective(&queue_config, &request)) {
             return self.refuse(call, &request.id, "stopping", out);
         }
-        if let Some(key) = self.jobs.find(&request.id) {
-            return self.resubmit(now, key, call, request, out);
-        }
         if self.jobs.open_len() >= MAX_OPEN_JOBS {
             let retry = self.schedule_retry(now, &request);
             return self.refuse_until(call, &request.id, "too many open jobs", retry, out);
         }
-        let request = self.join_elsewhere(now, call, Box::new(request), out);
-        if let Some(request) = request {
-            self.admit(now, call, *request, queue_config, out);
-        }
+        self.admit(now, call, *request, queue_config, out);
     }
 
     /// Adds a non-durable job.
@@ -91,9 +91,7 @@
         });
         self.log_received(now, &request, objective, waited, out);
         let mut job = Job::new(now.mono, Some(call), request, queue_config, objective);
-        job.arrived_at = self
-            .read_delay
-            .earliest_arrival(now.mono, PLACEMENT_DELAY_AFTER_STALL);
+        job.arrived_at = self.read_delay.earliest_arrival(now.mono);
         job.requested_at = now.mono.saturating_sub(waited);
         self.jobs.insert(job);
         self.placement_pending = true;
@@ -338,7 +336,9 @@
 
     /// Abandons a job. The answer tells whether tasks of it may have run.
     fn abandon_job(&mut self, now: Now, key: JobKey, cause: &'static str, out: &mut Vec<Action>) {
-        let job = self.jobs.get(key).filter(|job| job.is_unstarted());
+        // A job that must not start yet may run at another process.
+        let not_run = |job: &&Job| job.is_unstarted() && !self.awaits_acknowledgement(now, job);
+        let job = self.jobs.get(key).filter(not_run);
         let answer = match job.map(|job| job.request.clone()) {
             Some(request) => Answer::NotRun {
                 reason: cause.into(),
@@ -392,8 +392,16 @@
         let Some(job) = self.jobs.remove(key) else {
             return;
         };
+        // Only one of those who wait for the end may submit the job as a new one.
+        let mut taken = job.resubmission.is_some();
         for (link, number) in job.late_joins {
-            out.push(Action::Send(link, encode_reply(number, &Answer::NoJob)));
+            let answer = if taken {
+                Answer::OutcomeUnknown
+            } else {
+                Answer::NoJob
+            };
+            taken = true;
+            out.push(Action::Send(link, encode_reply(number, &answer)));
         }
         if let Some(later) = job.resubmission {
             self.submit(now, later.call, later.request, out);
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -39,6 +39,7 @@
 mod orphaned_runs;
 mod other_kinds;
 mod overload;
+mod peer_losses;
 mod planned_stops;
 mod presumed_owners;
 mod random_faults;
--- a/crates/core/tests/jobs/malformed_messages.rs
+++ b/crates/core/tests/jobs/malformed_messages.rs
@@ -196,6 +196,7 @@
             beat_seen: epoch.wrapping_mul(7),
             held: vec![epoch, u64::from(shard), epoch],
             awaiting: vec![u64::from(jobs)],
+            lost: vec![epoch],
             reply: jobs.is_multiple_of(3),
             ended: jobs.is_multiple_of(5),
         })
--- a/crates/event-loop/src/entry.rs
+++ b/crates/event-loop/src/entry.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use knapweedwall_core::scheduler::{Action, Answer, CallKey, Input, Machine, StoreCall, StoreKey};
+use knapweedwall_core::scheduler::{
+    Action, Answer, BUSY_TICK_INTERVAL, CallKey, IDLE_TICK_INTERVAL, Input, Machine, StoreCall,
+    StoreKey,
+};
 use knapweedwall_runtime::admin::Readiness;
 use knapweedwall_runtime::links::{LinkEvent, LinksHandle};
 use knapweedwall_runtime::log;
@@ -14,12 +17,6 @@
 
 use crate::Clock;
 
-/// Longest time between two iterations while a job is open.
-const BUSY_TICK_INTERVAL: Duration = Duration::from_millis(15);
-
-/// Longest time between two iterations while no job is open.
-const IDLE_TICK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Connects the state machine of an entry process to its HTTP clients, its configuration and the
 /// store.
 pub trait EntryAdapter {
