fix(scheduler): a submission that has waited keeps its age

What callers see: a task runs twice at the same time. A repeated submission waits up to 2.1 s for the runs of a lost process, is then started as if it had just arrived, and its process ends before it lists the job. The caller is back elsewhere 1.3 s after it left, beside the runs, which go on for 0.8 s.

Cause: the age of a job counts from its admission. A submission that waits for a lost process, for the answer of another one (no such job), or for the end of an earlier job with its id is admitted late.

Ruled out: that the list of the lost process is kept too short; its runs have ended after 2.1 s.

Change: the time of arrival goes with the submission through waiting, forwarding and the end of an earlier job. A job that is admitted 200 ms or more after its arrival is acknowledged by all connected processes before its first start, which takes one round trip. A submission that waits for the end of an earlier job is admitted with the time that its caller still waits, not the whole of it.

Conclusion: the age is a property of the submission.

--- a/crates/core/src/scheduler/forwarding.rs
+++ b/crates/core/src/scheduler/forwarding.rs
@@ -88,6 +88,8 @@
     call: CallKey,
     request: ForwardedRequest,
     since: Duration,
+    /// When the caller's request arrived at the earliest.
+    arrived_at: Duration,
 }
 
 /// Requests to and from other entry processes.
@@ -146,6 +148,7 @@
             call,
             request,
             since: now.mono,
+            arrived_at: now.mono,
         };
         self.route(now, pending, out);
     }
@@ -159,8 +162,9 @@
                     self.park(PendingCall { request, ..pending }, out);
                 }
                 _ => {
-                    let request = with_time_left(now, request, pending.since);
-                    self.submit(now, pending.call, *request, out);
+                    let request = with_time_left(now, *request, pending.since);
+                    let call = (pending.call, pending.arrived_at);
+                    self.submit_arrived(now, call, request, out);
                 }
             };
         }
@@ -181,15 +185,15 @@
         &mut self,
         now: Now,
         link: LinkKey,
-        call: CallKey,
+        (call, arrived_at): (CallKey, Duration),
         request: ForwardedRequest,
         out: &mut Vec<Action>,
     ) {
-        let since = now.mono;
         let pending = PendingCall {
             call,
             request,
-            since,
+            since: now.mono,
+            arrived_at,
         };
         self.send_call(link, pending, out);
     }
@@ -249,7 +253,7 @@
     pub(super) fn park_join(
         &mut self,
         now: Now,
-        call: CallKey,
+        (call, arrived_at): (CallKey, Duration),
         request: Box<JobRequest>,
         out: &mut Vec<Action>,
     ) {
@@ -257,6 +261,7 @@
             call,
             request: ForwardedRequest::Join(request),
             since: now.mono,
+            arrived_at,
         };
         self.park(pending, out);
     }
@@ -386,8 +391,9 @@
         if let ForwardedRequest::Join(request) = pending.request {
             if reply.answer() == wire::JobAnswer::NoJob {
                 self.peers.remove_held(link, job_hash(&request.id));
-                let request = with_time_left(now, request, pending.since);
-                return self.submit(now, pending.call, *request, out);
+                let request = with_time_left(now, *request, pending.since);
+                let call = (pending.call, pending.arrived_at);
+                return self.submit_arrived(now, call, request, out);
             }
             let answer = decode_answer(reply).unwrap_or(Answer::OutcomeUnknown);
             return self.reply(pending.call, answer, out);
@@ -405,7 +411,7 @@
 }
 
 /// Returns a submission that has waited since `since`, with the time that its caller still waits.
-fn with_time_left(now: Now, mut request: Box<JobRequest>, since: Duration) -> Box<JobRequest> {
+pub(super) fn with_time_left(now: Now, mut request: JobRequest, since: Duration) -> JobRequest {
     let waited = now.since(since);
     request.wait = request.wait.map(|wait| wait.saturating_sub(waited));
     request
--- a/crates/core/src/scheduler/held_jobs.rs
+++ b/crates/core/src/scheduler/held_jobs.rs
@@ -37,6 +37,12 @@
 /// for delays of this process that are too short for [`ReadDelay`].
 const HOLD_LIMIT: Duration = Duration::from_millis(1_100);
 
+/// Time that a submission has waited on admission from which its job is acknowledged by the connected
+/// processes before its first start. A job that starts at once is listed or has ended with its process
+/// 1 s before its caller is back. One that starts this late may run beside the next submission, if its
+/// process ends before the next heartbeat and the runs go on for 800 ms.
+const LATE_ADMISSION: Duration = Duration::from_millis(200);
+
 /// Time after the first connection to a process in which it need not have acknowledged anything. The first
 /// frame on the connection lists all jobs that are old enough, and is answered at once.
 pub(super) const CONNECTION_GRACE: Duration = Duration::from_millis(150);
@@ -124,8 +130,15 @@
     /// Returns whether a non-durable job is old enough that its caller may have submitted it elsewhere,
     /// and not all processes that may have received it know of it. No task of it may be started.
     pub(super) fn awaits_acknowledgement(&self, now: Now, job: &Job) -> bool {
-        let old = job.durable.is_none() && now.since(job.arrived_at) >= HOLD_LIMIT;
-        old && !self.missing_acknowledgements(now, job).is_empty()
+        if job.durable.is_some() {
+            return false;
+        }
+        if now.since(job.arrived_at) >= HOLD_LIMIT {
+            return !self.missing_acknowledgements(now, job).is_empty();
+        }
+        let late = job.submitted_at >= job.arrived_at + LATE_ADMISSION;
+        let announced = job.announced.unwrap_or(u64::MAX);
+        late && job.is_unstarted() && !self.peers.have_acknowledged(announced)
     }
 
     /// Returns the names of the processes that may receive the job again and do not know that this one
@@ -225,7 +238,7 @@
     pub(super) fn join_elsewhere(
         &mut self,
         now: Now,
-        call: CallKey,
+        (call, arrived_at): (CallKey, Duration),
         request: Box<JobRequest>,
         out: &mut Vec<Action>,
     ) -> Option<Box<JobRequest>> {
@@ -233,12 +246,13 @@
             Some(Holder::Connected(link)) => {
                 let entry = self.peers.name_of(link).unwrap_or_default();
                 log_join(&request.id, &entry, out);
-                self.forward(now, link, call, ForwardedRequest::Join(request), out);
+                let request = ForwardedRequest::Join(request);
+                self.forward(now, link, (call, arrived_at), request, out);
                 None
             }
             Some(Holder::Lost(entry)) => {
                 log_unreachable_holder(&request.id, &entry, out);
-                self.park_join(now, call, request, out);
+                self.park_join(now, (call, arrived_at), request, out);
                 None
             }
             None if self.may_be_taken_for_ended(now) => {
@@ -345,7 +359,8 @@
             let mut request = Box::new(job.request.clone());
             let age = now.since(job.submitted_at);
             request.wait = request.wait.map(|wait| wait.saturating_sub(age));
-            self.forward(now, link, call, ForwardedRequest::HandOver(request), out);
+            let request = ForwardedRequest::HandOver(request);
+            self.forward(now, link, (call, job.arrived_at), request, out);
         }
     }
 
--- a/crates/core/src/scheduler/jobs.rs
+++ b/crates/core/src/scheduler/jobs.rs
@@ -78,6 +78,8 @@
     pub(super) call: CallKey,
     pub(super) request: JobRequest,
     pub(super) received_at: Duration,
+    /// When it arrived at the earliest.
+    pub(super) arrived_at: Duration,
 }
 
 /// One job.
--- a/crates/core/src/scheduler/peers.rs
+++ b/crates/core/src/scheduler/peers.rs
@@ -241,6 +241,12 @@
         }
     }
 
+    /// Returns whether all connected processes have acknowledged the heartbeat with this number.
+    pub(super) fn have_acknowledged(&self, number: u64) -> bool {
+        let mut running = self.by_link.values().filter(|peer| !peer.ended);
+        running.all(|peer| peer.acknowledged >= number)
+    }
+
     /// Returns the names of the processes that have not acknowledged the heartbeat with this number.
     pub(super) fn missing_acknowledgements(
         &self,
--- a/crates/core/src/scheduler/requests.rs
+++ b/crates/core/src/scheduler/requests.rs
@@ -6,7 +6,7 @@
 use smol_str::SmolStr;
 
 use super::durable_jobs::job_end_fields;
-use super::forwarding::{ForwardedRequest, encode_reply};
+use super::forwarding::{ForwardedRequest, encode_reply, with_time_left};
 use super::io::{Action, Answer, CallKey, JobState};
 use super::jobs::{Job, JobKey, Progress, Resubmission};
 use super::machine::{Machine, log, ms};
@@ -40,6 +40,19 @@
         out: &mut Vec<Action>,
     ) {
         self.metrics.submitted.inc();
+        let arrived_at = self.read_delay.earliest_arrival(now.mono);
+        self.submit_arrived(now, (call, arrived_at), request, out);
+    }
+
+    /// Handles a submission that arrived at the given time, perhaps for the second time after it has
+    /// waited for an earlier job with its id.
+    pub(super) fn submit_arrived(
+        &mut self,
+        now: Now,
+        (call, arrived_at): (CallKey, Duration),
+        request: JobRequest,
+        out: &mut Vec<Action>,
+    ) {
         let catalog = self.configuration.catalog.as_ref();
         let Some(queue_config) = catalog
             .and_then(|catalog| catalog.queue(&request.queue))
@@ -59,9 +72,10 @@
             );
         }
         if let Some(key) = self.jobs.find(&request.id) {
-            return self.resubmit(now, key, call, request, out);
+            return self.resubmit(now, key, (call, arrived_at), request, out);
         }
-        let Some(request) = self.join_elsewhere(now, call, Box::new(request), out) else {
+        let request = Box::new(request);
+        let Some(request) = self.join_elsewhere(now, (call, arrived_at), request, out) else {
             return;
         };
         // Callers may use their connections for one more request after they are routed elsewhere.
@@ -72,14 +86,14 @@
             let retry = self.schedule_retry(now, &request);
             return self.refuse_until(call, &request.id, "too many open jobs", retry, out);
         }
-        self.admit(now, call, *request, queue_config, out);
+        self.admit(now, (call, arrived_at), *request, queue_config, out);
     }
 
     /// Adds a non-durable job.
     fn admit(
         &mut self,
         now: Now,
-        call: CallKey,
+        (call, arrived_at): (CallKey, Duration),
         request: JobRequest,
         queue_config: QueueConfig,
         out: &mut Vec<Action>,
@@ -91,7 +105,7 @@
         });
         self.log_received(now, &request, objective, waited, out);
         let mut job = Job::new(now.mono, Some(call), request, queue_config, objective);
-        job.arrived_at = self.read_delay.earliest_arrival(now.mono);
+        job.arrived_at = arrived_at;
         job.requested_at = now.mono.saturating_sub(waited);
         self.jobs.insert(job);
         self.placement_pending = true;
@@ -137,7 +151,7 @@
         &mut self,
         now: Now,
         key: JobKey,
-        call: CallKey,
+        (call, arrived_at): (CallKey, Duration),
         request: JobRequest,
         out: &mut Vec<Action>,
     ) {
@@ -157,6 +171,7 @@
             call,
             request,
             received_at,
+            arrived_at,
         }));
         if let Some(earlier) = replaced {
             self.reply(earlier.call, Answer::OutcomeUnknown, out);
@@ -404,7 +419,8 @@
             out.push(Action::Send(link, encode_reply(number, &answer)));
         }
         if let Some(later) = job.resubmission {
-            self.submit(now, later.call, later.request, out);
+            let request = with_time_left(now, later.request, later.received_at);
+            self.submit_arrived(now, (later.call, later.arrived_at), request, out);
         }
     }
 }
--- a/crates/core/tests/jobs/peer_losses.rs
+++ b/crates/core/tests/jobs/peer_losses.rs
@@ -140,3 +140,24 @@
     assert!(!matches!(answer, Some(Answer::NotRun { .. })), "{answer:?}");
     assert_no_double_run(&mut fleet);
 }
+
+/// Guards against a submission that counts its age anew after it has waited for the runs of a lost
+/// process: its own process ends before it lists the job, and the caller is back beside the runs.
+#[rstest]
+fn a_submission_that_waited_keeps_its_age(
+    #[values(1, 15, 30, 45, 60, 75, 90)] later_ms: u64,
+    #[values(1, 3)] zones: usize,
+) {
+    let mut fleet = Fleet::in_zones(zones, 3, &WORKERS, 1);
+    let job = fleet.submit(0, "patient", Job::new(4, 1_000, 4_000));
+    fleet.run(600);
+    fleet.kill_entry(0);
+    fleet.run(900);
+    let again = come_back(&mut fleet, job, 1);
+    // The runs of the lost process have ended after 2,100 ms.
+    fleet.run(1_200 + later_ms);
+    fleet.kill_entry(1);
+    fleet.run(RESEND_MS - 1_200 - later_ms);
+    come_back(&mut fleet, again, 2);
+    assert_no_double_run(&mut fleet);
+}
