fix(scheduler,executor): runs end at their limit while their process stands still

What callers see: a task runs twice at the same time. An entry process that another one does not reach stands still at the moment at which it has to give up a job, 1.1 s after its arrival. The caller is back at the other process at 1.3 s, and agents stop the first runs only after 0.8 s of silence, at 1.9 s.

Cause: the limit of a job that not all entry processes know of is kept by the owner alone, a permission that a paused process cannot take back.

Ruled out: a shorter silence of agents for all runs, which would end work of processes that are only slow to report.

Change: an order names the time that is left until the limit and 50 ms more, and the agent stops the runs then (event 406). Once all other processes have acknowledged the job, its owner lifts the limit with a claim of each run; a claim on a new connection carries the limit as it is then.

Conclusion: the limit holds without its owner. If the agent ends as well, the lease of the worker bounds the runs later than 1.3 s.

--- a/crates/core/src/executor/run_lists.rs
+++ b/crates/core/src/executor/run_lists.rs
@@ -230,6 +230,7 @@
             stop_cause: None,
             stop_requested_at: None,
             abandoned_at: None,
+            held_until: None,
             unanswered_stop: None,
             start_failed_at: None,
             listed: true,
--- a/crates/core/src/executor/runs.rs
+++ b/crates/core/src/executor/runs.rs
@@ -64,6 +64,8 @@
     pub(super) ordered_at: Duration,
     /// Start time of a confirmed run.
     pub(super) started_at: Option<Duration>,
+    /// When the run is to be stopped, unless the owner extends the time; `None` if there is no limit.
+    pub(super) held_until: Option<Duration>,
     /// Latest useful start time, as given by the owner. Waiting runs are started in this order.
     pub(super) latest_start: Duration,
     /// Last known progress, in percent.
--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -47,6 +47,7 @@
                 run.resources = run.resources.or(resources);
                 run.durable = claim.durable;
                 run.unclaimed = false;
+                run.held_until = hold_end(now, claim.hold_ms);
             });
         }
         for stop in orders.stops {
@@ -132,6 +133,7 @@
                 stop_cause: None,
                 stop_requested_at: None,
                 abandoned_at: None,
+                held_until: hold_end(now, order.hold_ms),
                 unanswered_stop: None,
                 start_failed_at: None,
                 listed: false,
@@ -432,3 +434,8 @@
         }
     }
 }
+
+/// Returns when a run ends that its owner limits to `hold_ms`, where 0 means that there is no limit.
+fn hold_end(now: Now, hold_ms: u32) -> Option<Duration> {
+    (hold_ms > 0).then(|| now.mono + Duration::from_millis(hold_ms.into()))
+}
--- a/crates/core/src/executor/timeouts.rs
+++ b/crates/core/src/executor/timeouts.rs
@@ -30,6 +30,7 @@
 impl Machine {
     pub(super) fn check_timeouts(&mut self, now: Now, out: &mut Vec<Action>) {
         self.stop_orphaned_runs(now, out);
+        self.stop_limited_runs(now, out);
         self.stop_stalled_runs(now, out);
         self.expire_starts(now, out);
         self.repeat_stops(now);
@@ -130,6 +131,29 @@
         }
     }
 
+    /// Stops runs whose owner has not extended their time limit. It may stand still while their job is
+    /// submitted again elsewhere.
+    fn stop_limited_runs(&mut self, now: Now, out: &mut Vec<Action>) {
+        let mut expired: Vec<RunId> = Vec::new();
+        for (id, run) in self.runs.iter() {
+            let reached = run.held_until.is_some_and(|end| now.mono >= end);
+            if reached && run.stop_cause != Some(StopCause::Owner) {
+                expired.push(id.clone());
+            }
+        }
+        if expired.is_empty() {
+            return;
+        }
+        let fields = vec![
+            ("runs", expired.len().to_string()),
+            ("first", expired[0].to_string()),
+        ];
+        log(out, 406, "time limit of runs not extended", true, fields);
+        for id in expired {
+            self.stop_run(now, &id, StopCause::Owner);
+        }
+    }
+
     fn stop_stalled_runs(&mut self, now: Now, out: &mut Vec<Action>) {
         if !self.worker.is_responsive(now.mono) {
             return;
--- a/crates/core/src/scheduler/held_jobs.rs
+++ b/crates/core/src/scheduler/held_jobs.rs
@@ -37,6 +37,10 @@
 /// for delays of this process that are too short for [`ReadDelay`].
 const HOLD_LIMIT: Duration = Duration::from_millis(1_100);
 
+/// Time after [`HOLD_LIMIT`] at which agents stop the runs of a job by themselves that not all processes
+/// have acknowledged, in case this process stands still. The process usually gives the job up before.
+const HOLD_MARGIN: Duration = Duration::from_millis(50);
+
 /// Time that a submission has waited on admission from which its job is acknowledged by the connected
 /// processes before its first start. A job that starts at once is listed or has ended with its process
 /// 1 s before its caller is back. One that starts this late may run beside the next submission, if its
@@ -134,7 +138,7 @@
             return false;
         }
         if now.since(job.arrived_at) >= HOLD_LIMIT {
-            return !self.missing_acknowledgements(now, job).is_empty();
+            return self.missing_acknowledgements(now, job).next().is_some();
         }
         let late = job.submitted_at >= job.arrived_at + LATE_ADMISSION;
         let announced = job.announced.unwrap_or(u64::MAX);
@@ -143,7 +147,7 @@
 
     /// Returns the names of the processes that may receive the job again and do not know that this one
     /// holds it.
-    fn missing_acknowledgements(&self, now: Now, job: &Job) -> SmallVec<[SmolStr; 4]> {
+    fn missing_acknowledgements(&self, now: Now, job: &Job) -> impl Iterator<Item = &SmolStr> {
         let grace = if job.is_unstarted() {
             Grace::None
         } else {
@@ -154,15 +158,44 @@
             .missing_acknowledgements(now.mono, announced, grace)
     }
 
+    /// Returns the time in milliseconds after which agents stop the runs of a job, unless they are told
+    /// otherwise; 0 if there is no limit.
+    pub(super) fn hold_ms(&self, now: Now, job: &Job) -> u32 {
+        if job.durable.is_some() || self.missing_acknowledgements(now, job).next().is_none() {
+            return 0;
+        }
+        let limit = job.arrived_at + HOLD_LIMIT + HOLD_MARGIN;
+        let left = limit.saturating_sub(now.mono).as_millis();
+        u32::try_from(left).unwrap_or(u32::MAX).max(1)
+    }
+
+    /// Tells agents that the runs of a job have no limit any more.
+    fn lift_limit(&mut self, now: Now, key: JobKey) {
+        for (run, worker) in self.placed_runs(key) {
+            self.keep_or_stop_run(now, worker, &run);
+        }
+        if let Some(job) = self.jobs.get_mut(key) {
+            job.limited = false;
+        }
+    }
+
     /// Gives up started jobs that another process may not know of, and asks for the acknowledgements that
     /// others wait for.
     pub(super) fn update_held_jobs(&mut self, now: Now, out: &mut Vec<Action>) {
         self.peers.remove_ended(now);
         self.read_lost_heartbeats(now, out);
         let mut unknown: SmallVec<[JobKey; 4]> = SmallVec::new();
+        let mut known: SmallVec<[JobKey; 4]> = SmallVec::new();
         let mut awaiting = false;
         for (key, job) in self.jobs.iter_open() {
-            if job.progress == Progress::Closed || !self.awaits_acknowledgement(now, job) {
+            if job.progress == Progress::Closed {
+                continue;
+            }
+            if job.limited && self.missing_acknowledgements(now, job).next().is_none() {
+                known.push(key);
+                continue;
+            }
+            if !self.awaits_acknowledgement(now, job) {
                 continue;
             }
             if job.is_unstarted() {
@@ -171,6 +204,9 @@
                 unknown.push(key);
             }
         }
+        for key in known {
+            self.lift_limit(now, key);
+        }
         for key in unknown {
             self.give_up_unknown_job(now, key, out);
         }
@@ -183,11 +219,11 @@
         let Some(job) = self.jobs.get(key) else {
             return;
         };
-        let missing = self.missing_acknowledgements(now, job);
+        let missing = self.missing_acknowledgements(now, job).map(SmolStr::as_str);
         let fields = vec![
             ("job", job.request.id.to_string()),
             ("age_ms", ms(now.since(job.arrived_at))),
-            ("entries", missing.join(",")),
+            ("entries", missing.collect::<Vec<_>>().join(",")),
         ];
         log(
             out,
--- a/crates/core/src/scheduler/jobs.rs
+++ b/crates/core/src/scheduler/jobs.rs
@@ -124,6 +124,8 @@
     pub(super) late_joins: SmallVec<[(LinkKey, u64); 1]>,
     /// Number of the first heartbeat to all entry processes that lists the job.
     pub(super) announced: Option<u64>,
+    /// Whether agents stop its runs after a time limit, since not all entry processes know of the job.
+    pub(super) limited: bool,
     /// Whether another entry process lists the job as well.
     pub(super) contested: bool,
     /// Set for durable jobs only.
@@ -183,6 +185,7 @@
             resubmission: None,
             late_joins: SmallVec::new(),
             announced: None,
+            limited: false,
             contested: false,
             durable: None,
         }
--- a/crates/core/src/scheduler/links.rs
+++ b/crates/core/src/scheduler/links.rs
@@ -206,18 +206,19 @@
             self.lose_run(now, key, &run, out);
         }
         for run in open {
-            self.keep_or_stop_run(key, run);
+            self.keep_or_stop_run(now, key, run);
         }
     }
 
     /// Tells the agent to keep a run that is the current attempt of a task of an open job, and to
     /// stop any other run of a known job. A `RunClaim`, unlike the claim of a shard, tells the
     /// agent that the run belongs to a job of this process.
-    pub(super) fn keep_or_stop_run(&mut self, key: WorkerKey, run: &RunId) {
+    pub(super) fn keep_or_stop_run(&mut self, now: Now, key: WorkerKey, run: &RunId) {
         let job = self
             .jobs
             .find(&run.task.job)
             .and_then(|job| self.jobs.get(job));
+        let hold_ms = job.map_or(0, |job| self.hold_ms(now, job));
         let (Some(job), Some(worker)) = (job, self.workers.get_mut(key)) else {
             return;
         };
@@ -233,6 +234,7 @@
             run: Some(run.into()),
             room: Some(resources.into()),
             durable: job.durable.is_some(),
+            hold_ms,
         });
     }
 
--- a/crates/core/src/scheduler/orders.rs
+++ b/crates/core/src/scheduler/orders.rs
@@ -26,6 +26,7 @@
         let epoch = self.jobs.get(key).map_or(0, |job| self.shard_epoch(job));
         let group = self.jobs.get(key).map(|job| self.group_of(now, job));
         let group = group.unwrap_or_default();
+        let hold_ms = self.jobs.get(key).map_or(0, |job| self.hold_ms(now, job));
         let (Some(job), Some(worker)) = (self.jobs.get_mut(key), self.workers.get_mut(worker_key))
         else {
             return;
@@ -34,6 +35,7 @@
         job.first_placed_at = job.first_placed_at.or(Some(now.mono));
         job.progress = Progress::Running;
         job.starts += 1;
+        job.limited |= hold_ms > 0;
         let spec = &job.request.phases[phase as usize];
         let resources = spec.resources;
         let label = spec.label.clone().unwrap_or_default();
@@ -60,7 +62,8 @@
         worker.add_order(run, resources, waits);
         let same = worker.outbox.phases.last_mut().filter(|order| {
             let same_phase = order.job == job.request.id.as_str() && order.phase == phase;
-            same_phase && order.waits == waits && order.group == group.as_str()
+            let same_limits = order.waits == waits && order.hold_ms == hold_ms;
+            same_phase && same_limits && order.group == group.as_str()
         });
         if let Some(order) = same {
             return order.tasks.push(attempt);
@@ -77,6 +80,7 @@
             epoch,
             group: group.into(),
             label: label.into(),
+            hold_ms,
         });
     }
 
@@ -90,10 +94,19 @@
 
     /// Orders agents to stop the placed tasks of a job.
     pub(super) fn stop_runs(&mut self, key: JobKey) {
+        for (run, worker) in self.placed_runs(key) {
+            if let Some(worker) = self.workers.get_mut(worker) {
+                worker.outbox.stops.push((&run).into());
+            }
+        }
+    }
+
+    /// Returns the latest attempts of the placed tasks of a job, and their workers.
+    pub(super) fn placed_runs(&self, key: JobKey) -> SmallVec<[(RunId, WorkerKey); 8]> {
+        let mut placed = SmallVec::new();
         let Some(job) = self.jobs.get(key) else {
-            return;
+            return placed;
         };
-        let mut placed: SmallVec<[(RunId, WorkerKey); 8]> = SmallVec::new();
         for (phase, tasks) in job.phases.iter().enumerate() {
             for (index, task) in tasks.tasks.iter().enumerate() {
                 let TaskState::Placed(worker) = task.state else {
@@ -110,11 +123,7 @@
                 placed.push((run, worker));
             }
         }
-        for (run, worker) in placed {
-            if let Some(worker) = self.workers.get_mut(worker) {
-                worker.outbox.stops.push((&run).into());
-            }
-        }
+        placed
     }
 
     /// Sends the orders of this turn, and heartbeats that are due.
--- a/crates/core/src/scheduler/peers.rs
+++ b/crates/core/src/scheduler/peers.rs
@@ -4,7 +4,6 @@
 
 use knapweedwall_wire as wire;
 use knapweedwall_wire::frame::Body;
-use smallvec::SmallVec;
 use smol_str::SmolStr;
 
 use super::blame::Blame;
@@ -247,30 +246,26 @@
         running.all(|peer| peer.acknowledged >= number)
     }
 
-    /// Returns the names of the processes that have not acknowledged the heartbeat with this number.
+    /// Iterates over the names of the processes that have not acknowledged the heartbeat with this number.
     pub(super) fn missing_acknowledgements(
         &self,
         now: Duration,
         number: u64,
         grace: Grace,
-    ) -> SmallVec<[SmolStr; 4]> {
+    ) -> impl Iterator<Item = &SmolStr> {
         let grace = grace == Grace::Reconnection;
-        let mut missing = SmallVec::new();
-        for peer in self.by_link.values() {
+        let connected = self.by_link.values().filter(move |peer| {
             let recent = now.saturating_sub(peer.connected_at) < CONNECTION_GRACE;
             let new = recent && !peer.is_known;
             let excused = peer.ended || grace && new;
-            if !excused && peer.acknowledged < number {
-                missing.push(peer.name.clone());
-            }
-        }
-        for lost in self.unreached() {
+            !excused && peer.acknowledged < number
+        });
+        let lost = self.unreached().filter(move |lost| {
             let recent = now.saturating_sub(lost.since) < LOSS_GRACE;
-            if !grace || !recent || lost.acknowledged < number {
-                missing.push(lost.name.clone());
-            }
-        }
-        missing
+            !grace || !recent || lost.acknowledged < number
+        });
+        let connected = connected.map(|peer| &peer.name);
+        connected.chain(lost.map(|lost| &lost.name))
     }
 
     pub(super) fn links(&self) -> impl Iterator<Item = LinkKey> {
--- a/crates/core/src/scheduler/shard_loading.rs
+++ b/crates/core/src/scheduler/shard_loading.rs
@@ -131,7 +131,7 @@
             self.handle_run_report(now, from, end, out);
         }
         for run in runs.open {
-            self.adopt_or_stop_run(from, &run.into());
+            self.adopt_or_stop_run(now, from, &run.into());
         }
         if let Some(worker) = self.workers.get_mut(from) {
             worker.acknowledged_claim = worker.acknowledged_claim.max(runs.number);
@@ -140,7 +140,7 @@
 
     /// Adopts a run of an earlier owner if its task is unplaced and has no later attempt. Has the
     /// agent keep the run if it is now the current attempt, and else stop it.
-    pub(super) fn adopt_or_stop_run(&mut self, from: WorkerKey, run: &RunId) {
+    pub(super) fn adopt_or_stop_run(&mut self, now: Now, from: WorkerKey, run: &RunId) {
         let Some(shard) = shard_of(&run.task.job) else {
             return;
         };
@@ -162,7 +162,7 @@
                 worker.runs.insert(run.clone());
             }
         }
-        self.keep_or_stop_run(from, run);
+        self.keep_or_stop_run(now, from, run);
     }
 
     /// Orders an agent to stop a run of a job that does not exist.
--- a/crates/core/tests/jobs/agent.rs
+++ b/crates/core/tests/jobs/agent.rs
@@ -158,6 +158,7 @@
             epoch: 0,
             group: String::new(),
             label: String::new(),
+            hold_ms: 0,
         };
         let orders = wire::RunOrders {
             number: self.orders,
--- a/crates/core/tests/jobs/malformed_messages.rs
+++ b/crates/core/tests/jobs/malformed_messages.rs
@@ -101,13 +101,13 @@
         job in text(), phase in small(), spec in text(), room in room(), expected_ms in small(),
         slack_ms in prop_oneof![Just(i32::MIN), Just(i32::MAX), Just(0)], waits in any::<bool>(),
         tasks in proptest::collection::vec((small(), small()), 0..3), epoch in large(),
-        group in text(), label in text(),
+        group in text(), label in text(), hold_ms in small(),
     ) -> wire::PhaseOrder {
         let tasks = tasks.into_iter();
         let tasks = tasks.map(|(index, attempt)| wire::TaskAttempt { index, attempt });
         wire::PhaseOrder {
             job, phase, spec, room: Some(room), expected_ms, slack_ms, waits,
-            tasks: tasks.collect(), epoch, group, label,
+            tasks: tasks.collect(), epoch, group, label, hold_ms,
         }
     }
 }
--- a/crates/core/tests/jobs/peer_losses.rs
+++ b/crates/core/tests/jobs/peer_losses.rs
@@ -161,3 +161,23 @@
     come_back(&mut fleet, again, 2);
     assert_no_double_run(&mut fleet);
 }
+
+/// Guards against runs whose time limit is not lifted, because the connection to their agent is lost
+/// when all processes have come to know the job.
+#[rstest]
+fn a_limit_is_lifted_after_a_lost_connection(#[values(300, 450, 600, 750)] cut_ms: u64) {
+    let mut fleet = fleet(3);
+    let job = fleet.submit(0, "patient", Job::new(4, 1_000, 4_000));
+    fleet.run(cut_ms);
+    for agent in 0..WORKERS.len() {
+        fleet.cut(0, agent, true);
+    }
+    fleet.run(300);
+    for agent in 0..WORKERS.len() {
+        fleet.cut(0, agent, false);
+    }
+    fleet.finish(12_000);
+    assert_eq!(fleet.answer_to(job), Some(&Answer::Completed));
+    assert_eq!(fleet.starts(), 4);
+    fleet.assert_rules();
+}
