fix(scheduler): a repeated submission without an owner is not refused as not run

What callers see: a job of which they were told that it never runs has run. The owner of its shard takes the first attempt and stands still, the caller gets no answer and submits again at a process that finds no owner for a second, and is answered 503.

Cause: a process without an owner cannot tell a first attempt from a later one, and answered as if each were the first.

Ruled out: remembering ids whose outcome is unknown, which helps at the same process only; asking the store, which a write on its way may still reach.

Change: such a submission is answered with an unknown outcome (504), also when the process ends. By the protocol its caller submits it again under its id, and it remains one job. Queries and cancellations are refused as before.

Conclusion: "not run" is said of a durable job only by the owner of its shard.

--- a/crates/core/src/scheduler/forwarding.rs
+++ b/crates/core/src/scheduler/forwarding.rs
@@ -76,8 +76,9 @@
     /// Returns the answer to the request if it cannot be routed.
     fn unrouted(&self) -> Answer {
         match self {
-            Self::Join(_) => Answer::OutcomeUnknown,
-            _ => no_owner(),
+            // An earlier attempt of the caller may have been taken, by this process or another one.
+            Self::Submit(_) | Self::Join(_) | Self::HandOver(_) => Answer::OutcomeUnknown,
+            Self::Query(_) | Self::Cancel(_) => no_owner(),
         }
     }
 }
@@ -316,7 +317,7 @@
     }
 
     /// Answers the callers whose requests wait for an owner or a reply, since the process ends. A
-    /// request that waits for an owner has not been accepted by any process.
+    /// submission that waits for an owner may repeat one that was accepted.
     pub(super) fn end_forwarded_calls(&mut self, out: &mut Vec<Action>) {
         for (_, (_, pending)) in mem::take(&mut self.forwarding.sent) {
             self.reply(pending.call, Answer::OutcomeUnknown, out);
