refactor(scheduler): the hash of a job is computed once

Cause: the list of held jobs hashed the id of each job for each heartbeat and each one that arrives. A caller that leaves within a millisecond was sent to another process as one without a limit. Change: a job keeps its hash; a limit is sent as 1 ms at least. Ruled out: no other change of behaviour. The cost was not measured.

--- a/crates/core/src/scheduler/forwarding.rs
+++ b/crates/core/src/scheduler/forwarding.rs
@@ -9,8 +9,9 @@
 use knapweedwall_wire::job_call::Call;
 use smol_str::SmolStr;
 
-use super::held_jobs::{LOST_JOBS_RETENTION, job_hash};
+use super::held_jobs::LOST_JOBS_RETENTION;
 use super::io::{Action, Answer, CallKey, JobState};
+use super::jobs::job_hash;
 use super::machine::Machine;
 use super::peers::Holder;
 use super::requests::REPLY_MARGIN;
@@ -207,7 +208,8 @@
             ForwardedRequest::Query(id) => Call::Query(id.to_string()),
             ForwardedRequest::Cancel(id) => Call::Cancel(id.to_string()),
             ForwardedRequest::Join(request) | ForwardedRequest::HandOver(request) => {
-                let wait = request.wait.unwrap_or_default().as_millis();
+                // 0 means no limit, so a caller that leaves within a millisecond is sent as 1.
+                let wait = request.wait.map_or(0, |wait| wait.as_millis().max(1));
                 Call::Join(wire::Join {
                     job: request.id.to_string(),
                     wait_ms: u32::try_from(wait).unwrap_or(u32::MAX),
--- a/crates/core/src/scheduler/held_jobs.rs
+++ b/crates/core/src/scheduler/held_jobs.rs
@@ -12,11 +12,10 @@
 use knapweedwall_wire as wire;
 use smallvec::SmallVec;
 use smol_str::SmolStr;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::forwarding::{ForwardedRequest, encode_reply};
 use super::io::{Action, Answer, CallKey};
-use super::jobs::{Job, JobKey, Progress};
+use super::jobs::{Job, JobKey, Progress, job_hash};
 use super::machine::{Machine, PLACEMENT_DELAY_AFTER_STALL, log, ms};
 use super::peers::{Grace, Holder};
 use super::shard_claims::HeartbeatReading;
@@ -125,11 +124,6 @@
     }
 }
 
-/// Returns the hash by which a job is listed in heartbeats.
-pub(super) fn job_hash(id: &str) -> u64 {
-    xxh3_64(id.as_bytes())
-}
-
 impl Machine {
     /// Returns whether a non-durable job is old enough that its caller may have submitted it elsewhere,
     /// and not all processes that may have received it know of it. No task of it may be started.
@@ -254,9 +248,9 @@
             }
             listed.push(key);
             if job.is_unstarted() && self.awaits_acknowledgement(now, job) {
-                awaiting.push(job_hash(&job.request.id));
+                awaiting.push(job.hash);
             } else {
-                held.push(job_hash(&job.request.id));
+                held.push(job.hash);
             }
         }
         if broadcast.is_some() {
@@ -353,7 +347,7 @@
             if job.progress == Progress::Closed || job.durable.is_some() {
                 continue;
             }
-            let hash = job_hash(&job.request.id);
+            let hash = job.hash;
             if peer.held.binary_search(&hash).is_ok() {
                 contested.push((key, true));
             } else if peer.awaiting.binary_search(&hash).is_ok() {
--- a/crates/core/src/scheduler/jobs.rs
+++ b/crates/core/src/scheduler/jobs.rs
@@ -5,6 +5,7 @@
 use slotmap::{SlotMap, new_key_type};
 use smallvec::SmallVec;
 use smol_str::SmolStr;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::crash_count::CrashCount;
 use super::io::CallKey;
@@ -86,6 +87,8 @@
 #[derive(Debug)]
 pub(super) struct Job {
     pub(super) request: JobRequest,
+    /// See [`job_hash`].
+    pub(super) hash: u64,
     pub(super) queue_config: QueueConfig,
     pub(super) calls: SmallVec<[CallKey; 1]>,
     pub(super) progress: Progress,
@@ -165,6 +168,7 @@
             });
         }
         Self {
+            hash: job_hash(&request.id),
             request,
             queue_config,
             calls: call.into_iter().collect(),
@@ -275,6 +279,11 @@
     }
 }
 
+/// Returns the hash by which a job is listed in heartbeats.
+pub(super) fn job_hash(id: &str) -> u64 {
+    xxh3_64(id.as_bytes())
+}
+
 /// Converts a position or count to the width used in messages.
 pub(super) fn to_u32(position: usize) -> u32 {
     u32::try_from(position).unwrap_or(u32::MAX)
