fix(agent): a response that is read late is no sign of life

Cause: a response counted as a sign of life of the worker when the agent read it. Change: the agent keeps the latest time at which the worker was certainly there: that of the call, plus the wait of a renewal that listed no ended run. A crash is proof only within 150 ms of it, as before of the response. Event 403 has `silent_ms`.

--- a/crates/core/src/executor/crashes.rs
+++ b/crates/core/src/executor/crashes.rs
@@ -66,8 +66,8 @@
             let weight = jobs.entry(id.task.job.as_str()).or_default();
             *weight = weight.max(blame_weight(run, crashed_at));
         }
-        // A run may have ended since the last response.
-        let silent = !self.worker.has_just_responded(now.mono);
+        // A run may have ended since the last sign of life.
+        let silent = self.worker.is_silent(now.mono);
         let total: f64 = jobs.values().sum();
         let highest = jobs.values().copied().fold(0.0, f64::max);
         let evidence = on_worker().filter_map(|(id, run)| {
--- a/crates/core/src/executor/lifetimes.rs
+++ b/crates/core/src/executor/lifetimes.rs
@@ -139,11 +139,13 @@
         };
         let suspects = evidence.values().filter(|evidence| evidence.suspect);
         let response_age = now.since(self.worker.responded_at);
+        let silence = self.worker.silence(now.mono);
         let fields = vec![
             ("runs", lost.len().to_string()),
             ("first", lost[0].to_string()),
             ("cause", loss.cause.to_owned()),
             ("response_age_ms", response_age.as_millis().to_string()),
+            ("silent_ms", silence.as_millis().to_string()),
             ("crashed", loss.crashed.to_string()),
             ("suspects", suspects.count().to_string()),
         ];
--- a/crates/core/src/executor/pending_calls.rs
+++ b/crates/core/src/executor/pending_calls.rs
@@ -31,6 +31,8 @@
     pub(super) acknowledged: u64,
     /// When the call was made.
     pub(super) made_at: Duration,
+    /// Time that the worker waits for a run to end before it responds.
+    pub(super) wait: Duration,
 }
 
 /// All calls that have not completed.
--- a/crates/core/src/executor/renewals.rs
+++ b/crates/core/src/executor/renewals.rs
@@ -39,7 +39,7 @@
                 continue;
             }
             self.runs.update(&run, |run| run.record_stop_sent(now.mono));
-            let call = self.record_call(now, Purpose::Stop(run.clone()));
+            let call = self.record_call(now, Purpose::Stop(run.clone()), Duration::ZERO);
             let fence = self.worker.fence;
             out.push(Action::StopRun { call, run, fence });
         }
@@ -82,7 +82,7 @@
         } else {
             self.worker.lease_deadline_ms(now.mono, lease_end)
         };
-        let call = self.record_call(now, purpose);
+        let call = self.record_call(now, purpose, wait);
         out.push(Action::RenewLease {
             call,
             lease_deadline_ms,
@@ -115,14 +115,16 @@
         end
     }
 
-    /// Registers a call to the worker and returns its key.
-    pub(super) fn record_call(&mut self, now: Now, purpose: Purpose) -> CallKey {
+    /// Registers a call that the worker answers after `wait`, or earlier once a run ends, and returns its
+    /// key.
+    pub(super) fn record_call(&mut self, now: Now, purpose: Purpose, wait: Duration) -> CallKey {
         self.worker.record_call(now.mono);
         self.pending_calls.add(PendingCall {
             purpose,
             generation: self.worker.generation,
             fence: self.worker.fence,
             made_at: now.mono,
+            wait,
             acknowledged: self.acknowledged(now),
         })
     }
--- a/crates/core/src/executor/run_lists.rs
+++ b/crates/core/src/executor/run_lists.rs
@@ -1,5 +1,7 @@
 //! Lease renewals, and the lists of running and ended runs in the worker's responses.
 
+use std::time::Duration;
+
 use knapweedwall_wire as wire;
 use smol_str::SmolStr;
 
@@ -35,7 +37,8 @@
                 self.handle_run_lists(now, &call, lists, clock_ms, out);
             }
             RenewalOutcome::Fence => {
-                self.worker.record_response(now.mono, clock_ms);
+                self.worker
+                    .record_response(now.mono, call.made_at, clock_ms);
                 self.worker.raise_fence_above(call.fence);
                 self.probe_needed |= is_probe;
             }
@@ -96,7 +99,14 @@
             self.worker.incarnation = Some(incarnation);
         }
         // Not before the loss of the runs on an earlier incarnation: it has not responded.
-        self.worker.record_response(now.mono, clock_ms);
+        // Without ended runs to list, the worker has waited as long as it was asked to.
+        let waited = if lists.ended.is_empty() {
+            call.wait
+        } else {
+            Duration::ZERO
+        };
+        self.worker
+            .record_response(now.mono, call.made_at + waited, clock_ms);
         if restarted && call.acknowledged > 0 {
             // The new incarnation has discarded ends that it had not listed.
             return self.resolve_announced(now, call.made_at, out);
--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -199,7 +199,7 @@
             run.state = RunState::Starting(fence, now.mono);
             run.start_failed_at = None;
         });
-        let call = self.record_call(now, Purpose::Start(id.clone()));
+        let call = self.record_call(now, Purpose::Start(id.clone()), Duration::ZERO);
         out.push(Action::StartRun {
             call,
             request,
@@ -229,7 +229,8 @@
             return;
         }
         if matches!(outcome, StartOutcome::Started | StartOutcome::Refused(_)) {
-            self.worker.record_response(now.mono, clock_ms);
+            self.worker
+                .record_response(now.mono, call.made_at, clock_ms);
             self.worker.record_start_response(now.since(call.made_at));
         }
         let refused = matches!(outcome, StartOutcome::NotSent { refused: true, .. });
@@ -384,7 +385,8 @@
         };
         match outcome {
             StopOutcome::Accepted => {
-                self.worker.record_response(now.mono, clock_ms);
+                self.worker
+                    .record_response(now.mono, call.made_at, clock_ms);
                 self.runs.update(&id, |run| {
                     run.unanswered_stop = None;
                     run.state = RunState::Stopping(Some(now.mono));
--- a/crates/core/src/executor/worker.rs
+++ b/crates/core/src/executor/worker.rs
@@ -22,6 +22,10 @@
 /// that the agent has not seen if they were acknowledged by the numbers of the incarnation before.
 const ACKNOWLEDGEMENT_TIME: Duration = Duration::from_millis(150);
 
+/// Time without a sign of life of the worker after which its runs may have ended before it crashed: two
+/// lease renewals. Their ends are known after one.
+const CRASH_EVIDENCE_TIME: Duration = Duration::from_millis(150);
+
 /// Weight of a new sample in the moving average of response times.
 const RESPONSE_TIME_GAIN: f64 = 0.2;
 
@@ -71,6 +75,9 @@
     unanswered_since: Option<Duration>,
     /// Time of the last response, of this or an earlier incarnation.
     pub(super) responded_at: Duration,
+    /// Latest time at which the worker, of this or an earlier incarnation, was certainly there. Earlier
+    /// than the time of the last response if the agent stood still before it read that.
+    alive_at: Duration,
     /// When the last run lists were requested, of this or an earlier incarnation.
     pub(super) lists_requested_at: Duration,
     /// Time of the first failed lease renewal since the last response.
@@ -112,6 +119,7 @@
             clock: None,
             unanswered_since: None,
             responded_at: Duration::ZERO,
+            alive_at: Duration::ZERO,
             lists_requested_at: Duration::ZERO,
             failing_since: None,
             unreachable: false,
@@ -156,10 +164,17 @@
         }
     }
 
-    /// Records a response, and the worker's clock reading if the response contains one.
-    pub(super) fn record_response(&mut self, now: Duration, clock_ms: Option<u64>) {
+    /// Records a response of a worker that was certainly there at `alive_at`, and the worker's clock
+    /// reading if the response contains one.
+    pub(super) fn record_response(
+        &mut self,
+        now: Duration,
+        alive_at: Duration,
+        clock_ms: Option<u64>,
+    ) {
         self.unanswered_since = None;
         self.responded_at = now;
+        self.alive_at = self.alive_at.max(alive_at.min(now));
         self.failing_since = None;
         self.unreachable = false;
         self.refusals = 0;
@@ -173,6 +188,17 @@
         now.saturating_sub(self.responded_at) <= ACKNOWLEDGEMENT_TIME
     }
 
+    /// Returns whether the worker has been without a sign of life for so long that its runs may have ended
+    /// since.
+    pub(super) fn is_silent(&self, now: Duration) -> bool {
+        self.silence(now) > CRASH_EVIDENCE_TIME
+    }
+
+    /// Returns the time since the last sign of life of the worker.
+    pub(super) fn silence(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.alive_at)
+    }
+
     /// Updates the mean response time with that of a start request.
     pub(super) fn record_start_response(&mut self, elapsed: Duration) {
         let elapsed = elapsed.min(MAX_RESPONSE_SAMPLE).mul_f64(RESPONSE_TIME_GAIN);
