fix(agent): ends are not acknowledged by a response that is read late

Callers would see: a durable task runs again after its end (rule of the model: `repeated`). Played in the model only, no report by users. Cause: ends are acknowledged for 150 ms after a response, since a worker that has restarted with its id numbers its ends anew and would forget some unseen. That time counted from the reading of the response, so an agent that stood still took a response of the lifetime before for a recent one. Ruled out: random_faults as a guard: it restarts workers with a new id only, and a call that is meant for the earlier id is refused.

--- a/crates/core/src/executor/worker.rs
+++ b/crates/core/src/executor/worker.rs
@@ -17,7 +17,7 @@
 /// Time without a response after which the lease is no longer renewed, so that it expires.
 const WORKER_SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Time after the last response for which ended runs are acknowledged: two lease renewals. A worker that
+/// Time after the last sign of life for which ended runs are acknowledged: two lease renewals. A worker that
 /// has been silent for longer may have restarted. It then numbers its ends anew, and would forget ends
 /// that the agent has not seen if they were acknowledged by the numbers of the incarnation before.
 const ACKNOWLEDGEMENT_TIME: Duration = Duration::from_millis(150);
@@ -183,9 +183,10 @@
         }
     }
 
-    /// Returns whether the worker has responded so recently that it has hardly restarted since.
+    /// Returns whether the worker was there so recently that it has hardly restarted since. The usual delay
+    /// of responses is allowed for, or a slow worker would have its ended runs never acknowledged.
     pub(super) fn has_just_responded(&self, now: Duration) -> bool {
-        now.saturating_sub(self.responded_at) <= ACKNOWLEDGEMENT_TIME
+        self.silence(now) <= ACKNOWLEDGEMENT_TIME + self.late_response_limit()
     }
 
     /// Returns whether the worker has been without a sign of life for so long that its runs may have ended
--- a/crates/core/tests/jobs/acknowledgements.rs
+++ b/crates/core/tests/jobs/acknowledgements.rs
@@ -1,8 +1,12 @@
 //! Acknowledgements of ended runs, which count in one lifetime of a worker only.
 
+use knapweedwall_core::scheduler::Answer;
 use rstest::rstest;
 
 use crate::agent::Agent;
+use crate::callers::Job;
+use crate::calls::{Call, PendingCall};
+use crate::fleet::Fleet;
 
 /// Number of the end that the first lifetime listed.
 const LAST_END: u64 = 1;
@@ -37,3 +41,47 @@
     agent.order("0000000000000002").expect("a start");
     assert_eq!(agent.cursors(), vec![LAST_END]);
 }
+
+/// Guards against the same after a standstill of the agent: it reads a response of the lifetime before
+/// first, and would take it for a recent one.
+#[rstest]
+fn a_response_read_late_spares_the_next_lifetime() {
+    let mut agent = acknowledged();
+    agent.order("0000000000000002").expect("a start");
+    agent.now_ms += 700;
+    agent.answer_renewals(1);
+    let cursors = agent.cursors();
+    assert!(!cursors.is_empty());
+    assert!(cursors.iter().all(|cursor| *cursor == 0), "{cursors:?}");
+}
+
+/// Guards against a durable task that runs again after its end: the worker restarted with its id while its
+/// agent stood still, carried out a start late, and then forgot the end of that run, which the agent
+/// acknowledged by the number of an earlier one.
+#[rstest]
+fn ends_after_a_standstill_are_not_forgotten(#[values(80, 200, 400)] restart_ms: u64) {
+    let mut fleet = Fleet::new(1, &[(16_000, 1.0)], 1);
+    fleet.run(3_000);
+    let long = fleet.submit(0, "patient", Job::new(1, 1_000, 5_000).durable());
+    let ended = fleet.submit(0, "patient", Job::new(1, 1_000, 50).durable());
+    fleet.run(1_000);
+    assert_eq!(fleet.query(0, ended), Some(Answer::Completed));
+    fleet.late_ms = (restart_ms + 100, 1);
+    let job = fleet.submit(0, "patient", Job::new(1, 1_000, 30).durable());
+    let is_start = |call: &PendingCall| matches!(call.call, Call::Start(..));
+    while !fleet.hosts[0].calls.iter().any(is_start) {
+        fleet.late_percent = 100;
+        fleet.run(1);
+    }
+    fleet.late_percent = 0;
+    fleet.freeze_agent(0, true);
+    fleet.run(restart_ms);
+    let now_ms = fleet.now_ms;
+    fleet.worker(0).restart_with_id(now_ms);
+    fleet.run(200);
+    fleet.freeze_agent(0, false);
+    fleet.run(15_000);
+    assert_eq!(fleet.query(0, job), Some(Answer::Completed));
+    assert_eq!(fleet.query(0, long), Some(Answer::Completed));
+    fleet.assert_rules();
+}
