fix(scheduler): a stopping process does not refuse a job whose runs go on

What callers see: "not run" from a process that ends, for a submission that waits for the end of an earlier one with its id, whose runs have not ended.

Cause: only the job itself was looked at, not the one that its later submission waits for.

Ruled out: jobs that await acknowledgements; they have an unknown outcome already.

Change: such a submission has an unknown outcome.

Measured: a_stopping_process_does_not_refuse_a_waiting_resubmission failed in 8 of 8 cases before and in none after.

Conclusion: a refusal means that no task of the job has run.

--- a/crates/core/src/scheduler/graceful_stop.rs
+++ b/crates/core/src/scheduler/graceful_stop.rs
@@ -79,8 +79,9 @@
                 unknown.extend(mem::take(&mut durable.cancel_calls));
                 unknown.extend(mem::take(&mut durable.query_calls));
             }
+            // Runs of the earlier job with its id have not ended.
+            unknown.extend(resubmission.map(|later| later.call));
             let mut refused: SmallVec<[CallKey; 4]> = SmallVec::new();
-            refused.extend(resubmission.map(|later| later.call));
             if unstarted {
                 refused.extend(calls);
             } else {
