fix(scheduler): a new process must know a job before its limit is lifted

What callers see: a task runs twice at the same time. A process connects shortly before a job starts, is cut off again before it hears of the job, and the owner stands still at 1.09 s.

Cause: for 150 ms after its first connection a process need not have acknowledged anything, which keeps older jobs from being given up. The limit of a young job was lifted in this time.

Ruled out: processes that were never connected, which stay a known gap.

Change: until the age of 1.1 s only lost processes that had acknowledged the job are excused.

--- a/crates/core/src/scheduler/held_jobs.rs
+++ b/crates/core/src/scheduler/held_jobs.rs
@@ -150,6 +150,9 @@
     fn missing_acknowledgements(&self, now: Now, job: &Job) -> impl Iterator<Item = &SmolStr> {
         let grace = if job.is_unstarted() {
             Grace::None
+        } else if now.since(job.arrived_at) < HOLD_LIMIT {
+            // A new process that is lost again before it knows the job may start it.
+            Grace::Loss
         } else {
             Grace::Reconnection
         };
--- a/crates/core/src/scheduler/peers.rs
+++ b/crates/core/src/scheduler/peers.rs
@@ -68,6 +68,8 @@
 pub(super) enum Grace {
     /// It is not: the other process may have started the job.
     None,
+    /// A lost one is, as the other process had acknowledged the job.
+    Loss,
     /// It is, as the other process had acknowledged the job, or learns of it in time.
     Reconnection,
 }
@@ -253,16 +255,17 @@
         number: u64,
         grace: Grace,
     ) -> impl Iterator<Item = &SmolStr> {
-        let grace = grace == Grace::Reconnection;
+        let excuses_new = grace == Grace::Reconnection;
+        let excuses_lost = grace != Grace::None;
         let connected = self.by_link.values().filter(move |peer| {
             let recent = now.saturating_sub(peer.connected_at) < CONNECTION_GRACE;
             let new = recent && !peer.is_known;
-            let excused = peer.ended || grace && new;
+            let excused = peer.ended || excuses_new && new;
             !excused && peer.acknowledged < number
         });
         let lost = self.unreached().filter(move |lost| {
             let recent = now.saturating_sub(lost.since) < LOSS_GRACE;
-            !grace || !recent || lost.acknowledged < number
+            !excuses_lost || !recent || lost.acknowledged < number
         });
         let connected = connected.map(|peer| &peer.name);
         connected.chain(lost.map(|lost| &lost.name))
