fix(scheduler): one of two processes that acknowledge each other's job starts it

What callers see: a task runs twice at the same time. Submissions of a job wait at two processes for the runs of a lost one, are admitted within 1 ms, and both start 40 ms later.

Cause: the heartbeat that lists the job at the other process also brings the last acknowledgement for it here. The acknowledgement is recorded first, so that the job no longer waits and is not handed over. This happens at both processes.

Change: the process with the lower instance hands over a job of which no task has run, also if it need not wait any more.

If the other process has just given the job up as well, both callers get an unknown outcome.

--- a/crates/core/src/scheduler/held_jobs.rs
+++ b/crates/core/src/scheduler/held_jobs.rs
@@ -370,7 +370,9 @@
             let waits_here = job.is_unstarted() && self.awaits_acknowledgement(now, job);
             let yields = self.settings.instance < instance;
             // The job that stays is the one with started tasks, or that of the higher instance.
-            if waits_here && (started_there || yields) {
+            // The frame that lists the job there may have brought the last acknowledgement for it here.
+            let hands_over = waits_here && started_there || job.is_unstarted() && yields;
+            if hands_over {
                 self.hand_over_job(now, key, link, out);
             } else if !waits_here && started_there && yields {
                 let fields = vec![
--- a/crates/core/tests/jobs/unseen_breaks.rs
+++ b/crates/core/tests/jobs/unseen_breaks.rs
@@ -142,3 +142,11 @@
         play_breaks(seed, zones);
     }
 }
+
+/// Guards against two processes that start the same job at the same time: a submission waits at each of them
+/// for the runs of a lost process, and each acknowledges the job of the other one.
+#[rstest]
+#[case::two_waiting_submissions(9048, 3)]
+fn rules_hold_beside_known_breaks(#[case] seed: u64, #[case] zones: usize) {
+    play_breaks(seed, zones);
+}
