--- a/crates/core/src/scheduler/held_jobs.rs
+++ b/crates/core/src/scheduler/held_jobs.rs
@@ -46,6 +46,10 @@
 /// process ends before the next heartbeat and the runs go on for 800 ms.
 const LATE_ADMISSION: Duration = Duration::from_millis(200);
 
+/// Maximum time that a job with [`LATE_ADMISSION`] waits for the acknowledgements, which take one round
+/// trip. A process that stands still would keep it for 1.5 s. The limit of its runs then bounds them.
+const ACKNOWLEDGEMENT_WAIT: Duration = Duration::from_millis(50);
+
 /// Time after the first connection to a process in which it need not have acknowledged anything. The first
 /// frame on the connection lists all jobs that are old enough, and is answered at once.
 pub(super) const CONNECTION_GRACE: Duration = Duration::from_millis(150);
@@ -136,7 +140,8 @@
         }
         let late = job.submitted_at >= job.arrived_at + LATE_ADMISSION;
         let announced = job.announced.unwrap_or(u64::MAX);
-        late && job.is_unstarted() && !self.peers.have_acknowledged(announced)
+        let asked = now.since(job.submitted_at) < ACKNOWLEDGEMENT_WAIT;
+        late && asked && job.is_unstarted() && !self.peers.have_acknowledged(announced)
     }
 
     /// Returns the names of the processes that may receive the job again and do not know that this one
@@ -144,6 +149,9 @@
     fn missing_acknowledgements(&self, now: Now, job: &Job) -> impl Iterator<Item = &SmolStr> {
         let grace = if job.is_unstarted() {
             Grace::None
+        } else if now.since(job.arrived_at) < HOLD_LIMIT {
+            // A new process that is lost again before it knows the job may start it.
+            Grace::Loss
         } else {
             Grace::Reconnection
         };
@@ -361,7 +369,9 @@
             let waits_here = job.is_unstarted() && self.awaits_acknowledgement(now, job);
             let yields = self.settings.instance < instance;
             // The job that stays is the one with started tasks, or that of the higher instance.
-            if waits_here && (started_there || yields) {
+            // The frame that lists the job there may have brought the last acknowledgement for it here.
+            let hands_over = waits_here && started_there || job.is_unstarted() && yields;
+            if hands_over {
                 self.hand_over_job(now, key, link, out);
             } else if !waits_here && started_there && yields {
                 let fields = vec![
