fix(agent): an answer to a start does not vouch for the worker's lifetime

Cause: the agent acknowledges ends by number for 150 ms after the worker's last response, since another lifetime numbers its ends anew. Answers to starts counted as responses, but they do not name the lifetime. The first start that the new lifetime answers renewed the 150 ms; the next renewal acknowledged by the numbers of the earlier lifetime, the new one forgot ends that the agent had not seen, and the owner started the tasks again. It also counted them as crashed. Found by reading; then seen in the logs of a play of the real processes (a trial whose only faults are crashes of workers with their ids, one every 300 ms): crash at 55.704 s, starts answered at 55.878 s, ends from 55.895 to 55.910 s, at 55.986 s lists of a new lifetime without runs ("response_age_ms" 107, so the last response was that answer), tasks sent elsewhere at 56.010 s. Change: only run lists, which name the lifetime, allow acknowledgements for 150 ms. Everything else still goes by any response. A worker that is back within 150 ms of its last run lists may still forget ends.

--- a/crates/core/src/executor/renewals.rs
+++ b/crates/core/src/executor/renewals.rs
@@ -131,7 +131,7 @@
     fn acknowledged(&self, now: Now) -> u64 {
         // Another incarnation numbers its ends anew.
         let in_doubt = !self.worker.announced.is_empty();
-        if in_doubt || !self.worker.has_just_responded(now.mono) {
+        if in_doubt || !self.worker.has_just_listed(now.mono) {
             return 0;
         }
         self.retained_runs
--- a/crates/core/src/executor/run_lists.rs
+++ b/crates/core/src/executor/run_lists.rs
@@ -97,6 +97,7 @@
         }
         // Not before the loss of the runs on an earlier incarnation: it has not responded.
         self.worker.record_response(now.mono, clock_ms);
+        self.worker.record_lists(now.mono);
         if restarted && call.acknowledged > 0 {
             // The new incarnation has discarded ends that it had not listed.
             return self.resolve_announced(now, call.made_at, out);
--- a/crates/core/src/executor/worker.rs
+++ b/crates/core/src/executor/worker.rs
@@ -17,9 +17,10 @@
 /// Time without a response after which the lease is no longer renewed, so that it expires.
 const WORKER_SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Time after the last response for which ended runs are acknowledged: two lease renewals. A worker that
-/// has been silent for longer may have restarted. It then numbers its ends anew, and would forget ends
-/// that the agent has not seen if they were acknowledged by the numbers of the incarnation before.
+/// Time after the last run lists for which ended runs are acknowledged: two lease renewals. A worker that
+/// has listed nothing for longer may have restarted. It then numbers its ends anew, and would forget ends
+/// that the agent has not seen if they were acknowledged by the numbers of the incarnation before. The
+/// response to a start or a stop does not count: it may be from the new incarnation.
 const ACKNOWLEDGEMENT_TIME: Duration = Duration::from_millis(150);
 
 /// Weight of a new sample in the moving average of response times.
@@ -73,6 +74,8 @@
     pub(super) responded_at: Duration,
     /// When the last run lists were requested, of this or an earlier incarnation.
     pub(super) lists_requested_at: Duration,
+    /// When the last run lists were received. They name the incarnation, unlike other responses.
+    lists_received_at: Option<Duration>,
     /// Time of the first failed lease renewal since the last response.
     pub(super) failing_since: Option<Duration>,
     /// Whether a connection has been refused since the last response. The worker gets no runs until it
@@ -113,6 +116,7 @@
             unanswered_since: None,
             responded_at: Duration::ZERO,
             lists_requested_at: Duration::ZERO,
+            lists_received_at: None,
             failing_since: None,
             unreachable: false,
             refusals: 0,
@@ -168,6 +172,18 @@
         }
     }
 
+    /// Records that run lists of the known incarnation were received.
+    pub(super) fn record_lists(&mut self, now: Duration) {
+        self.lists_received_at = Some(now);
+    }
+
+    /// Returns whether the worker has named its incarnation so recently that ends may be acknowledged by
+    /// the numbers of that one.
+    pub(super) fn has_just_listed(&self, now: Duration) -> bool {
+        self.lists_received_at
+            .is_some_and(|at| now.saturating_sub(at) <= ACKNOWLEDGEMENT_TIME)
+    }
+
     /// Returns whether the worker has responded so recently that it has hardly restarted since.
     pub(super) fn has_just_responded(&self, now: Duration) -> bool {
         now.saturating_sub(self.responded_at) <= ACKNOWLEDGEMENT_TIME
--- a/crates/core/tests/jobs/acknowledgements.rs
+++ b/crates/core/tests/jobs/acknowledgements.rs
@@ -37,3 +37,16 @@
     agent.order("0000000000000002").expect("a start");
     assert_eq!(agent.cursors(), vec![LAST_END]);
 }
+
+/// Guards against the same when the next lifetime has accepted a start: its answer does not tell which
+/// lifetime it is from.
+#[rstest]
+fn answers_to_starts_extend_no_cursors() {
+    let mut agent = acknowledged();
+    agent.run(700);
+    let start = agent.order("0000000000000002").expect("a start");
+    agent.accept_start(start);
+    agent.renewals();
+    agent.run(100);
+    assert_eq!(agent.cursors(), vec![0]);
+}
--- a/crates/core/tests/jobs/calls.rs
+++ b/crates/core/tests/jobs/calls.rs
@@ -245,6 +245,21 @@
         }
     }
 
+    /// Loses the calls that are on their way to a worker, or wait there. Their agent learns of it at
+    /// their time limits.
+    pub fn lose_calls(&mut self, at: usize) {
+        let instance = self.hosts[at].instance;
+        for pending in std::mem::take(&mut self.hosts[at].calls) {
+            let limit_ms = match &pending.call {
+                Call::Hold { until_ms, .. } => until_ms.saturating_sub(self.now_ms) + HOLD_SLACK_MS,
+                _ => CALL_MS,
+            };
+            let failure = no_answer(pending.key, &pending.call);
+            self.late_answers
+                .push((self.now_ms + limit_ms, at, instance, failure));
+        }
+    }
+
     /// Loses the stops that are on their way to a worker; they get no response.
     pub fn drop_stops(&mut self, at: usize) {
         let calls = &mut self.hosts[at].calls;
--- a/crates/core/tests/jobs/restarted_workers.rs
+++ b/crates/core/tests/jobs/restarted_workers.rs
@@ -13,6 +13,14 @@
 /// Time in which shards have owners after the start.
 const CLAIM_MS: u64 = 3_000;
 
+/// Time after a silence at which the worker tells of its new lifetime.
+const BEAT_RETRY_MS: u64 = 150;
+
+/// Restarts in one play, and the time before and after each of them. Each is a millisecond later than the
+/// one before, relative to the jobs.
+const ROUNDS: u64 = 20;
+const BETWEEN_MS: u64 = 500;
+
 /// Starts that are on their way to a host break off, as on connections that the worker has closed.
 fn break_off_starts(fleet: &mut Fleet, at: usize) {
     let (starts, others) = std::mem::take(&mut fleet.hosts[at].calls)
@@ -85,3 +93,35 @@
     fleet.run(1_000);
     fleet.assert_rules();
 }
+
+/// Guards against a task that is started again after its end has counted: a worker is back with its id
+/// after a silence, and its agent takes the answer to a start for one of the lifetime before. The next
+/// renewal then acknowledges ends of the new lifetime that nobody has learned of.
+#[rstest]
+fn starts_on_a_new_lifetime_acknowledge_nothing(
+    #[values(120, 149, 200)] silent_ms: u64,
+    #[values(25, 40, 60)] run_ms: u64,
+) {
+    let mut fleet = Fleet::new(1, &[(16_000, 1.0), (16_000, 1.0)], 1);
+    fleet.run(CLAIM_MS);
+    for round in 0..ROUNDS {
+        let crash_at = BETWEEN_MS + round;
+        for step in 0..2 * BETWEEN_MS {
+            if step % 7 == 0 {
+                fleet.submit(0, "patient", Job::new(2, 1_000, run_ms).durable());
+            }
+            if step == crash_at {
+                let now_ms = fleet.now_ms;
+                fleet.worker(0).restart_with_id(now_ms);
+                fleet.hosts[0].next_beat_ms = now_ms + silent_ms + BEAT_RETRY_MS;
+            }
+            fleet.run(1);
+            if (crash_at..crash_at + silent_ms).contains(&step) {
+                fleet.lose_calls(0);
+            }
+        }
+    }
+    fleet.finish(20_000);
+    fleet.run(1_000);
+    fleet.assert_rules();
+}
--- a/crates/lab/tests/soak/short_soak.rs
+++ b/crates/lab/tests/soak/short_soak.rs
@@ -44,7 +44,8 @@
 /// Seeds that have broken a promise, each with its cause.
 #[rstest]
 // A worker restarted with its instance id; runs that the new lifetime had accepted were taken for lost
-// with the one before, and ran twice.
+// with the one before, and ran twice. Later, ends of the new lifetime were acknowledged by the numbers of
+// the one before, and their tasks ran again.
 #[case::restart_with_id(5031)]
 fn failed_seeds_hold(#[case] seed: u64) {
     let outcome = play(seed, FULL_SIZES);
