--- a/crates/core/src/executor/run_lists.rs
+++ b/crates/core/src/executor/run_lists.rs
@@ -105,8 +105,9 @@
         } else {
             Duration::ZERO
         };
-        self.worker
-            .record_response(now.mono, call.made_at + waited, clock_ms);
+        let alive_at = call.made_at + waited;
+        self.worker.record_response(now.mono, alive_at, clock_ms);
+        self.worker.record_lists(now.mono, alive_at);
         if restarted && call.acknowledged > 0 {
             // The new incarnation has discarded ends that it had not listed.
             return self.resolve_announced(now, call.made_at, out);
--- a/crates/core/src/executor/worker.rs
+++ b/crates/core/src/executor/worker.rs
@@ -17,9 +17,10 @@
 /// Time without a response after which the lease is no longer renewed, so that it expires.
 const WORKER_SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Time after the last sign of life for which ended runs are acknowledged: two lease renewals. A worker that
-/// has been silent for longer may have restarted. It then numbers its ends anew, and would forget ends
-/// that the agent has not seen if they were acknowledged by the numbers of the incarnation before.
+/// Time after the last run lists for which ended runs are acknowledged: two lease renewals. A worker that
+/// has listed nothing for longer may have restarted. It then numbers its ends anew, and would forget ends
+/// that the agent has not seen if they were acknowledged by the numbers of the incarnation before. The
+/// response to a start or a stop does not count: it may be from the new incarnation.
 const ACKNOWLEDGEMENT_TIME: Duration = Duration::from_millis(150);
 
 /// Time without a sign of life of the worker after which its runs may have ended before it crashed: two
@@ -80,6 +81,9 @@
     alive_at: Duration,
     /// When the last run lists were requested, of this or an earlier incarnation.
     pub(super) lists_requested_at: Duration,
+    /// Latest time at which the worker was certainly there as the known incarnation. Run lists name it,
+    /// unlike other responses.
+    listed_at: Option<Duration>,
     /// Time of the first failed lease renewal since the last response.
     pub(super) failing_since: Option<Duration>,
     /// Whether a connection has been refused since the last response. The worker gets no runs until it
@@ -121,6 +125,7 @@
             responded_at: Duration::ZERO,
             alive_at: Duration::ZERO,
             lists_requested_at: Duration::ZERO,
+            listed_at: None,
             failing_since: None,
             unreachable: false,
             refusals: 0,
@@ -183,10 +188,18 @@
         }
     }
 
-    /// Returns whether the worker was there so recently that it has hardly restarted since. The usual delay
-    /// of responses is allowed for, or a slow worker would have its ended runs never acknowledged.
-    pub(super) fn has_just_responded(&self, now: Duration) -> bool {
-        self.silence(now) <= ACKNOWLEDGEMENT_TIME + self.late_response_limit()
+    /// Records run lists of the known incarnation, which was certainly there at `alive_at`.
+    pub(super) fn record_lists(&mut self, now: Duration, alive_at: Duration) {
+        self.listed_at = self.listed_at.max(Some(alive_at.min(now)));
+    }
+
+    /// Returns whether the worker was there as the known incarnation so recently that it has hardly
+    /// restarted since. The usual delay of responses is allowed for, or a slow worker would have its ended
+    /// runs never acknowledged.
+    pub(super) fn has_just_listed(&self, now: Duration) -> bool {
+        let limit = ACKNOWLEDGEMENT_TIME + self.late_response_limit();
+        self.listed_at
+            .is_some_and(|at| now.saturating_sub(at) <= limit)
     }
 
     /// Returns whether the worker has been without a sign of life for so long that its runs may have ended
--- a/crates/core/tests/jobs/acknowledgements.rs
+++ b/crates/core/tests/jobs/acknowledgements.rs
@@ -85,3 +85,16 @@
     assert_eq!(fleet.query(0, long), Some(Answer::Completed));
     fleet.assert_rules();
 }
+
+/// Guards against the same when the next lifetime has accepted a start: its answer does not tell which
+/// lifetime it is from.
+#[rstest]
+fn answers_to_starts_extend_no_cursors() {
+    let mut agent = acknowledged();
+    agent.run(700);
+    let start = agent.order("0000000000000002").expect("a start");
+    agent.accept_start(start);
+    agent.renewals();
+    agent.run(100);
+    assert_eq!(agent.cursors(), vec![0]);
+}
