fix(scheduler,executor): the limit of a run does not move with a late order

What callers see: a task runs twice at the same time. An order reaches its agent 150 to 500 ms late, because it is delayed or the agent stands still, the owner stands still when it has to give the job up, and the caller is back at a process that the owner does not reach.

Cause: the agent counted the limit from the arrival of the order.

Ruled out: counting it from the last contact at the agent alone, which is up to 250 ms before the order is sent (400 ms between zones) and would end runs early in calm.

Change: the limit counts from the report that the order acknowledges: the owner subtracts when it received that report, and the agent adds when it sent it. The difference is the time that the report was on its way.

Conclusion: agents that stand still at the limit themselves remain.

--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -42,12 +42,13 @@
                 continue;
             }
             let resources = claim.room.map(Resources::from);
+            let held_until = self.hold_end(owner, claim.hold_ms);
             self.runs.update(&run.into(), |run| {
                 run.owner = Some(owner);
                 run.resources = run.resources.or(resources);
                 run.durable = claim.durable;
                 run.unclaimed = false;
-                run.held_until = hold_end(now, claim.hold_ms);
+                run.held_until = held_until;
             });
         }
         for stop in orders.stops {
@@ -133,7 +134,7 @@
                 stop_cause: None,
                 stop_requested_at: None,
                 abandoned_at: None,
-                held_until: hold_end(now, order.hold_ms),
+                held_until: self.hold_end(owner, order.hold_ms),
                 unanswered_stop: None,
                 start_failed_at: None,
                 listed: false,
@@ -147,6 +148,13 @@
         }
     }
 
+    /// Returns when a run ends that its owner limits to `hold_ms` after the last contact, where 0 means that
+    /// there is no limit.
+    fn hold_end(&self, owner: Instance, hold_ms: u32) -> Option<Duration> {
+        let last_contact = self.owners.last_contact(owner).unwrap_or_default();
+        (hold_ms > 0).then(|| last_contact + Duration::from_millis(hold_ms.into()))
+    }
+
     /// Returns whether a run of a non-durable job that starts now would end in time if its owner had been
     /// lost after its last contact and the agent were lost now. The lease may already last longer, because
     /// of runs of other owners. The owner places a task that is declined for this again, and the order
@@ -436,8 +444,3 @@
         }
     }
 }
-
-/// Returns when a run ends that its owner limits to `hold_ms`, where 0 means that there is no limit.
-fn hold_end(now: Now, hold_ms: u32) -> Option<Duration> {
-    (hold_ms > 0).then(|| now.mono + Duration::from_millis(hold_ms.into()))
-}
--- a/crates/core/src/scheduler/held_jobs.rs
+++ b/crates/core/src/scheduler/held_jobs.rs
@@ -160,14 +160,14 @@
             .missing_acknowledgements(now.mono, announced, grace)
     }
 
-    /// Returns the time in milliseconds after which agents stop the runs of a job, unless they are told
-    /// otherwise; 0 if there is no limit.
-    pub(super) fn hold_ms(&self, now: Now, job: &Job) -> u32 {
+    /// Returns the time in milliseconds from the last report of an agent, received at `heard_at`, after
+    /// which the agent stops the runs of a job, unless it is told otherwise; 0 if there is no limit.
+    pub(super) fn hold_ms(&self, now: Now, job: &Job, heard_at: Duration) -> u32 {
         if job.durable.is_some() || self.missing_acknowledgements(now, job).next().is_none() {
             return 0;
         }
         let limit = job.arrived_at + HOLD_LIMIT + HOLD_MARGIN;
-        let left = limit.saturating_sub(now.mono).as_millis();
+        let left = limit.saturating_sub(heard_at).as_millis();
         u32::try_from(left).unwrap_or(u32::MAX).max(1)
     }
 
--- a/crates/core/src/scheduler/links.rs
+++ b/crates/core/src/scheduler/links.rs
@@ -216,7 +216,11 @@
     pub(super) fn keep_or_stop_run(&mut self, now: Now, key: WorkerKey, run: &RunId) {
         let job = self.jobs.find(&run.task.job);
         let held = job.and_then(|job| self.jobs.get(job));
-        let hold_ms = held.map_or(0, |job| self.hold_ms(now, job));
+        let heard_at = self
+            .workers
+            .get(key)
+            .map_or(now.mono, |worker| worker.last_heard);
+        let hold_ms = held.map_or(0, |job| self.hold_ms(now, job, heard_at));
         let job = job.and_then(|job| self.jobs.get_mut(job));
         let (Some(job), Some(worker)) = (job, self.workers.get_mut(key)) else {
             return;
--- a/crates/core/src/scheduler/orders.rs
+++ b/crates/core/src/scheduler/orders.rs
@@ -26,7 +26,10 @@
         let epoch = self.jobs.get(key).map_or(0, |job| self.shard_epoch(job));
         let group = self.jobs.get(key).map(|job| self.group_of(now, job));
         let group = group.unwrap_or_default();
-        let hold_ms = self.jobs.get(key).map_or(0, |job| self.hold_ms(now, job));
+        let worker = self.workers.get(worker_key);
+        let heard_at = worker.map_or(now.mono, |worker| worker.last_heard);
+        let job = self.jobs.get(key);
+        let hold_ms = job.map_or(0, |job| self.hold_ms(now, job, heard_at));
         let (Some(job), Some(worker)) = (self.jobs.get_mut(key), self.workers.get_mut(worker_key))
         else {
             return;
