test(jobs): a new process beside the loss of an owner is a known fault

Cause: the process that knew the job is killed and starts again, and its owner is killed before the two are connected; the new process knows nobody that holds a job, and the agents allow 0.8 s of silence.

--- a/crates/core/tests/jobs/unseen_breaks.rs
+++ b/crates/core/tests/jobs/unseen_breaks.rs
@@ -143,10 +143,13 @@
     }
 }
 
-/// Guards against two processes that start the same job at the same time: a submission waits at each of them
-/// for the runs of a lost process, and each acknowledges the job of the other one.
+/// Guards against the faults that single seeds have found.
 #[rstest]
+// A submission waits at each of two processes for the runs of a lost one, and each acknowledges the job of
+// the other.
 #[case::two_waiting_submissions(9048, 3)]
+// The owner of a job is lost beside a process that is new and has not been connected to it.
+#[case::new_process_beside_a_loss(30015, 1)]
 fn rules_hold_beside_known_breaks(#[case] seed: u64, #[case] zones: usize) {
     play_breaks(seed, zones);
 }
