refactor(lab): the witness of the soak is split by job

Change: rules.rs, observations.rs and witness.rs. Items are moved; their visibility changes within the module. Ruled out: no check is changed.

--- a/crates/lab/src/soak/caller.rs
+++ b/crates/lab/src/soak/caller.rs
@@ -14,7 +14,7 @@
 use super::job::Job;
 use super::load::Shared;
 use super::plan::Mix;
-use super::witness::{Answer, Rule};
+use super::rules::{Answer, Rule};
 
 /// How long a caller waits for the answer to a job with short tasks, or to a question.
 const WAIT: Duration = Duration::from_millis(3_000);
--- a/crates/lab/src/soak/faults.rs
+++ b/crates/lab/src/soak/faults.rs
@@ -11,7 +11,8 @@
 use super::node::{GRACE, Node};
 use super::operator::Operator;
 use super::plan::{Fault, Harm, Step, Target};
-use super::witness::{Rule, Witness};
+use super::rules::Rule;
+use super::witness::Witness;
 use crate::proxy::{Direction, Proxy};
 use crate::site::{Outage, SiteStore, StoreFaults};
 
--- a/crates/lab/src/soak/operator.rs
+++ b/crates/lab/src/soak/operator.rs
@@ -11,7 +11,8 @@
 use super::connection::{Connection, HOST, Reply};
 use super::fleet::{Fleet, SERVICE};
 use super::job::{ATTEMPTS, QUEUES, STRETCH, TARGET_MS};
-use super::witness::{Rule, Witness};
+use super::rules::Rule;
+use super::witness::Witness;
 use crate::site::SiteStore;
 
 /// Time in which a configuration is in force, as on the platform's pages.
--- a/crates/lab/src/soak/run.rs
+++ b/crates/lab/src/soak/run.rs
@@ -18,7 +18,8 @@
 use super::operator::Operator;
 use super::plan::{Mix, Plan};
 use super::record::Record;
-use super::witness::{Answer, Rule, Violation, Witness};
+use super::rules::{Answer, Rule, Violation};
+use super::witness::Witness;
 use crate::cluster::{Dir, Result, SystemSnafu, eventually};
 use crate::site::SiteStore;
 
