test(jobs): shared steps of callers that come back and of silent agents

Cause: three files had the same come_back, two the same beginning of a play, one the same play twice.

--- a/crates/core/tests/jobs/callers.rs
+++ b/crates/core/tests/jobs/callers.rs
@@ -189,6 +189,14 @@
         self.entry_input(entry, scheduler::Input::CallGone(CallKey(call)));
     }
 
+    /// Submits the job of a caller again at another process. The caller gets no answer to its first
+    /// submission.
+    pub fn come_back(&mut self, job: usize, entry: usize) -> usize {
+        let again = self.submit_again_at(job, entry);
+        self.abandon(job);
+        again
+    }
+
     /// The caller's side of its connection breaks; the entry process does not see it.
     pub fn abandon(&mut self, number: usize) {
         self.callers[number].entry = usize::MAX;
--- a/crates/core/tests/jobs/limited_runs.rs
+++ b/crates/core/tests/jobs/limited_runs.rs
@@ -6,16 +6,20 @@
 
 use crate::callers::{Job, RESEND_MS};
 use crate::fleet::Fleet;
+use crate::peer_losses::waiting_submission;
 
 const WORKERS: [(u32, f64); 4] = [(16_000, 1.0); 4];
 
 /// Log event of runs that an agent stops at their time limit.
 const LIMIT_REACHED: u16 = 406;
 
-fn come_back(fleet: &mut Fleet, job: usize, entry: usize) -> usize {
-    let again = fleet.submit_again_at(job, entry);
-    fleet.abandon(job);
-    again
+/// Kills an entry process, or lets it stand still.
+fn lose(fleet: &mut Fleet, entry: usize, stands: bool) {
+    if stands {
+        fleet.freeze_entry(entry, true);
+    } else {
+        fleet.kill_entry(entry);
+    }
 }
 
 fn assert_undisturbed(fleet: &mut Fleet, job: usize, starts: u64) {
@@ -138,7 +142,7 @@
     fleet.run(1_090 - cut_ms);
     fleet.freeze_entry(0, true);
     fleet.run(RESEND_MS - 1_090);
-    come_back(&mut fleet, job, 1);
+    fleet.come_back(job, 1);
     fleet.run(700);
     fleet.freeze_entry(0, false);
     fleet.finish(12_000);
@@ -172,7 +176,7 @@
     fleet.run(1_090 - late_ms);
     fleet.freeze_entry(0, true);
     fleet.run(RESEND_MS - 1_090);
-    come_back(&mut fleet, job, 1);
+    fleet.come_back(job, 1);
     fleet.run(700);
     fleet.freeze_entry(0, false);
     fleet.finish(12_000);
@@ -199,7 +203,7 @@
     }
     for step in at_ms..(RESEND_MS + 2_000) {
         if step == RESEND_MS {
-            come_back(&mut fleet, job, 1);
+            fleet.come_back(job, 1);
         }
         if step == at_ms + still_ms {
             fleet.freeze_entry(0, false);
@@ -237,7 +241,7 @@
             fleet.freeze_entry(0, true);
         }
         if step == RESEND_MS {
-            come_back(&mut fleet, job, 1);
+            fleet.come_back(job, 1);
         }
         fleet.run(1);
     }
@@ -254,23 +258,14 @@
     #[values(3)] zones: usize,
     #[values(0, 900)] left_ms: u64,
 ) {
-    let mut fleet = Fleet::in_zones(zones, 3, &WORKERS, 1);
-    let job = fleet.submit(0, "patient", Job::new(4, 1_000, 4_000));
-    fleet.run(600);
-    fleet.kill_entry(0);
-    fleet.run(900);
-    let again = come_back(&mut fleet, job, 1);
+    let (mut fleet, again) = waiting_submission(zones);
     fleet.run(1_200);
     for step in 0..4_000 {
         if step == later_ms {
-            if stands {
-                fleet.freeze_entry(1, true);
-            } else {
-                fleet.kill_entry(1);
-            }
+            lose(&mut fleet, 1, stands);
         }
         if step == left_ms {
-            come_back(&mut fleet, again, 2);
+            fleet.come_back(again, 2);
         }
         fleet.run(1);
     }
@@ -318,14 +313,10 @@
             fleet.freeze_entry(0, false);
         }
         if step == late_ms + 150 + killed_ms {
-            if stands {
-                fleet.freeze_entry(0, true);
-            } else {
-                fleet.kill_entry(0);
-            }
+            lose(&mut fleet, 0, stands);
         }
         if step == RESEND_MS {
-            come_back(&mut fleet, job, 1);
+            fleet.come_back(job, 1);
         }
         fleet.run(1);
     }
--- a/crates/core/tests/jobs/peer_losses.rs
+++ b/crates/core/tests/jobs/peer_losses.rs
@@ -12,12 +12,15 @@
     Fleet::in_zones(3, entries, &WORKERS, 1)
 }
 
-/// Submits the job of a caller again at another process. The caller gets no answer to its first
-/// submission.
-fn come_back(fleet: &mut Fleet, job: usize, entry: usize) -> usize {
-    let again = fleet.submit_again_at(job, entry);
-    fleet.abandon(job);
-    again
+/// A fleet in which a submission waits at the second process for the runs of the first one, which is lost.
+pub fn waiting_submission(zones: usize) -> (Fleet, usize) {
+    let mut fleet = Fleet::in_zones(zones, 3, &WORKERS, 1);
+    let job = fleet.submit(0, "patient", Job::new(4, 1_000, 4_000));
+    fleet.run(600);
+    fleet.kill_entry(0);
+    fleet.run(900);
+    let again = fleet.come_back(job, 1);
+    (fleet, again)
 }
 
 fn assert_no_double_run(fleet: &mut Fleet) {
@@ -51,7 +54,7 @@
     fleet.run(still_ms);
     fleet.freeze_entry(0, false);
     fleet.run(RESEND_MS - still_ms);
-    come_back(&mut fleet, job, 1);
+    fleet.come_back(job, 1);
     assert_no_double_run(&mut fleet);
 }
 
@@ -65,7 +68,7 @@
     fleet.run(1_090);
     fleet.freeze_entry(0, true);
     fleet.run(RESEND_MS - 1_090);
-    come_back(&mut fleet, job, 1);
+    fleet.come_back(job, 1);
     fleet.run(still_ms);
     fleet.freeze_entry(0, false);
     assert_no_double_run(&mut fleet);
@@ -85,7 +88,7 @@
     fleet.run(1);
     fleet.cut_peers(0, 1, true);
     fleet.run(RESEND_MS - heal_ms - 1);
-    come_back(&mut fleet, job, 1);
+    fleet.come_back(job, 1);
     assert_no_double_run(&mut fleet);
 }
 
@@ -134,7 +137,7 @@
     fleet.run(RESEND_MS);
     fleet.stop_entry(1);
     fleet.run(10);
-    let again = come_back(&mut fleet, job, 1);
+    let again = fleet.come_back(job, 1);
     fleet.run(100);
     let answer = fleet.answer_to(again);
     assert!(!matches!(answer, Some(Answer::NotRun { .. })), "{answer:?}");
@@ -148,17 +151,12 @@
     #[values(1, 15, 30, 45, 60, 75, 90)] later_ms: u64,
     #[values(1, 3)] zones: usize,
 ) {
-    let mut fleet = Fleet::in_zones(zones, 3, &WORKERS, 1);
-    let job = fleet.submit(0, "patient", Job::new(4, 1_000, 4_000));
-    fleet.run(600);
-    fleet.kill_entry(0);
-    fleet.run(900);
-    let again = come_back(&mut fleet, job, 1);
+    let (mut fleet, again) = waiting_submission(zones);
     // The runs of the lost process have ended after 2,100 ms.
     fleet.run(1_200 + later_ms);
     fleet.kill_entry(1);
     fleet.run(RESEND_MS - 1_200 - later_ms);
-    come_back(&mut fleet, again, 2);
+    fleet.come_back(again, 2);
     assert_no_double_run(&mut fleet);
 }
 
--- a/crates/core/tests/jobs/unseen_breaks.rs
+++ b/crates/core/tests/jobs/unseen_breaks.rs
@@ -10,14 +10,6 @@
 
 const WORKERS: [(u32, f64); 4] = [(16_000, 1.0); 4];
 
-/// Submits the job of a caller again at another process. The caller gets no answer to its first
-/// submission.
-fn come_back(fleet: &mut Fleet, job: usize, entry: usize) -> usize {
-    let again = fleet.submit_again_at(job, entry);
-    fleet.abandon(job);
-    again
-}
-
 /// Guards against a job that runs at two processes, because the first does not see that its caller
 /// has gone.
 #[rstest]
@@ -29,7 +21,7 @@
     let mut fleet = Fleet::in_zones(zones, 3, &WORKERS, 1);
     let job = fleet.submit(0, "patient", Job::new(4, 1_000, run_ms));
     fleet.run(RESEND_MS + later_ms);
-    let again = come_back(&mut fleet, job, 1);
+    let again = fleet.come_back(job, 1);
     fleet.finish(12_000);
     assert_eq!(fleet.answer_to(again), Some(&Answer::Completed));
     fleet.assert_rules();
@@ -42,7 +34,7 @@
     let job = fleet.submit(0, "patient", Job::new(4, 1_000, 9_000));
     for entry in 1..4 {
         fleet.run(RESEND_MS);
-        come_back(&mut fleet, job, entry);
+        fleet.come_back(job, entry);
     }
     fleet.finish(12_000);
     fleet.assert_rules();
@@ -66,7 +58,7 @@
     fleet.run(cut_ms);
     fleet.cut_peers(0, 1, true);
     fleet.run(RESEND_MS - cut_ms);
-    come_back(&mut fleet, job, 1);
+    fleet.come_back(job, 1);
     fleet.run(RESEND_MS);
     fleet.cut_peers(0, 1, false);
     fleet.finish(12_000);
@@ -84,7 +76,7 @@
     fleet.run(reset_ms);
     fleet.reset_peers(|_, _| true);
     fleet.run(RESEND_MS - reset_ms);
-    let again = come_back(&mut fleet, job, 1);
+    let again = fleet.come_back(job, 1);
     fleet.finish(12_000);
     assert_eq!(fleet.answer_to(again), Some(&Answer::Completed));
     fleet.assert_rules();
@@ -101,7 +93,7 @@
     fleet.freeze_entry(0, true);
     let job = fleet.submit(0, "patient", Job::new(4, 1_000, 2_000));
     fleet.run(RESEND_MS);
-    come_back(&mut fleet, job, 1);
+    fleet.come_back(job, 1);
     fleet.run(after_ms);
     fleet.freeze_entry(0, false);
     fleet.finish(12_000);
