--- a/crates/core/src/scheduler/held_jobs.rs
+++ b/crates/core/src/scheduler/held_jobs.rs
@@ -6,6 +6,7 @@
 //! of starting it. A job that not all of them have acknowledged is given up at the age [`HOLD_LIMIT`],
 //! before its caller can be back: a process that is out of reach may receive the next submission. That
 //! holds until the process is in contact again or known to have ended.
+//! Agents stop the runs of such a job by themselves 50 ms later, in case this process stands still then.
 
 use std::time::Duration;
 
