Review case 7: a stale owner acknowledges cancels of jobs that it does not know

Cause: an owner of shards that has lost its lease and all peers answers a cancel with 410 for jobs that its successor has accepted. The stand-ins' proxies count heartbeats to the store.

--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -68,15 +68,44 @@
     /// Time for the requests of the clients, at its end.
     const REQUESTS: Duration = Duration::from_millis(1_200);
     const STEPS: u64 = 6;
+    /// Time without a hand-over of a shard, which are 2 s apart.
+    const SETTLED: Duration = Duration::from_secs(4);
     let mut fleet = Fleet::start(record, &LABELS);
     if !fleet.wait_until_ready() {
         return None;
     }
+    let parts: Vec<String> = (0..16).map(|shard| format!("s{shard}")).collect();
+    let owned = |entry| {
+        let owners = parts
+            .iter()
+            .filter(|part| fleet.owner_of(part) == Some(entry));
+        owners.count()
+    };
+    // Shards are handed over until all processes own about as many.
+    let mut counts = [0; 3];
+    let mut since = fleet.log.now();
+    while fleet.log.now() < since + SETTLED {
+        let present = [owned(0), owned(1), owned(2)];
+        if present != counts {
+            (counts, since) = (present, fleet.log.now());
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    fleet.log.note(&format!("shards owned: {counts:?}"));
+    let Some(stale) = (0..3).max_by_key(|entry| counts[*entry]) else {
+        return None;
+    };
+    let others = [(stale + 1) % 3, (stale + 2) % 3];
+    if trouble {
+        // A process that has a call to the store under way gives its shards up within 0.75 s, if it then
+        // still takes its peers for connected, which takes 1.5 s.
+        fleet.wait_for_heartbeat(stale);
+        thread::sleep(Duration::from_millis(50));
+    }
     let cut_at = fleet.log.now();
     if trouble {
-        fleet.cut_off(0, true);
-        let parts: Vec<String> = (0..16).map(|shard| format!("s{shard}")).collect();
-        while parts.iter().any(|part| fleet.owner_of(part) == Some(0)) {
+        fleet.cut_off(stale, true);
+        while owned(stale) > 0 {
             if fleet.log.now() > cut_at + CUT - REQUESTS {
                 fleet.log.note("the shards were not taken over in time");
                 return None;
@@ -86,7 +115,7 @@
         fleet.log.note("other entry processes own all shards");
         // The others load the jobs of the shards.
         thread::sleep(Duration::from_millis(300));
-        fleet.note_readiness(0);
+        fleet.note_readiness(stale);
     }
     let mut phases = vec![phase(2_500, "")];
     for step in 1..STEPS {
@@ -95,7 +124,7 @@
     let ids: Vec<String> = (0..16).map(|_| fleet.draw_id()).collect();
     let body = job(2_500, &phases);
     for (at, id) in ids.iter().enumerate() {
-        let entries = [1 + at % 2, 2 - at % 2];
+        let entries = [others[at % 2], others[1 - at % 2]];
         if !fleet.submit(&entries, id, &body, Duration::from_millis(1_500)) {
             fleet.log.note("a job was not accepted in time");
             return None;
@@ -107,7 +136,7 @@
             .iter()
             .map(|id| {
                 let fleet = &fleet;
-                scope.spawn(move || (id.clone(), cancel(fleet, id)))
+                scope.spawn(move || (id.clone(), cancel(fleet, [stale, others[0], others[1]], id)))
             })
             .collect();
         cancels
@@ -118,7 +147,7 @@
     let mut calm_from = Duration::ZERO;
     if trouble {
         wait_until(&fleet, cut_at + CUT);
-        fleet.cut_off(0, false);
+        fleet.cut_off(stale, false);
         calm_from = fleet.log.now() + CONTACT;
     }
     thread::sleep(Duration::from_millis(2_500 * STEPS + 1_000));
@@ -149,8 +178,8 @@
 
 /// Cancels a job, first at the entry process that is cut off, then at another one until it is
 /// acknowledged. Returns when it was.
-fn cancel(fleet: &Fleet, id: &str) -> Option<Duration> {
-    for entry in [0, 1, 2, 1, 2] {
+fn cancel(fleet: &Fleet, [first, second, third]: [usize; 3], id: &str) -> Option<Duration> {
+    for entry in [first, second, third, second, third] {
         let response = fleet.call(entry, "DELETE", id, "");
         if response.is_some_and(|(status, _)| status / 100 == 2 || status == 410) {
             return Some(fleet.log.now());
--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -378,6 +378,16 @@
         self.entries.iter().position(owns)
     }
 
+    /// Waits until an entry process has written its next heartbeat to the store, which it does every
+    /// second.
+    pub fn wait_for_heartbeat(&self, at: usize) {
+        let store = &self.entries[at].store;
+        let (known, until) = (store.heartbeats(), self.log.now() + Duration::from_secs(5));
+        while store.heartbeats() == known && self.log.now() < until {
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+
     /// Cuts an entry process off from all other processes of the system and from the store, or ends
     /// that. Clients still reach it.
     pub fn cut_off(&self, at: usize, cut: bool) {
--- a/review/stand-ins-2/proxy.rs
+++ b/review/stand-ins-2/proxy.rs
@@ -3,6 +3,7 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
@@ -20,10 +21,14 @@
     Of(String),
 }
 
+/// Text in a write of a process's heartbeat to the store.
+const HEARTBEAT: &[u8] = br#""Table":"alive""#;
+
 #[derive(Debug, Clone)]
 pub struct Proxy {
     pub address: SocketAddr,
     cut: Arc<Mutex<Cut>>,
+    heartbeats: Arc<AtomicU64>,
 }
 
 impl Proxy {
@@ -31,14 +36,24 @@
         let listener = TcpListener::bind(address).expect("listener of a proxy");
         let address = listener.local_addr().expect("address of a proxy");
         let cut = Arc::new(Mutex::new(Cut::None));
-        let shared = Arc::clone(&cut);
+        let heartbeats = Arc::new(AtomicU64::new(0));
+        let (shared, counted) = (Arc::clone(&cut), Arc::clone(&heartbeats));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let cut = Arc::clone(&shared);
-                thread::spawn(move || forward(stream, target, &cut));
+                let (cut, counted) = (Arc::clone(&shared), Arc::clone(&counted));
+                thread::spawn(move || forward(stream, target, &cut, &counted));
             }
         });
-        Self { address, cut }
+        Self {
+            address,
+            cut,
+            heartbeats,
+        }
+    }
+
+    /// Returns the number of heartbeats that were sent to the store.
+    pub fn heartbeats(&self) -> u64 {
+        self.heartbeats.load(Ordering::Relaxed)
     }
 
     pub fn set(&self, cut: Cut) {
@@ -63,7 +78,12 @@
     }
 }
 
-fn forward(mut from: TcpStream, target: SocketAddr, cut: &Arc<Mutex<Cut>>) -> Option<()> {
+fn forward(
+    mut from: TcpStream,
+    target: SocketAddr,
+    cut: &Arc<Mutex<Cut>>,
+    heartbeats: &AtomicU64,
+) -> Option<()> {
     from.set_nodelay(true).ok()?;
     let mut hello = vec![0; 16 << 10];
     let read = from.read(&mut hello).ok()?;
@@ -72,20 +92,44 @@
     let mut to = TcpStream::connect(target).ok()?;
     to.set_nodelay(true).ok()?;
     to.write_all(&hello).ok()?;
+    count_heartbeat(&hello, heartbeats);
     let (back_from, back_to) = (to.try_clone().ok()?, from.try_clone().ok()?);
     let (back_cut, back_hello) = (Arc::clone(cut), hello.clone());
-    thread::spawn(move || pump(back_from, back_to, &back_cut, &back_hello));
-    pump(from, to, cut, &hello);
+    thread::spawn(move || {
+        pump(
+            back_from,
+            back_to,
+            &back_cut,
+            &back_hello,
+            &AtomicU64::new(0),
+        )
+    });
+    pump(from, to, cut, &hello, heartbeats);
     Some(())
 }
 
-fn pump(mut from: TcpStream, mut to: TcpStream, cut: &Mutex<Cut>, hello: &[u8]) {
+fn count_heartbeat(bytes: &[u8], heartbeats: &AtomicU64) {
+    if bytes.windows(HEARTBEAT.len()).any(|part| part == HEARTBEAT) {
+        heartbeats.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+fn pump(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    cut: &Mutex<Cut>,
+    hello: &[u8],
+    heartbeats: &AtomicU64,
+) {
     let mut buffer = vec![0; 64 << 10];
     loop {
         let read = from.read(&mut buffer);
         wait_until_open(cut, hello);
         let written = match read {
-            Ok(read) if read > 0 => to.write_all(&buffer[..read]),
+            Ok(read) if read > 0 => {
+                count_heartbeat(&buffer[..read], heartbeats);
+                to.write_all(&buffer[..read])
+            }
             _ => break,
         };
         if written.is_err() {
