--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -285,60 +285,6 @@
     held
 }
 
-/// Two workers crash, one after the other, under runs of the same task.
-pub fn crashed_workers(record: &Path, trouble: bool) -> Option<bool> {
-    const AGE: Duration = Duration::from_millis(1_000);
-    let mut fleet = Fleet::start(record, &LABELS);
-    if !fleet.wait_until_ready() {
-        return None;
-    }
-    let id = fleet.draw_id();
-    let body = job(6_000, &[phase(6_000, "")]);
-    if !fleet.submit(&[0, 1, 2], &id, &body, Duration::from_secs(3)) {
-        return None;
-    }
-    let crashes = if trouble { 2 } else { 0 };
-    for crash in 0..crashes {
-        let until = fleet.log.now() + Duration::from_secs(15);
-        let start = loop {
-            let events = fleet.log.events();
-            let mut own = starts(&events).filter(|event| event.job() == id);
-            if let Some(start) = own.nth(crash) {
-                break start.clone();
-            }
-            if fleet.log.now() > until {
-                return None;
-            }
-            thread::sleep(Duration::from_millis(5));
-        };
-        wait_until(&fleet, start.at + AGE);
-        fleet.kill_worker(start.worker);
-    }
-    let until = fleet.log.now() + Duration::from_secs(30);
-    loop {
-        let state = fleet.state_of(&id);
-        if state == "completed" {
-            return Some(true);
-        }
-        if state == "failed" || state == "cancelled" || state == "gone" {
-            let events = fleet.log.events();
-            let failed = events
-                .iter()
-                .filter(|event| event.cause == "failed")
-                .count();
-            fleet.log.note(&format!(
-                "BROKEN job {id}: shown as {state}; ends `failed` listed by workers: {failed}"
-            ));
-            return Some(false);
-        }
-        if fleet.log.now() > until {
-            fleet.log.note("the job has not ended");
-            return None;
-        }
-        thread::sleep(Duration::from_millis(500));
-    }
-}
-
 /// A machine with an entry process is removed for good, and a new one comes at another address. A job
 /// in a shard of the removed one waits for a worker of a kind that is not there.
 pub fn missing_pending(record: &Path, trouble: bool) -> Option<bool> {
--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -35,12 +35,9 @@
 #[derive(Debug, Clone)]
 pub struct Event {
     pub at: Duration,
-    pub worker: usize,
     pub started: bool,
     /// ID.K.STEP.INDEX.
     pub task: String,
-    /// How it ended; empty for a start.
-    pub cause: String,
 }
 
 impl Event {
@@ -88,10 +85,8 @@
             let words: Vec<&str> = line.split(' ').collect();
             let event = Event {
                 at: self.now(),
-                worker,
                 started: words[0] == "start",
                 task: words.get(1).copied().unwrap_or_default().to_owned(),
-                cause: words.get(3).copied().unwrap_or_default().to_owned(),
             };
             self.note(&format!("worker {worker}: {line}"));
             let mut events = self.events.lock().unwrap_or_else(PoisonError::into_inner);
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -42,7 +42,6 @@
         "stale-cancel" => cases::stale_cancel(record, trouble),
         "blocked-jobs" => cases::blocked_jobs(record, trouble),
         "reserved-worker" => cases::reserved_worker(record, trouble),
-        "crashed-workers" => cases::crashed_workers(record, trouble),
         "missing-pending" => cases::missing_pending(record, trouble),
         _ => None,
     };
