--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -135,6 +135,7 @@
     store_address: SocketAddr,
     folder: PathBuf,
     frame_port: u16,
+    control_port: u16,
     bin: PathBuf,
     next_id: u64,
 }
@@ -155,7 +156,8 @@
             hosts: Vec::new(),
             store_address,
             folder,
-            frame_port: free_link_port(),
+            frame_port: free_shared_port(),
+            control_port: free_shared_port(),
             bin: PathBuf::from("target/release"),
             next_id: seed.map_or(1, |seed| seed.as_nanos() as u64) | 1,
         };
@@ -170,7 +172,7 @@
 
     /// Seeds: the control addresses of the first three machines with an entry process.
     fn seeds(&self) -> String {
-        let seeds = (0..ZONES.len()).map(|at| format!("{}:1", entry_ip(at)));
+        let seeds = (0..ZONES.len()).map(|at| format!("{}:{}", entry_ip(at), self.control_port));
         seeds.collect::<Vec<_>>().join(", ")
     }
 
@@ -179,8 +181,9 @@
         let at = self.entries.len();
         let (ip, name) = (entry_ip(at), format!("frontend-{}", at + 1));
         let free = |count: usize| free_ports(ip, count);
-        let ports = free(5);
-        let links = Proxy::open((ip, self.frame_port).into(), ports[3]);
+        let ports = free(4);
+        let control = SocketAddr::from((ip, self.control_port));
+        let links = Proxy::open((ip, self.frame_port).into(), ports[2]);
         let store = Proxy::open((Ipv4Addr::LOCALHOST, 0).into(), self.store_address);
         let settings = format!(
             "name: {name}\nzone: {zone}\ncallers: {callers}\nreadiness: {readiness}\n\
@@ -190,10 +193,9 @@
             zone = ZONES[at % ZONES.len()],
             callers = ports[0],
             readiness = ports[1],
-            control = ports[2],
-            frames = ports[3],
+            frames = ports[2],
             advertise = links.address,
-            metrics = ports[4],
+            metrics = ports[3],
             seeds = self.seeds(),
             store = store.address,
         );
@@ -454,8 +456,9 @@
     addresses.map(|address| address.expect("address")).collect()
 }
 
-/// Returns a port that is free at the addresses of all entry processes: they share the port of links.
-fn free_link_port() -> u16 {
+/// Returns a port that is free at the addresses of all entry processes: they share the ports of links
+/// and of control services.
+fn free_shared_port() -> u16 {
     loop {
         let port = free_ports(entry_ip(0), 1)[0].port();
         if (0..8).all(|at| TcpListener::bind((entry_ip(at), port)).is_ok()) {
