--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -214,7 +214,7 @@
     fn add_host(&mut self, labels: &[&str]) {
         let at = self.hosts.len();
         let name = format!("side-{}", at + 1);
-        let ip = Ipv4Addr::new(127, 0, 2, at as u8 + 1);
+        let ip = Ipv4Addr::new(127, network(), 2, at as u8 + 1);
         let ports = free_ports(ip, 3);
         let zone = ZONES[at % ZONES.len()];
         let settings = format!(
@@ -444,8 +444,14 @@
     )
 }
 
+/// Returns a part of all addresses that differs between scripts that are played at the same time, so that
+/// one does not take the ports that another has found free.
+fn network() -> u8 {
+    (std::process::id() % 250 + 1) as u8
+}
+
 fn entry_ip(at: usize) -> Ipv4Addr {
-    Ipv4Addr::new(127, 0, 1, at as u8 + 1)
+    Ipv4Addr::new(127, network(), 1, at as u8 + 1)
 }
 
 /// Returns free ports of an address.
