feat(scheduler): log why a job waits with nothing running

The logs did not tell whether placement came to such a job, whether workers suit it, or whether these are reserved. Ruled out: naming the reason at each turn; with thousands of waiting jobs it costs a line for each of them every 15 ms. Change: event 340, once each time a job has had tasks to place and none placed for 1.5 s, at most 8 lines each 250 ms, with the workers that suit its first waiting task, those with room, those reserved or running isolated jobs, and the time since placement last came to the job. The metric jobs_stalled counts these jobs.

--- a/crates/core/src/scheduler/crashes.rs
+++ b/crates/core/src/scheduler/crashes.rs
@@ -264,6 +264,9 @@
             (confined, isolated, *priority)
         });
         for (priority, key) in jobs {
+            if let Some(job) = self.jobs.get_mut(key) {
+                job.tried_at = Some(now.mono);
+            }
             let waiting = self.jobs.get(key).map(Job::waiting_positions);
             let group = self.jobs.get(key).map(|job| self.group_of(now, job));
             let group = group.unwrap_or_default();
--- a/crates/core/src/scheduler/jobs.rs
+++ b/crates/core/src/scheduler/jobs.rs
@@ -109,6 +109,12 @@
     pub(super) waiting_tasks: u32,
     /// Number of tasks in [`TaskState::Placed`].
     pub(super) placed_tasks: u32,
+    /// Since when the job has had tasks to place and none placed, as of the last search for stalled jobs.
+    pub(super) idle_since: Option<Duration>,
+    /// Whether that was logged.
+    pub(super) stall_logged: bool,
+    /// When placement last tried the job.
+    pub(super) tried_at: Option<Duration>,
     /// Number of attempts sent to agents.
     pub(super) starts: u32,
     /// Whether the job may have crashed a worker, so that its tasks share no worker with those of
@@ -181,6 +187,9 @@
             phases,
             waiting_tasks: waiting,
             placed_tasks: 0,
+            idle_since: None,
+            stall_logged: false,
+            tried_at: None,
             starts: 0,
             isolated: false,
             crashed_at: Duration::ZERO,
--- a/crates/core/src/scheduler/machine.rs
+++ b/crates/core/src/scheduler/machine.rs
@@ -23,6 +23,7 @@
 use super::peers::Peers;
 use super::run_time_model::RunTimeModel;
 use super::shards::Shards;
+use super::stalled_jobs::StalledJobs;
 use super::store_clock::StoreClock;
 use super::workers::Workers;
 use crate::clock::Now;
@@ -53,6 +54,7 @@
     pub(super) configuration: Configuration,
     pub(super) jobs: Jobs,
     pub(super) crashes: Crashes,
+    pub(super) stalled_jobs: StalledJobs,
     pub(super) workers: Workers,
     pub(super) peers: Peers,
     pub(super) shards: Shards,
@@ -92,6 +94,7 @@
             configuration: Configuration::default(),
             jobs: Jobs::default(),
             crashes: Crashes::default(),
+            stalled_jobs: StalledJobs::default(),
             workers: Workers::default(),
             peers: Peers::default(),
             shards: Shards::default(),
@@ -168,6 +171,7 @@
             self.update_ready(out);
             self.check_configuration_age(now, out);
             self.update_crashes(now, out);
+            self.update_stalled_jobs(now, out);
             if let Some(limits) = self.caller_limits.take_changed(now.mono) {
                 out.push(Action::StoreCallerLimits(limits));
             }
--- a/crates/core/src/scheduler/metrics.rs
+++ b/crates/core/src/scheduler/metrics.rs
@@ -36,6 +36,8 @@
     pub crashing: Counter,
     /// Number of times a queue was confined to reserved workers.
     pub confined: Counter,
+    /// Jobs that have had nothing running for long, though tasks of theirs could.
+    pub stalled_jobs: Gauge,
     /// Version of the configuration in use.
     pub config_version: Gauge,
     /// Wall-clock time at which the store last confirmed the configuration, in seconds since 1970.
@@ -56,6 +58,7 @@
             held_back: Counter::default(),
             crashing: Counter::default(),
             confined: Counter::default(),
+            stalled_jobs: Gauge::default(),
             config_version: Gauge::default(),
             config_confirmed: Gauge::default(),
             response: Histogram::new(RESPONSE_BOUNDS_S),
@@ -100,6 +103,8 @@
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
         }
+        let help = "Jobs that have waited for long with nothing running";
+        registry.register("jobs_stalled", help, self.stalled_jobs.clone());
         let help = "Version of the configuration in force";
         registry.register("config_version", help, self.config_version.clone());
         let help =
--- a/crates/core/src/scheduler/placement.rs
+++ b/crates/core/src/scheduler/placement.rs
@@ -208,6 +208,9 @@
             return true;
         };
         let waiting = job.waiting_positions();
+        if let Some(job) = self.jobs.get_mut(key) {
+            job.tried_at = Some(now.mono);
+        }
         let fits = || self.has_room_to_start(now, key, &waiting, priority.tier);
         if priority.group.is_unstarted() && fleet.scarce && !fits() {
             return false;
--- /dev/null
+++ b/crates/core/src/scheduler/stalled_jobs.rs
@@ -0,0 +1,126 @@
+//! Jobs that wait with nothing running, and what they wait for.
+//!
+//! The log of such a job tells apart that no worker suits it, that those that suit it are full or kept
+//! for other jobs, and that placement has not come to it.
+
+use std::time::Duration;
+
+use super::io::Action;
+use super::jobs::{Job, JobKey, Progress};
+use super::machine::{Machine, log, ms};
+use super::placement::meets_constraints;
+use crate::clock::Now;
+
+/// Interval of the search for stalled jobs.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time with nothing running from which on a job is logged.
+const LOGGED_AFTER: Duration = Duration::from_millis(1_500);
+
+/// Jobs that are logged in one search. Bounds the log when very many jobs wait.
+const MAX_LOGGED: usize = 8;
+
+/// What is known of jobs that wait with nothing running.
+#[derive(Debug, Default)]
+pub(super) struct StalledJobs {
+    checked_at: Duration,
+}
+
+/// Workers that a waiting task may use.
+#[derive(Debug, Default)]
+struct Candidates {
+    /// Usable workers that meet the constraints of the task.
+    suitable: u32,
+    /// Those of them with room for it.
+    with_room: u32,
+    /// Those with room that are reserved for isolated jobs.
+    reserved: u32,
+    /// Those with room that run isolated jobs.
+    grouped: u32,
+}
+
+impl Machine {
+    /// Notes since when jobs have had nothing running, and logs those that have waited for long.
+    pub(super) fn update_stalled_jobs(&mut self, now: Now, out: &mut Vec<Action>) {
+        if now.since(self.stalled_jobs.checked_at) < CHECK_INTERVAL {
+            return;
+        }
+        self.stalled_jobs.checked_at = now.mono;
+        let mut stalled: Vec<JobKey> = Vec::new();
+        let mut count = 0;
+        let open: Vec<JobKey> = self.jobs.iter_open().map(|(key, _)| key).collect();
+        for key in open {
+            let Some(job) = self.jobs.get_mut(key) else {
+                continue;
+            };
+            if job.progress == Progress::Closed || job.waiting_tasks == 0 || job.placed_tasks > 0 {
+                job.idle_since = None;
+                job.stall_logged = false;
+                continue;
+            }
+            let since = *job.idle_since.get_or_insert(now.mono);
+            if now.since(since) < LOGGED_AFTER {
+                continue;
+            }
+            count += 1;
+            if !job.stall_logged && stalled.len() < MAX_LOGGED {
+                job.stall_logged = true;
+                stalled.push(key);
+            }
+        }
+        self.metrics.stalled_jobs.set(count);
+        for key in stalled {
+            if let Some(job) = self.jobs.get(key) {
+                self.log_stalled_job(now, job, out);
+            }
+        }
+    }
+
+    fn log_stalled_job(&self, now: Now, job: &Job, out: &mut Vec<Action>) {
+        let Some(&(phase, _)) = job.waiting_positions().first() else {
+            return;
+        };
+        let spec = &job.request.phases[phase as usize];
+        let found = self.find_candidates(now, job, phase);
+        let tried = job.tried_at.map(|at| ms(now.since(at)));
+        let fields = vec![
+            ("job", job.request.id.to_string()),
+            ("queue", job.request.queue.to_string()),
+            ("phase", phase.to_string()),
+            ("waiting", job.waiting_tasks.to_string()),
+            (
+                "idle_ms",
+                job.idle_since
+                    .map_or_else(String::new, |at| ms(now.since(at))),
+            ),
+            ("label", spec.label.clone().unwrap_or_default().to_string()),
+            ("suitable", found.suitable.to_string()),
+            ("with_room", found.with_room.to_string()),
+            ("reserved", found.reserved.to_string()),
+            ("grouped", found.grouped.to_string()),
+            ("allowed", self.may_place(now, job).to_string()),
+            ("tried_ms", tried.unwrap_or_default()),
+        ];
+        log(out, 340, "job waits with nothing running", true, fields);
+    }
+
+    /// Counts the workers that a task of a phase may use.
+    fn find_candidates(&self, now: Now, job: &Job, phase: u32) -> Candidates {
+        let spec = &job.request.phases[phase as usize];
+        let mut found = Candidates::default();
+        for (key, worker) in self.workers.iter() {
+            let usable = worker.is_usable(now.mono) && worker.service == job.queue_config.service;
+            if !usable || !meets_constraints(job, spec, phase, key, worker) {
+                continue;
+            }
+            found.suitable += 1;
+            if !worker.free().can_fit(spec.resources) {
+                continue;
+            }
+            found.with_room += 1;
+            found.reserved += u32::from(self.crashes.reserved.contains(&key));
+            found.grouped += u32::from(!worker.group.is_empty());
+        }
+        found
+    }
+}
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -59,4 +59,5 @@
 mod unanswered_starts;
 mod unseen_breaks;
 mod unstored_jobs;
+mod waiting_jobs;
 mod worker_lives;
