fix(scheduler): jobs without room hold back only those that need the same workers

Cause: place_tasks ended a turn after two jobs that could not be placed completely, whatever the reason. Ruled out: the loss of the worker as the cause. The tests show the same for a full rack, for limits on tasks for each worker, and for tasks larger than any free room. Change: a job without room is recorded with its service, its label and, while the fleet has room, the resources of its task. Two of them hold back those that need at least as much on the same workers; while capacity is scarce, all that use these workers, as before. A job whose own limit for each worker keeps it from free workers holds back nobody. Within a job, a phase without room no longer keeps another one from starting. Why it works: a job behind is now skipped only if it needs a worker that the jobs before it have not found either. A turn walks the workers for at most two jobs of each requirement, however many wait.

--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -33,6 +33,7 @@
 mod shard_turns;
 mod shard_writes;
 mod shards;
+mod shortages;
 mod stalled_jobs;
 mod store;
 mod store_clock;
--- a/crates/core/src/scheduler/placement.rs
+++ b/crates/core/src/scheduler/placement.rs
@@ -15,12 +15,15 @@
 
 use std::time::Duration;
 
+use smol_str::SmolStr;
+
 use super::jobs::{Job, JobKey, Progress, TaskState, to_u32};
 use super::machine::Machine;
 use super::requests::EXPIRY_FACTOR;
+use super::shortages::Shortages;
 use super::workers::{Worker, WorkerKey};
 use crate::clock::Now;
-use crate::job::PhaseSpec;
+use crate::job::{PhaseSpec, Resources};
 
 /// Slowdown of a task whose data is on another rack.
 const REMOTE_DATA_FACTOR: f64 = 1.5;
@@ -39,9 +42,6 @@
 /// tasks better, but leave jobs on slower workers less time for a second attempt.
 const AFFINITY_MS: f64 = 15.0;
 
-/// Placement ends for this turn after this number of jobs that could not be placed completely.
-const MAX_INCOMPLETE_PLACEMENTS: u32 = 2;
-
 /// Margin on expected run times, as estimates are off by 40% on average.
 const RUN_TIME_MARGIN: f64 = 1.4;
 
@@ -139,14 +139,9 @@
         }
         self.place_isolated_jobs(now, isolated);
         ready.sort_unstable();
-        let mut incomplete = 0;
+        let mut shortages = Shortages::default();
         for (priority, key) in ready {
-            if !self.place_job(now, key, priority, fleet) {
-                incomplete += 1;
-            }
-            if incomplete >= MAX_INCOMPLETE_PLACEMENTS {
-                break;
-            }
+            self.place_job(now, key, (priority, fleet), &mut shortages);
         }
     }
 
@@ -202,26 +197,99 @@
         }
     }
 
-    /// Places the waiting tasks of a job. Returns false if some of them were not placed.
-    fn place_job(&mut self, now: Now, key: JobKey, priority: Priority, fleet: FleetView) -> bool {
-        let Some(job) = self.jobs.get(key) else {
-            return true;
+    /// Places the waiting tasks of a job as far as there is room for them, and records the phases for
+    /// which there is none.
+    fn place_job(
+        &mut self,
+        now: Now,
+        key: JobKey,
+        (priority, fleet): (Priority, FleetView),
+        shortages: &mut Shortages,
+    ) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
         };
-        let waiting = job.waiting_positions();
-        if let Some(job) = self.jobs.get_mut(key) {
-            job.tried_at = Some(now.mono);
+        let service = job.queue_config.service.clone();
+        let phases = job.phases.iter().zip(&job.request.phases);
+        let mut unfinished = phases.filter(|(phase, _)| phase.unfinished_tasks > 0);
+        if unfinished.all(|(_, spec)| shortages.holds_back(&service, spec)) {
+            return;
         }
+        job.tried_at = Some(now.mono);
+        let waiting = job.waiting_positions();
+        let Some(&(first, _)) = waiting.first() else {
+            return;
+        };
         let fits = || self.has_room_to_start(now, key, &waiting, priority.tier);
         if priority.group.is_unstarted() && fleet.scarce && !fits() {
-            return false;
+            return self.record_shortage(now, key, first, fleet, shortages);
         }
-        for at in waiting {
+        let mut without_room = None;
+        for (phase, index) in waiting {
+            if without_room == Some(phase) {
+                continue;
+            }
+            let spec = self
+                .jobs
+                .get(key)
+                .map(|job| &job.request.phases[phase as usize]);
+            if spec.is_some_and(|spec| shortages.holds_back(&service, spec)) {
+                without_room = Some(phase);
+                continue;
+            }
+            let at = (phase, index);
             let Some((worker, waits)) = self.choose_worker(now, key, at, priority, fleet) else {
-                return false;
+                self.record_shortage(now, key, phase, fleet, shortages);
+                without_room = Some(phase);
+                continue;
             };
             self.order_task(now, key, at, worker, (priority.sort_key, waits));
         }
-        true
+    }
+
+    /// Records that there is no room for the tasks of a phase, unless only the limits of the job itself
+    /// keep them from workers with room.
+    fn record_shortage(
+        &self,
+        now: Now,
+        key: JobKey,
+        phase: u32,
+        fleet: FleetView,
+        shortages: &mut Shortages,
+    ) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        let spec = &job.request.phases[phase as usize];
+        let service = &job.queue_config.service;
+        let may_be_limited = !fleet.scarce || spec.spread.is_some();
+        if may_be_limited && self.has_room(now, service, spec) {
+            return;
+        }
+        let resources = if fleet.scarce {
+            Resources::default()
+        } else {
+            spec.resources
+        };
+        shortages.record(service, spec, resources);
+    }
+
+    /// Returns whether a worker that any job may use has room for a task, whatever limit there is on the
+    /// tasks of the phase for each worker.
+    fn has_room(&self, now: Now, service: &SmolStr, spec: &PhaseSpec) -> bool {
+        let mut workers = self.workers.iter();
+        workers.any(|(key, worker)| {
+            worker.is_usable(now.mono)
+                && worker.service == *service
+                && self.is_open_to_all(key, worker)
+                && has_label(spec, worker)
+                && worker.free().can_fit(spec.resources)
+        })
+    }
+
+    /// Returns whether a worker is neither reserved for isolated jobs nor runs any.
+    fn is_open_to_all(&self, key: WorkerKey, worker: &Worker) -> bool {
+        worker.group.is_empty() && !self.crashes.reserved.contains(&key)
     }
 
     /// Returns whether a job can start: whether enough of its waiting tasks fit on workers that are
@@ -241,9 +309,10 @@
         let left = (job.requested_at + job.objective).saturating_sub(now.mono);
         for (worker_key, worker) in self.workers.iter() {
             let usable = worker.is_usable(now.mono) && worker.service == job.queue_config.service;
-            let reserved = self.crashes.reserved.contains(&worker_key);
-            let grouped = reserved || !worker.group.is_empty();
-            if !usable || grouped || !meets_constraints(job, spec, phase, worker_key, worker) {
+            if !usable
+                || !self.is_open_to_all(worker_key, worker)
+                || !meets_constraints(job, spec, phase, worker_key, worker)
+            {
                 continue;
             }
             let run_ms = self.run_ms(spec, worker, expected) * RUN_TIME_MARGIN;
@@ -283,7 +352,7 @@
             if !worker.is_usable(now.mono) || worker.service != job.queue_config.service {
                 continue;
             }
-            if self.crashes.reserved.contains(&worker_key) || !worker.group.is_empty() {
+            if !self.is_open_to_all(worker_key, worker) {
                 continue;
             }
             if !meets_constraints(job, spec, phase, worker_key, worker) {
@@ -365,11 +434,7 @@
     key: WorkerKey,
     worker: &Worker,
 ) -> bool {
-    if spec
-        .label
-        .as_ref()
-        .is_some_and(|label| !worker.labels.contains(label))
-    {
+    if !has_label(spec, worker) {
         return false;
     }
     let Some(max_per_worker) = spec.spread else {
@@ -379,3 +444,9 @@
     let placed = tasks.filter(|task| task.state == TaskState::Placed(key));
     to_u32(placed.count()) < max_per_worker
 }
+
+/// Returns whether a worker has the label that a phase requires.
+fn has_label(spec: &PhaseSpec, worker: &Worker) -> bool {
+    let label = spec.label.as_ref();
+    label.is_none_or(|label| worker.labels.contains(label))
+}
--- a/crates/core/tests/jobs/callers.rs
+++ b/crates/core/tests/jobs/callers.rs
@@ -115,8 +115,6 @@
         job: Job,
         estimate_ms: u64,
     ) -> usize {
-        let number = self.callers.len();
-        let id = format!("{number:016x}");
         let phases = (0..job.phases).map(|at: u32| PhaseSpec {
             count: job.tasks,
             resources: Resources {
@@ -130,11 +128,24 @@
             spread: job.spread,
             ..PhaseSpec::default()
         });
+        self.submit_phases(entry, queue, job, phases.collect())
+    }
+
+    /// Submits a job of the given phases. Their tasks use what the job says when they run.
+    pub fn submit_phases(
+        &mut self,
+        entry: usize,
+        queue: &str,
+        job: Job,
+        phases: Vec<PhaseSpec>,
+    ) -> usize {
+        let number = self.callers.len();
+        let id = format!("{number:016x}");
         let request = JobRequest {
             id: id.into(),
             queue: queue.into(),
             spec: spec(job.cpu, job.run_ms, job.ending).into(),
-            phases: phases.collect(),
+            phases,
             wait: job.wait_ms.map(Duration::from_millis),
             durable: job.durable,
             unsupported: None,
--- a/crates/core/tests/jobs/worker.rs
+++ b/crates/core/tests/jobs/worker.rs
@@ -196,6 +196,12 @@
         self.back_with_id = true;
     }
 
+    /// Ends the lifetime for good.
+    pub fn lose(&mut self, now_ms: u64) {
+        self.crash(now_ms);
+        self.back_ms = Some(u64::MAX);
+    }
+
     /// Whether the worker has crashed and is not back yet.
     pub fn is_gone(&self) -> bool {
         self.back_ms.is_some()
