fix(scheduler): an owner without a lease does not deny jobs that it does not know

Cause: a process that loses its store and all other processes at once stays Owned until a write fails. `execute` answered NoJob for any job that is not in memory if the shard was Owned, though another process had claimed the shard meanwhile and accepted new jobs. Ruled out: giving the shard up when the lease ends. The process could then not confirm its ownership after a short outage of the store, and all jobs would be loaded again. Change: queries and cancels of jobs that are not known to be stored are executed only with a lease and a confirmed ownership; otherwise they wait, and are refused after 1 s (503). Requests that other processes forward are answered NotOwner. A cancel of a job whose submission is refused because the store does not answer is routed again, no longer answered NoJob. Why it works: no process claims a shard before the lease of its owner has ended, and after a gap a write under the epoch confirms that none has. Until then the process does not claim to know all jobs of the shard.

--- a/crates/core/src/scheduler/forwarding.rs
+++ b/crates/core/src/scheduler/forwarding.rs
@@ -16,7 +16,7 @@
 use super::peers::Holder;
 use super::requests::REPLY_MARGIN;
 use super::shards::Ownership;
-use super::stored_job::{decode_request, encode_request, find_fault};
+use super::stored_job::{StoredState, decode_request, encode_request, find_fault};
 use crate::clock::Now;
 use crate::deterministic::DeterministicMap;
 use crate::ids::Shard;
@@ -173,7 +173,7 @@
         let Some(shard) = shard_of(pending.request.id()) else {
             return self.reply(pending.call, Answer::NoJob, out);
         };
-        if self.shards.get(shard).ownership == Ownership::Owned {
+        if self.may_execute(now, &pending.request, shard) {
             return self.execute(now, pending.call, pending.request, shard, out);
         }
         let Some(link) = self.peers.owner_of(shard) else {
@@ -224,6 +224,24 @@
         self.forwarding.sent.insert(number, (link, pending));
     }
 
+    /// Returns whether this process owns a shard and can execute a request for a job in it. Without a lease
+    /// another process may own the shard by now and have accepted jobs that are unknown here, until a write
+    /// to the store shows who does. Only known jobs are queried and cancelled meanwhile: the state of a
+    /// stored job is true, and it is cancelled by a write that fails if the shard has another owner.
+    fn may_execute(&self, now: Now, request: &ForwardedRequest, shard: Shard) -> bool {
+        let state = self.shards.get(shard);
+        if state.ownership != Ownership::Owned {
+            return false;
+        }
+        let (ForwardedRequest::Query(id) | ForwardedRequest::Cancel(id)) = request else {
+            return true;
+        };
+        let confirmed = state.ownership_confirmed && self.shards.has_lease(now.mono);
+        let job = self.jobs.find(id).and_then(|key| self.jobs.get(key));
+        let durable = job.and_then(|job| job.durable.as_ref());
+        confirmed || durable.is_some_and(|durable| durable.stored != StoredState::Nothing)
+    }
+
     /// Executes a request for a job in a shard that this process owns.
     fn execute(
         &mut self,
@@ -368,7 +386,7 @@
             None => return,
         };
         let owned = shard_of(request.id());
-        let owned = owned.filter(|shard| self.shards.get(*shard).ownership == Ownership::Owned);
+        let owned = owned.filter(|shard| self.may_execute(now, &request, *shard));
         let Some(shard) = owned else {
             let reply = wire::JobReply {
                 number: body.number,
--- a/crates/core/src/scheduler/shard_writes.rs
+++ b/crates/core/src/scheduler/shard_writes.rs
@@ -9,6 +9,7 @@
 use smol_str::SmolStr;
 
 use super::durable_jobs::{PROGRESS_WRITE_DELAY, end_answer};
+use super::forwarding::ForwardedRequest;
 use super::io::{Action, Answer};
 use super::jobs::JobKey;
 use super::machine::{Machine, log};
@@ -268,7 +269,9 @@
                     self.refuse(call, &job.request.id, "the store does not answer", out);
                 }
                 for call in durable.cancel_calls {
-                    self.reply(call, Answer::NoJob, out);
+                    // Another process may own the shard by now and have accepted the job.
+                    let cancel = ForwardedRequest::Cancel(job.request.id.clone());
+                    self.route_to_owner(now, call, cancel, out);
                 }
             }
         }
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -11,6 +11,7 @@
 mod links;
 mod peers;
 mod processes;
+mod stale_owners;
 mod store;
 mod worker;
 
