fix(scheduler): counts of pending jobs outlive the process that holds the jobs

Cause: the last counts of a lost process were kept only by those that were connected to it, and for a fixed time, whether its shards had an owner or not. Ruled out: answering 503 while a shard has no owner. The other processes know the count, and callers would get none for seconds. Change: processes report their counts by shard. The counts of a lost owner, or of a shard that a process gives up, are kept for 12 s, passed on in heartbeats with their age, and used as long as no process reports that it owns the shard. Jobs of a shard that is being loaded are counted as orphaned, not as held. Why it works: for each shard exactly one source counts: its owner, or else the last known report.

--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -23,6 +23,7 @@
 mod metrics;
 mod orders;
 mod peers;
+mod pending_counts;
 mod placement;
 mod requests;
 mod run_reports;
--- a/crates/core/src/scheduler/peers.rs
+++ b/crates/core/src/scheduler/peers.rs
@@ -12,6 +12,7 @@
 };
 use super::io::Action;
 use super::machine::Machine;
+use super::pending_counts::OrphanedCounts;
 use crate::clock::Now;
 use crate::deterministic::DeterministicMap;
 use crate::ids::{Instance, Shard};
@@ -23,10 +24,6 @@
 /// Time without a heartbeat after which a connection is closed, so that it is established again.
 const LINK_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Time for which the pending jobs of a lost process are still counted. Covers the time until its
-/// shards have another owner.
-const LOST_PEER_RETENTION: Duration = Duration::from_secs(12);
-
 /// A connected entry process, as described by its last heartbeat.
 #[derive(Debug)]
 pub(super) struct Peer {
@@ -94,9 +91,8 @@
     last_number: u64,
     /// Time of the last heartbeat sent to other processes.
     last_beat: Duration,
-    /// Pending jobs last reported by lost processes, and when they were lost. No other process
-    /// counts these jobs until their shards have another owner.
-    lost_pending_jobs: Vec<(Duration, Vec<wire::QueueCount>)>,
+    /// Pending jobs of shards without an owner.
+    pub(super) orphaned: OrphanedCounts,
 }
 
 impl Peers {
@@ -138,9 +134,8 @@
     /// heartbeat.
     pub(super) fn remove(&mut self, now: Duration, link: LinkKey) -> Option<(SmolStr, Duration)> {
         let peer = self.by_link.remove(&link)?;
-        self.lost_pending_jobs
-            .retain(|(at, _)| now.saturating_sub(*at) < LOST_PEER_RETENTION);
-        self.lost_pending_jobs.push((now, peer.pending_jobs));
+        let owned = peer.owned.iter().map(|owned| Shard(owned.shard));
+        self.orphaned.replace(now, owned, &peer.pending_jobs);
         let mut others = self.by_link.values();
         let other = others.find(|other| other.name == peer.name);
         if other.is_none_or(|other| other.instance != peer.instance) {
@@ -351,16 +346,15 @@
         total
     }
 
-    /// Returns the number of pending jobs of a queue at other processes, including recently lost
-    /// ones.
-    pub(super) fn pending_jobs(&self, now: Duration, queue: &str) -> u32 {
-        let lost = self.lost_pending_jobs.iter();
-        let lost = lost.filter(|(at, _)| now.saturating_sub(*at) < LOST_PEER_RETENTION);
-        let lost = lost.flat_map(|(_, waiting)| waiting);
-        let counts = self.by_link.values().flat_map(|peer| &peer.pending_jobs);
-        let counts = counts.chain(lost);
-        let counts = counts.filter(|count| count.queue == queue);
-        counts.map(|count| count.jobs).sum()
+    /// Returns whether a connected process reports that it owns a shard.
+    pub(super) fn is_owned(&self, shard: Shard) -> bool {
+        let mut owned = self.by_link.values().flat_map(|peer| &peer.owned);
+        owned.any(|owned| owned.shard == shard.0)
+    }
+
+    /// Iterates over the pending jobs that the connected processes have reported.
+    pub(super) fn pending_counts(&self) -> impl Iterator<Item = &wire::QueueCount> {
+        self.by_link.values().flat_map(|peer| &peer.pending_jobs)
     }
 }
 
@@ -394,6 +388,7 @@
             peer.owned.clone_from(&owned);
             peer.relinquished = beat.relinquished;
             peer.pending_jobs = beat.waiting;
+            self.peers.orphaned.merge(now.mono, &beat.orphaned);
             peer.eligible = beat.eligible;
             let blame = beat.blame.into_iter();
             peer.blame = blame
@@ -445,17 +440,10 @@
         let number = self.peers.last_number;
         let (held, awaiting) = self.list_held_jobs(now, Some(number).filter(|_| to.is_none()));
         let peer = to.and_then(|link| self.peers.by_link.get(&link));
-        let mut waiting: DeterministicMap<&str, u32> = DeterministicMap::default();
-        for (_, job) in self.jobs.iter_open().filter(|(_, job)| job.is_queued()) {
-            *waiting.entry(&job.request.queue).or_default() += 1;
-        }
-        let waiting = waiting.into_iter().map(|(queue, jobs)| wire::QueueCount {
-            queue: queue.to_owned(),
-            jobs,
-        });
         wire::PeerBeat {
             owned: self.shards.owned().collect(),
-            waiting: waiting.collect(),
+            waiting: self.count_local_pending(),
+            orphaned: self.orphaned_counts(now),
             eligible: self.stop_requested_at.is_none() && self.shards.failing_since().is_none(),
             relinquished: self.shards.relinquished().collect(),
             config_version: self.configuration.version(),
--- a/crates/core/src/scheduler/requests.rs
+++ b/crates/core/src/scheduler/requests.rs
@@ -264,12 +264,7 @@
         if known.and_then(|catalog| catalog.queue(queue)).is_none() {
             return self.reject_unknown_queue(now, call, out);
         }
-        let waiting = self
-            .jobs
-            .iter_open()
-            .filter(|(_, job)| job.request.queue == queue && job.is_queued());
-        let local = u32::try_from(waiting.count()).unwrap_or(u32::MAX);
-        let pending = local.saturating_add(self.peers.pending_jobs(now.mono, queue));
+        let pending = self.pending_jobs(now, queue);
         self.reply(call, Answer::Pending(pending), out);
     }
 
--- a/crates/core/src/scheduler/shard_turns.rs
+++ b/crates/core/src/scheduler/shard_turns.rs
@@ -94,7 +94,7 @@
         if let Ownership::Released(until) = state.ownership {
             if now.mono >= until {
                 self.stop_shard_runs(shard);
-                self.drop_shard(shard, Ownership::Unknown, out);
+                self.drop_shard(now, shard, Ownership::Unknown, out);
             }
             return;
         }
@@ -280,11 +280,20 @@
     /// shard's new ownership.
     pub(super) fn drop_shard(
         &mut self,
+        now: Now,
         shard: Shard,
         new_ownership: Ownership,
         out: &mut Vec<Action>,
     ) {
-        self.shards.get_mut(shard).reset_ownership(new_ownership);
+        let state = self.shards.get_mut(shard);
+        let loaded = matches!(
+            state.ownership,
+            Ownership::Owned | Ownership::Releasing | Ownership::Released(_)
+        );
+        state.reset_ownership(new_ownership);
+        if loaded {
+            self.keep_pending_counts(now.mono, shard);
+        }
         self.drop_jobs(shard, out);
     }
 }
--- a/crates/core/src/scheduler/shard_writes.rs
+++ b/crates/core/src/scheduler/shard_writes.rs
@@ -129,7 +129,7 @@
                 ];
                 log(out, 322, "shard lost to another process", true, fields);
                 self.stop_shard_runs(shard);
-                self.drop_shard(shard, Ownership::NotOwned, out);
+                self.drop_shard(now, shard, Ownership::NotOwned, out);
             }
             _ => self
                 .shards
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -42,6 +42,7 @@
 mod other_kinds;
 mod overload;
 mod peer_losses;
+mod pending_counts;
 mod planned_stops;
 mod presumed_owners;
 mod random_faults;
--- a/crates/core/tests/jobs/malformed_messages.rs
+++ b/crates/core/tests/jobs/malformed_messages.rs
@@ -177,12 +177,16 @@
         Body::ShardClaim(wire::ShardClaim { number, shards })
     });
     let peer_beat = (small(), large(), text(), small()).prop_map(|(shard, epoch, queue, jobs)| {
+        let count = wire::QueueCount {
+            queue: queue.clone(),
+            jobs,
+            shard: jobs,
+            age_ms: shard,
+        };
         Body::PeerBeat(wire::PeerBeat {
             owned: vec![wire::ShardEpoch { shard, epoch }],
-            waiting: vec![wire::QueueCount {
-                queue: queue.clone(),
-                jobs,
-            }],
+            waiting: vec![count.clone()],
+            orphaned: vec![count],
             eligible: true,
             relinquished: vec![wire::ShardEpoch { shard, epoch }],
             config_version: epoch,
