fix(executor): tasks that ask for no processor time run

Cause: the agent declined each order without processor time, which it took for an order that names no resources. Ruled out: the placement; it sends the order at once, again and again. Change: only an order that names no resources is declined. Why it works: the field that holds the resources is absent in a message without them, so the two can be told apart.

--- a/crates/core/src/executor/starts.rs
+++ b/crates/core/src/executor/starts.rs
@@ -78,7 +78,8 @@
         out: &mut Vec<Action>,
     ) {
         let spec = SmolStr::from(order.spec);
-        let resources = order.room.map(Resources::from).unwrap_or_default();
+        let named = order.room.map(Resources::from);
+        let resources = named.unwrap_or_default();
         let slack_us = i64::from(order.slack_ms) * 1_000;
         let latest_start_us =
             i64::try_from(now.mono.as_micros()).unwrap_or(i64::MAX / 2) + slack_us;
@@ -101,8 +102,8 @@
                 attempt: task.attempt,
             };
             let may_wait_for_resources = order.waits;
-            let admissible = may_wait_for_resources
-                || (resources.cpu > 0 && self.free_resources().can_fit(resources));
+            let fits = named.is_some_and(|named| self.free_resources().can_fit(named));
+            let admissible = may_wait_for_resources || fits;
             // The owner may have given up on an order that was delayed in transit.
             let owner_in_contact = self.owners.is_in_contact(now.mono, owner);
             let in_time = durable || self.ends_before_resubmission(owner);
--- a/crates/core/tests/jobs/durable_jobs.rs
+++ b/crates/core/tests/jobs/durable_jobs.rs
@@ -401,3 +401,20 @@
     }
     assert_done(&mut fleet, 20_000);
 }
+
+/// Guards against accepted jobs that never start because their tasks ask for no processor time.
+#[rstest]
+fn tasks_without_processor_time_run(#[values(false, true)] durable: bool) {
+    let mut fleet = fleet(3, 1);
+    let mut job = Job::new(3, 0, 100);
+    job.durable = durable;
+    let caller = fleet.submit(0, "checks", job);
+    fleet.run(3_000);
+    let answer = if durable {
+        fleet.query(0, caller)
+    } else {
+        fleet.answer_to(caller).cloned()
+    };
+    assert_eq!(answer, Some(Answer::Completed));
+    fleet.assert_rules();
+}
