refactor(scheduler): priorities of jobs in a file of their own

Ruled out: splitting the search for workers; its parts share most of their inputs. Change: Tier, Group, Priority, FleetView and what computes them move to priority.rs unchanged; one comment of forwarding.rs is put right. Conclusion: none.

--- a/crates/core/src/scheduler/forwarding.rs
+++ b/crates/core/src/scheduler/forwarding.rs
@@ -226,8 +226,8 @@
 
     /// Returns whether this process owns a shard and can execute a request for a job in it. Without a lease
     /// another process may own the shard by now and have accepted jobs that are unknown here, until a write
-    /// to the store shows who does. Only known jobs are queried and cancelled meanwhile: the state of a
-    /// stored job is true, and it is cancelled by a write that fails if the shard has another owner.
+    /// to the store shows who does. Only known jobs are queried and cancelled meanwhile: an end that is shown
+    /// is stored, and a job is cancelled by a write that fails if the shard has another owner.
     fn may_execute(&self, now: Now, request: &ForwardedRequest, shard: Shard) -> bool {
         let state = self.shards.get(shard);
         if state.ownership != Ownership::Owned {
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -25,6 +25,7 @@
 mod peers;
 mod pending_counts;
 mod placement;
+mod priority;
 mod requests;
 mod run_reports;
 mod run_time_model;
--- a/crates/core/src/scheduler/requests.rs
+++ b/crates/core/src/scheduler/requests.rs
@@ -10,7 +10,7 @@
 use super::io::{Action, Answer, CallKey, JobState};
 use super::jobs::{Job, JobKey, Progress, Resubmission};
 use super::machine::{Machine, log, ms};
-use super::placement::Tier;
+use super::priority::Tier;
 use super::stored_job::JobEnd;
 use crate::clock::Now;
 use crate::job::{JobRequest, QueueConfig};
