fix(scheduler): a job whose only order was returned is shown as queued

Callers saw: a kept job that has never started is shown as running for as long as it waits, after an entry process has sent its task to an agent that had no room and returned it. Cause: an order sets the progress of a job to running, and its return does not set it back. query_durable went by this progress; the counts of pending jobs already went by what has started. Ruled out: a task that starts and ends unseen. The test shows that no worker has started one, and 6 of 6 jobs are shown as running. Change: a query answers with queued as long as the job is counted as pending: nothing of it is placed, done, or may have run. Why it works: both answers now come from the same question.

--- a/crates/core/src/scheduler/durable_jobs.rs
+++ b/crates/core/src/scheduler/durable_jobs.rs
@@ -272,7 +272,7 @@
         let key = self.jobs.find(id);
         let job = key.and_then(|key| self.jobs.get_mut(key));
         let state = job.as_ref();
-        let queued = state.is_some_and(|job| job.progress == Progress::Queued);
+        let queued = state.is_some_and(|job| job.is_queued());
         let nears_end = state.is_some_and(|job| job.waiting_tasks == 0 && job.placed_tasks > 0);
         let Some(durable) = job.and_then(|job| job.durable.as_mut()) else {
             return self.reply(call, Answer::NoJob, out);
--- a/crates/core/tests/jobs/main.rs
+++ b/crates/core/tests/jobs/main.rs
@@ -62,5 +62,6 @@
 mod unanswered_starts;
 mod unseen_breaks;
 mod unstored_jobs;
+mod unused_room;
 mod waiting_jobs;
 mod worker_lives;
--- /dev/null
+++ b/crates/core/tests/jobs/unused_room.rs
@@ -0,0 +1,54 @@
+//! Jobs that wait although workers that suit them have room.
+
+use knapweedwall_core::scheduler::{Answer, JobState};
+use rstest::rstest;
+
+use crate::callers::Job;
+use crate::fleet::Fleet;
+
+const ENTRIES: usize = 3;
+
+const WORKERS: [(u32, f64); 11] = [(16_000, 1.0); 11];
+
+/// The worker that is lost, or the only one of the rack `r`.
+const LAST: usize = 10;
+
+/// Time in which shards have owners after the start.
+const CLAIM_MS: u64 = 3_000;
+
+/// Longest time with nothing running while there is room.
+const WAIT_MS: u64 = 3_000;
+
+/// A fleet whose last worker is the only one of its rack.
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::new(ENTRIES, &WORKERS, 1);
+    fleet.hosts[LAST].labels = vec!["b".into(), "r".into()];
+    fleet.run(CLAIM_MS);
+    fleet
+}
+
+/// Guards against a job that is shown as running although its only order was returned by an agent without
+/// room.
+#[rstest]
+fn returned_orders_do_not_count_as_runs() {
+    let mut fleet = fleet();
+    fleet.submit(0, "patient", Job::new(32, 500, 40_000).label("r").durable());
+    fleet.run(500);
+    let jobs: Vec<usize> = (0..6)
+        .map(|round| {
+            let job = Job::new(1, 500, 100).label("r").durable();
+            fleet.submit(round % ENTRIES, "checks", job)
+        })
+        .collect();
+    fleet.run(WAIT_MS);
+    for caller in jobs {
+        assert!(!fleet.has_started(caller));
+        let state = fleet.query(0, caller);
+        assert_eq!(
+            state,
+            Some(Answer::State(JobState::Queued)),
+            "caller {caller}"
+        );
+    }
+    fleet.assert_rules();
+}
