fix(scheduler): late jobs use the last room of a worker while capacity is plentiful

Callers saw: 24 kept jobs for a rack whose only worker is full wait on for 17 s and longer after a sixth of it has become free, five times what one needs, while 13.5 of 176 cores of the fleet are in use. Best-effort jobs are refused with "no room in time" beside the same room. Cause: choose_worker closes a worker with less than a fifth of its processor free to late jobs that have not started, also if it is the only one with their label, also while the fleet is idle. The reserve is meant for jobs in time that arrive while capacity is scarce. Change: the reserve applies only while capacity is scarce. Why it works: while capacity is plentiful, jobs in time that any worker may run find room elsewhere, and those for the same rack are placed before late ones in each turn. While capacity is scarce the same jobs still wait; that is the next fault.

--- a/crates/core/src/scheduler/placement.rs
+++ b/crates/core/src/scheduler/placement.rs
@@ -43,7 +43,8 @@
 /// tasks better, but leave jobs on slower workers less time for a second attempt.
 const AFFINITY_MS: f64 = 15.0;
 
-/// Fraction of a worker's CPU that unstarted late jobs leave free for other jobs.
+/// Fraction of a worker's CPU that unstarted late jobs leave free for other jobs while capacity is scarce.
+/// Otherwise there is room for the others elsewhere.
 const LATE_JOB_CPU_RESERVE: f64 = 0.2;
 
 /// Smallest fraction of a job's waiting tasks that have to fit before the job starts.
@@ -340,7 +341,8 @@
             if !has_room && (late || grouped || !worker.can_queue(spec.resources)) {
                 continue;
             }
-            if late && priority.group.is_unstarted() && worker.free_share() < LATE_JOB_CPU_RESERVE {
+            let keeps_room = fleet.scarce && worker.free_share() < LATE_JOB_CPU_RESERVE;
+            if late && priority.group.is_unstarted() && keeps_room {
                 continue;
             }
             let run_ms = self.run_ms(spec, worker, expected);
--- a/crates/core/tests/jobs/unused_room.rs
+++ b/crates/core/tests/jobs/unused_room.rs
@@ -27,6 +27,46 @@
     fleet
 }
 
+/// Checks that all jobs are completed.
+fn assert_completed(fleet: &mut Fleet, jobs: &[usize]) {
+    for &caller in jobs {
+        let answer = if fleet.callers[caller].request.durable {
+            fleet.query(0, caller)
+        } else {
+            fleet.answer_to(caller).cloned()
+        };
+        assert_eq!(answer, Some(Answer::Completed), "caller {caller}");
+    }
+    fleet.assert_rules();
+}
+
+/// Guards against late jobs that a worker with little room left turns away although it is the only one with
+/// their label and the fleet is idle.
+#[rstest]
+fn late_jobs_use_the_last_room(#[values(false, true)] durable: bool) {
+    let mut fleet = fleet();
+    fleet.submit(0, "patient", Job::new(27, 500, 40_000).label("r").durable());
+    fleet.submit(1, "patient", Job::new(5, 500, 6_000).label("r").durable());
+    fleet.run(if durable { 500 } else { 4_500 });
+    assert_eq!(fleet.running(LAST), 32);
+    let mut jobs = Vec::new();
+    for round in 0..24 {
+        let mut job = Job::new(1, 500, if durable { 100 } else { 800 }).label("r");
+        job.durable = durable;
+        jobs.push(fleet.submit(round % ENTRIES, "checks", job));
+    }
+    if !durable {
+        // As many of them as there is room for, while their answers are of use.
+        fleet.run(1_700 + WAIT_MS);
+        let served = jobs.iter();
+        let served = served.filter(|&&job| fleet.answer_to(job) == Some(&Answer::Completed));
+        assert!(served.count() >= 5);
+        return fleet.assert_rules();
+    }
+    fleet.run(6_000 + WAIT_MS);
+    assert_completed(&mut fleet, &jobs);
+}
+
 /// Guards against a job that is shown as running although its only order was returned by an agent without
 /// room.
 #[rstest]
