fix(scheduler): jobs that wait beside room for them are placed, whatever it is kept for

Callers saw: kept jobs start nothing for 12 s and longer beside idle workers with their label, if these are reserved for isolated jobs and more than half of the fleet is full, or if less than a fifth of the only such worker is free while capacity is scarce. Cause: a job was overdue, and might use closed workers, only while at least half of its service was idle. That counts the fleet, not what the job can use: full workers elsewhere kept a job from idle ones that nobody else could use either. Ruled out: the load as the cause. With 2 of 10 workers full the same jobs run. Change: tasks are overdue after 2 s in which each search for stalled jobs, every 250 ms, found a worker with room for them: of their service, with their label, large enough. Overdue tasks use all workers with room, also reserved ones and those that keep room for jobs in time. The search asks each requirement once, however many jobs share it. Why it works: the question is asked of the workers that a task can use, and where room is not left free for 2 s on end nothing changes: under overload the reserves are used as before.

--- a/crates/core/src/job/resources.rs
+++ b/crates/core/src/job/resources.rs
@@ -3,7 +3,7 @@
 use knapweedwall_wire as wire;
 
 /// Resources of a worker, or resources that a task requires.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
 pub struct Resources {
     /// CPU in thousandths of a core.
     pub cpu: u32,
--- a/crates/core/src/scheduler/crashes.rs
+++ b/crates/core/src/scheduler/crashes.rs
@@ -257,12 +257,7 @@
 
     /// Places the waiting tasks of isolated jobs. Jobs of a confined queue that have crashed no worker
     /// go before those that have, which probably crash the next one as well.
-    pub(super) fn place_isolated_jobs(
-        &mut self,
-        now: Now,
-        mut jobs: Vec<(Priority, JobKey)>,
-        idle_services: &DeterministicSet<SmolStr>,
-    ) {
+    pub(super) fn place_isolated_jobs(&mut self, now: Now, mut jobs: Vec<(Priority, JobKey)>) {
         jobs.sort_by_cached_key(|(priority, key)| {
             let job = self.jobs.get(*key);
             let confined = job.is_some_and(|job| self.crashes.is_confined(&job.request.queue));
@@ -274,7 +269,7 @@
                 continue;
             };
             job.tried_at = Some(now.mono);
-            let overdue = job.is_overdue(now, idle_services);
+            let unplaced = job.placed_tasks == 0;
             let waiting = job.waiting_positions();
             let group = self.jobs.get(key).map(|job| self.group_of(now, job));
             let group = group.unwrap_or_default();
@@ -284,6 +279,8 @@
                     continue;
                 }
                 let at = (phase, index);
+                let job = self.jobs.get(key);
+                let overdue = unplaced && job.is_some_and(|job| job.is_phase_overdue(now, phase));
                 let Some(worker) = self.choose_group_worker(now, key, &group, at, overdue) else {
                     without_room = Some(phase);
                     continue;
--- a/crates/core/src/scheduler/jobs.rs
+++ b/crates/core/src/scheduler/jobs.rs
@@ -59,6 +59,11 @@
     pub(super) tasks: Vec<Task>,
     /// Number of tasks that have not succeeded.
     pub(super) unfinished_tasks: u32,
+    /// Number of tasks in [`TaskState::Waiting`].
+    pub(super) waiting_tasks: u32,
+    /// Since when tasks have waited and none was placed although workers that suit them had room, as of the
+    /// last search for stalled jobs.
+    pub(super) stalled_since: Option<Duration>,
 }
 
 /// Progress of a job.
@@ -152,12 +157,12 @@
         let mut waiting = 0;
         let mut phases = Vec::with_capacity(request.phases.len());
         for spec in &request.phases {
-            let state = if spec.after.is_empty() {
-                waiting += spec.count;
-                TaskState::Waiting
+            let (state, waiting_tasks) = if spec.after.is_empty() {
+                (TaskState::Waiting, spec.count)
             } else {
-                TaskState::Blocked
+                (TaskState::Blocked, 0)
             };
+            waiting += waiting_tasks;
             let task = Task {
                 state,
                 attempt: 0,
@@ -171,6 +176,8 @@
             phases.push(Phase {
                 tasks: vec![task; spec.count as usize],
                 unfinished_tasks: spec.count,
+                waiting_tasks,
+                stalled_since: None,
             });
         }
         Self {
@@ -237,15 +244,25 @@
             return;
         };
         let previous = std::mem::replace(&mut task.state, state);
+        let phase = &mut self.phases[phase as usize];
         match previous {
-            TaskState::Waiting => self.waiting_tasks -= 1,
+            TaskState::Waiting => {
+                self.waiting_tasks -= 1;
+                phase.waiting_tasks -= 1;
+            }
             TaskState::Placed(_) => self.placed_tasks -= 1,
             TaskState::Blocked | TaskState::Done => {}
         }
         match state {
-            TaskState::Waiting => self.waiting_tasks += 1,
-            TaskState::Placed(_) => self.placed_tasks += 1,
-            TaskState::Done => self.phases[phase as usize].unfinished_tasks -= 1,
+            TaskState::Waiting => {
+                self.waiting_tasks += 1;
+                phase.waiting_tasks += 1;
+            }
+            TaskState::Placed(_) => {
+                self.placed_tasks += 1;
+                phase.stalled_since = None;
+            }
+            TaskState::Done => phase.unfinished_tasks -= 1,
             TaskState::Blocked => {}
         }
     }
--- a/crates/core/src/scheduler/placement.rs
+++ b/crates/core/src/scheduler/placement.rs
@@ -12,6 +12,9 @@
 //! the same worker. While capacity is scarce, a job starts only if its tasks fit at the
 //! same time, because it ends no earlier than its last task; the longer it waits, the fewer tasks
 //! have to fit. Late jobs use the remaining capacity.
+//!
+//! Tasks that have waited for long although a worker that suits them has room are overdue. They are placed
+//! whatever the room is kept for.
 
 use std::time::Duration;
 
@@ -23,7 +26,6 @@
 use super::shortages::Shortages;
 use super::workers::{Worker, WorkerKey};
 use crate::clock::Now;
-use crate::deterministic::{DeterministicMap, DeterministicSet};
 use crate::job::{PhaseSpec, Resources};
 
 /// Slowdown of a task whose data is on another rack.
@@ -43,8 +45,8 @@
 /// tasks better, but leave jobs on slower workers less time for a second attempt.
 const AFFINITY_MS: f64 = 15.0;
 
-/// Fraction of a worker's CPU that unstarted late jobs leave free for other jobs while capacity is scarce.
-/// Otherwise there is room for the others elsewhere.
+/// Fraction of a worker's CPU that unstarted late jobs leave free for other jobs while capacity is scarce on
+/// the workers of the service. Otherwise those that other jobs can use have room as well.
 const LATE_JOB_CPU_RESERVE: f64 = 0.2;
 
 /// Smallest fraction of a job's waiting tasks that have to fit before the job starts.
@@ -54,8 +56,6 @@
 #[derive(Debug)]
 struct Turn {
     fleet: FleetView,
-    /// Services of which at least half of the CPU is free; empty unless a job may be overdue.
-    idle_services: DeterministicSet<SmolStr>,
     shortages: Shortages,
 }
 
@@ -66,7 +66,8 @@
     Open,
     /// Reserved ones as well.
     Reserved,
-    /// All, also those that run isolated jobs.
+    /// All with room, for overdue tasks: also those that run isolated jobs, are too slow, or keep their room
+    /// for jobs that are in time.
     All,
 }
 
@@ -99,58 +100,28 @@
                 jobs.push((self.priority(now, job, fleet), key));
             }
         }
+        self.place_isolated_jobs(now, isolated);
+        ready.sort_unstable();
         let mut turn = Turn {
             fleet,
-            idle_services: self.idle_services(now, ready.iter().chain(&isolated)),
             shortages: Shortages::default(),
         };
-        self.place_isolated_jobs(now, isolated, &turn.idle_services);
-        ready.sort_unstable();
         for (priority, key) in ready {
             self.place_job(now, key, priority, &mut turn);
         }
     }
 
-    /// Returns the services of which at least half of the CPU is free, if one of the jobs has had nothing
-    /// running for too long.
-    fn idle_services<'a>(
-        &self,
-        now: Now,
-        mut jobs: impl Iterator<Item = &'a (Priority, JobKey)>,
-    ) -> DeterministicSet<SmolStr> {
-        let stalled = |(_, key): &(Priority, JobKey)| {
-            let job = self.jobs.get(*key);
-            job.is_some_and(|job| job.is_stalled(now))
-        };
-        if !jobs.any(stalled) {
-            return DeterministicSet::default();
-        }
-        let mut services: DeterministicMap<&SmolStr, (u64, u64)> = DeterministicMap::default();
-        for (_, worker) in self.workers.iter() {
-            if worker.is_usable(now.mono) {
-                let (free, capacity) = services.entry(&worker.service).or_default();
-                *free += u64::from(worker.free().cpu);
-                *capacity += u64::from(worker.capacity.cpu);
-            }
-        }
-        let idle = services
-            .into_iter()
-            .filter(|(_, (free, capacity))| free * 2 >= *capacity);
-        idle.map(|(service, _)| service.clone()).collect()
-    }
-
     /// Places the waiting tasks of a job as far as there is room for them, and records the phases for
     /// which there is none.
     fn place_job(&mut self, now: Now, key: JobKey, priority: Priority, turn: &mut Turn) {
         let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
-        let overdue = job.is_overdue(now, &turn.idle_services);
         let service = job.queue_config.service.clone();
         let phases = job.phases.iter().zip(&job.request.phases);
-        let mut unfinished = phases.filter(|(phase, _)| phase.unfinished_tasks > 0);
+        let mut ready = phases.filter(|(phase, _)| phase.waiting_tasks > 0);
         let shortages = &turn.shortages;
-        if unfinished.all(|(_, spec)| shortages.holds_back(&service, spec, overdue)) {
+        if ready.all(|(phase, spec)| shortages.holds_back(&service, spec, phase.is_overdue(now))) {
             return;
         }
         job.tried_at = Some(now.mono);
@@ -158,8 +129,10 @@
         let Some(&(first, _)) = waiting.first() else {
             return;
         };
-        let fits = || self.has_room_to_start(now, key, &waiting, priority.tier);
-        if priority.group.is_unstarted() && turn.fleet.scarce && !fits() {
+        if priority.group.is_unstarted()
+            && turn.fleet.scarce
+            && !self.has_room_to_start(now, key, &waiting, priority.tier)
+        {
             return self.record_shortage(now, key, first, turn);
         }
         let mut without_room = None;
@@ -167,9 +140,12 @@
             if without_room == Some(phase) {
                 continue;
             }
-            let job = self.jobs.get(key);
-            let spec = job.map(|job| &job.request.phases[phase as usize]);
-            if spec.is_some_and(|spec| turn.shortages.holds_back(&service, spec, overdue)) {
+            let held_back = self.jobs.get(key).is_some_and(|job| {
+                let spec = &job.request.phases[phase as usize];
+                let overdue = job.is_phase_overdue(now, phase);
+                turn.shortages.holds_back(&service, spec, overdue)
+            });
+            if held_back {
                 without_room = Some(phase);
                 continue;
             }
@@ -203,7 +179,7 @@
         } else {
             spec.resources
         };
-        let overdue = job.is_overdue(now, &turn.idle_services);
+        let overdue = job.is_phase_overdue(now, phase);
         turn.shortages.record(service, spec, resources, overdue);
     }
 
@@ -216,7 +192,7 @@
             worker.is_usable(now.mono)
                 && worker.service == *service
                 && Reach::Open.includes(reserved, worker)
-                && has_label(spec, worker)
+                && worker.has_label(spec.label.as_ref())
                 && worker.free().can_fit(spec.resources)
         })
     }
@@ -239,7 +215,7 @@
     }
 
     /// Finds a worker for a task as [`Machine::choose_worker`] does. Workers that are kept for isolated jobs
-    /// are used by tasks that no other worker can run, and by jobs that are overdue.
+    /// are used by tasks that no other worker can run, and by tasks that are overdue.
     fn find_worker(
         &self,
         now: Now,
@@ -248,13 +224,13 @@
         priority: Priority,
         turn: &Turn,
     ) -> Option<(WorkerKey, bool)> {
+        let job = self.jobs.get(key)?;
         let choose = |reach| self.choose_worker(now, key, at, (priority, turn.fleet), reach);
         let found = choose(Reach::Open);
         if found.is_some() {
             return found;
         }
-        let job = self.jobs.get(key)?;
-        if job.is_overdue(now, &turn.idle_services) {
+        if job.is_phase_overdue(now, at.0) {
             choose(Reach::All)
         } else if self.needs_reserved(now, job, at.0) {
             choose(Reach::Reserved)
@@ -318,6 +294,7 @@
         let job = self.jobs.get(key)?;
         let spec = &job.request.phases[phase as usize];
         let task = job.task(phase, index)?;
+        let restricted = priority.group.is_unstarted() && reach != Reach::All;
         let expected = self
             .run_times
             .expected_run_time(&job.queue_config.name, spec.estimate);
@@ -342,12 +319,12 @@
                 continue;
             }
             let keeps_room = fleet.scarce && worker.free_share() < LATE_JOB_CPU_RESERVE;
-            if late && priority.group.is_unstarted() && keeps_room {
+            if late && restricted && keeps_room {
                 continue;
             }
             let run_ms = self.run_ms(spec, worker, expected);
             let too_slow = !late && run_ms * RUN_TIME_MARGIN > left_ms;
-            if too_slow && priority.group.is_unstarted() && fleet.scarce {
+            if too_slow && restricted && fleet.scarce {
                 continue;
             }
             let avoided = task.avoided_workers.contains(&worker_key);
@@ -414,7 +391,7 @@
     key: WorkerKey,
     worker: &Worker,
 ) -> bool {
-    if !has_label(spec, worker) {
+    if !worker.has_label(spec.label.as_ref()) {
         return false;
     }
     let Some(max_per_worker) = spec.spread else {
@@ -424,9 +401,3 @@
     let placed = tasks.filter(|task| task.state == TaskState::Placed(key));
     to_u32(placed.count()) < max_per_worker
 }
-
-/// Returns whether a worker has the label that a phase requires.
-fn has_label(spec: &PhaseSpec, worker: &Worker) -> bool {
-    let label = spec.label.as_ref();
-    label.is_none_or(|label| worker.labels.contains(label))
-}
--- a/crates/core/src/scheduler/stalled_jobs.rs
+++ b/crates/core/src/scheduler/stalled_jobs.rs
@@ -8,11 +8,13 @@
 use smol_str::SmolStr;
 
 use super::io::Action;
-use super::jobs::{Job, JobKey, Progress};
+use super::jobs::{Job, JobKey, Phase, Progress};
 use super::machine::{Machine, log, ms};
 use super::placement::meets_constraints;
+use super::workers::Worker;
 use crate::clock::Now;
-use crate::deterministic::DeterministicSet;
+use crate::deterministic::DeterministicMap;
+use crate::job::{PhaseSpec, Resources};
 
 /// Interval of the search for stalled jobs.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -20,9 +22,8 @@
 /// Time with nothing running from which on a job is logged.
 const LOGGED_AFTER: Duration = Duration::from_millis(1_500);
 
-/// Time with nothing running after which a job may use workers that are kept for isolated jobs while at
-/// least half of its service is idle. Leaves 750 ms of the 3 s that are promised for the search above, an
-/// order and a start.
+/// Time after which tasks that wait beside room for them are placed whatever it is kept for. Leaves 750 ms of
+/// the 3 s that are promised for the search above, an order and a start.
 const OVERDUE_AFTER: Duration = Duration::from_millis(2_000);
 
 /// Jobs that are logged in one search. Bounds the log when very many jobs wait.
@@ -34,6 +35,32 @@
     checked_at: Duration,
 }
 
+/// What a task requires of a worker.
+#[derive(Debug, PartialEq, Eq, Hash)]
+struct Requirement {
+    service: SmolStr,
+    label: Option<SmolStr>,
+    resources: Resources,
+}
+
+impl Requirement {
+    fn new(job: &Job, spec: &PhaseSpec) -> Self {
+        Self {
+            service: job.queue_config.service.clone(),
+            label: spec.label.clone(),
+            resources: spec.resources,
+        }
+    }
+
+    /// Returns whether a worker meets the requirement and has room now.
+    fn has_room(&self, now: Now, worker: &Worker) -> bool {
+        worker.is_usable(now.mono)
+            && worker.service == self.service
+            && worker.has_label(self.label.as_ref())
+            && worker.free().can_fit(self.resources)
+    }
+}
+
 /// Workers that a waiting task may use.
 #[derive(Debug, Default)]
 struct Candidates {
@@ -47,16 +74,19 @@
     grouped: u32,
 }
 
-impl Job {
-    /// Returns whether the job has had nothing running for too long, as far as it could have been placed.
-    pub(super) fn is_stalled(&self, now: Now) -> bool {
-        let idle = self.idle_since.filter(|_| self.placed_tasks == 0);
-        idle.is_some_and(|since| now.since(since) >= OVERDUE_AFTER)
+impl Phase {
+    /// Returns whether tasks have waited beside room for them for too long.
+    pub(super) fn is_overdue(&self, now: Now) -> bool {
+        let stalled = self.stalled_since;
+        stalled.is_some_and(|since| now.since(since) >= OVERDUE_AFTER)
     }
+}
 
-    /// Returns whether the job is stalled although its service is one of the given idle ones.
-    pub(super) fn is_overdue(&self, now: Now, idle_services: &DeterministicSet<SmolStr>) -> bool {
-        self.is_stalled(now) && idle_services.contains(&self.queue_config.service)
+impl Job {
+    /// Returns whether tasks of a phase have waited beside room for them for too long, and nothing of the job
+    /// runs.
+    pub(super) fn is_phase_overdue(&self, now: Now, phase: u32) -> bool {
+        self.placed_tasks == 0 && self.phases[phase as usize].is_overdue(now)
     }
 }
 
@@ -90,6 +120,7 @@
             }
         }
         self.metrics.stalled_jobs.set(count);
+        self.update_stalled_phases(now);
         for key in stalled {
             if let Some(job) = self.jobs.get(key) {
                 self.log_stalled_job(now, job, out);
@@ -97,6 +128,35 @@
         }
     }
 
+    /// Notes since when tasks have waited beside room for them.
+    fn update_stalled_phases(&mut self, now: Now) {
+        let mut rooms: DeterministicMap<Requirement, bool> = DeterministicMap::default();
+        let open: Vec<JobKey> = self.jobs.iter_open().map(|(key, _)| key).collect();
+        for key in open {
+            for at in 0..self.jobs.get(key).map_or(0, |job| job.phases.len()) {
+                let Some(job) = self.jobs.get(key) else {
+                    continue;
+                };
+                let phase = &job.phases[at];
+                let since = if job.progress == Progress::Closed || phase.waiting_tasks == 0 {
+                    None
+                } else if phase.stalled_since.is_none() {
+                    Some(now.mono)
+                } else {
+                    let needed = Requirement::new(job, &job.request.phases[at]);
+                    let has_room = rooms.entry(needed).or_insert_with_key(|needed| {
+                        let mut workers = self.workers.iter();
+                        workers.any(|(_, worker)| needed.has_room(now, worker))
+                    });
+                    phase.stalled_since.filter(|_| *has_room).or(Some(now.mono))
+                };
+                if let Some(job) = self.jobs.get_mut(key) {
+                    job.phases[at].stalled_since = since;
+                }
+            }
+        }
+    }
+
     fn log_stalled_job(&self, now: Now, job: &Job, out: &mut Vec<Action>) {
         let Some(&(phase, _)) = job.waiting_positions().first() else {
             return;
--- a/crates/core/src/scheduler/workers.rs
+++ b/crates/core/src/scheduler/workers.rs
@@ -175,6 +175,11 @@
         self.link.is_some() && self.listed && self.usable && reporting && !held_back
     }
 
+    /// Returns whether the worker has a label, if one is required.
+    pub(super) fn has_label(&self, label: Option<&SmolStr>) -> bool {
+        label.is_none_or(|label| self.labels.contains(label))
+    }
+
     /// Returns the fraction of the CPU capacity that is free.
     pub(super) fn free_share(&self) -> f64 {
         f64::from(self.free().cpu) / f64::from(self.capacity.cpu.max(1))
--- a/crates/core/tests/jobs/unused_room.rs
+++ b/crates/core/tests/jobs/unused_room.rs
@@ -19,6 +19,9 @@
 /// Longest time with nothing running while there is room.
 const WAIT_MS: u64 = 3_000;
 
+/// Time in which entry processes learn of new labels of the workers.
+const LABELS_MS: u64 = 1_600;
+
 /// A fleet whose last worker is the only one of its rack.
 fn fleet() -> Fleet {
     let mut fleet = Fleet::new(ENTRIES, &WORKERS, 1);
@@ -27,6 +30,16 @@
     fleet
 }
 
+/// Fills workers of a label, or any, with tasks that last.
+fn fill(fleet: &mut Fleet, workers: usize, label: Option<&'static str>) -> Vec<usize> {
+    let mut job = Job::new(1, 16_000, 60_000).durable();
+    job.label = label;
+    let fills = (0..workers).map(|round| fleet.submit(round % ENTRIES, "patient", job));
+    let fills = fills.collect();
+    fleet.run(500);
+    fills
+}
+
 /// Checks that all jobs are completed.
 fn assert_completed(fleet: &mut Fleet, jobs: &[usize]) {
     for &caller in jobs {
@@ -40,6 +53,35 @@
     fleet.assert_rules();
 }
 
+/// A fleet of which some workers are reserved for a job that waits for the lost one. The label `p` is that of
+/// the reserved workers and of a full one, `q` that of all others. Of these so many are full as well.
+fn reserved_fleet(full: usize) -> Fleet {
+    let mut fleet = fleet();
+    let patient = Job::new(1, 500, 6_000).label("r").durable();
+    fleet.submit(0, "patient", patient);
+    fleet.run(500);
+    let now_ms = fleet.now_ms;
+    fleet.worker(LAST).lose(now_ms);
+    fleet.run(1_500);
+    let fills = fill(&mut fleet, LAST, None);
+    let idle: Vec<usize> = (0..LAST).filter(|&at| fleet.running(at) == 0).collect();
+    assert!(idle.len() >= 2, "{idle:?}");
+    for fill in fills {
+        fleet.cancel(0, fill);
+    }
+    let shared = (0..LAST).find(|at| !idle.contains(at));
+    for at in 0..LAST {
+        let suits = idle.contains(&at) || shared == Some(at);
+        fleet.hosts[at].labels = vec![if suits { "p" } else { "q" }.into()];
+    }
+    fleet.run(LABELS_MS);
+    fill(&mut fleet, 1, Some("p"));
+    fill(&mut fleet, full, Some("q"));
+    let used = (0..LAST).filter(|&at| fleet.running(at) > 0);
+    assert_eq!(used.count(), full + 1);
+    fleet
+}
+
 /// Guards against late jobs that a worker with little room left turns away although it is the only one with
 /// their label and the fleet is idle.
 #[rstest]
@@ -67,6 +109,39 @@
     assert_completed(&mut fleet, &jobs);
 }
 
+/// Guards against the same while the rest of the fleet is full, so that capacity is scarce.
+#[rstest]
+fn overdue_jobs_use_the_last_room() {
+    let mut fleet = fleet();
+    fill(&mut fleet, 8, Some("a"));
+    fleet.submit(0, "patient", Job::new(27, 500, 40_000).label("r").durable());
+    fleet.submit(1, "patient", Job::new(5, 500, 6_000).label("r").durable());
+    fleet.run(500);
+    let jobs: Vec<usize> = (0..24)
+        .map(|round| {
+            let job = Job::new(1, 500, 100).label("r").durable();
+            fleet.submit(round % ENTRIES, "checks", job)
+        })
+        .collect();
+    fleet.run(6_000 + WAIT_MS);
+    assert!(jobs.iter().any(|&job| fleet.has_started(job)));
+    fleet.run(2 * WAIT_MS);
+    assert_completed(&mut fleet, &jobs);
+}
+
+/// Guards against jobs that wait beside idle reserved workers while more than half of the fleet is full.
+#[rstest]
+fn busy_fleets_open_reserved_workers(#[values(1, 5)] full: usize) {
+    let mut fleet = reserved_fleet(full);
+    let mut jobs = Vec::new();
+    for round in 0..6 {
+        let job = Job::new(1, 500, 100).label("p").durable();
+        jobs.push(fleet.submit(round % ENTRIES, "checks", job));
+    }
+    fleet.run(WAIT_MS);
+    assert_completed(&mut fleet, &jobs);
+}
+
 /// Guards against a job that is shown as running although its only order was returned by an agent without
 /// room.
 #[rstest]
