fix(scheduler): overdue jobs start on part of the room that their tasks need

Callers saw: a kept job of 400 short tasks is not started for 16 s beside 48 free cores while the rest of the fleet is full with long tasks. A kept job of 60 tasks is not started for 4 s beside a load of small jobs of nine tenths of the capacity. Cause: while capacity is scarce a job starts only if at least half of its waiting tasks fit at the same time. A job wider than that never starts, however long it waits and however much room there is. Ruled out: small jobs that take the room first: in the first case there are none. Change: the condition does not hold for overdue tasks, which have had room for one of them for 2 s on end. Why it works: what keeps small jobs from starving wide ones stays: until then a wide job waits for half of its tasks and holds back those behind it; afterwards it starts, and a started job comes before unstarted ones. Best-effort jobs as wide are still refused with "no room in time": they expire before they are overdue.

--- a/crates/core/src/scheduler/placement.rs
+++ b/crates/core/src/scheduler/placement.rs
@@ -129,7 +129,9 @@
         let Some(&(first, _)) = waiting.first() else {
             return;
         };
+        let overdue = job.is_phase_overdue(now, first);
         if priority.group.is_unstarted()
+            && !overdue
             && turn.fleet.scarce
             && !self.has_room_to_start(now, key, &waiting, priority.tier)
         {
--- a/crates/core/tests/jobs/unused_room.rs
+++ b/crates/core/tests/jobs/unused_room.rs
@@ -142,6 +142,18 @@
     assert_completed(&mut fleet, &jobs);
 }
 
+/// Guards against a job of more tasks than ever fit at the same time that waits beside much room.
+#[rstest]
+fn wide_jobs_start_beside_full_workers(#[values(7, 8)] full: usize) {
+    let mut fleet = fleet();
+    fill(&mut fleet, full, Some("a"));
+    let wide = fleet.submit(0, "checks", Job::new(400, 500, 100).durable());
+    fleet.run(WAIT_MS);
+    assert!(fleet.has_started(wide));
+    fleet.run(WAIT_MS);
+    assert_completed(&mut fleet, &[wide]);
+}
+
 /// Guards against a job that is shown as running although its only order was returned by an agent without
 /// room.
 #[rstest]
@@ -167,3 +179,26 @@
     }
     fleet.assert_rules();
 }
+
+/// Guards against wide jobs that are starved by small ones, each of which finds room before they do.
+#[rstest]
+#[case::nine_tenths_full(4, true)]
+#[case::three_quarters_full(5, true)]
+#[case::three_quarters_full_best_effort(5, false)]
+fn small_jobs_do_not_starve_wide_ones(#[case] every_ms: u64, #[case] durable: bool) {
+    let mut fleet = fleet();
+    let mut wide = Vec::new();
+    for round in 0..1_200_usize {
+        // The workers run 1,100 such tasks in a second.
+        fleet.submit(round % ENTRIES, "checks", Job::new(4, 1_600, 100));
+        if round == 250 {
+            let mut job = Job::new(60, 1_600, 100);
+            job.durable = durable;
+            wide.push(fleet.submit(0, "checks", job));
+        }
+        fleet.run(every_ms);
+    }
+    assert!(fleet.has_started(wide[0]));
+    fleet.run(1_000);
+    assert_completed(&mut fleet, &wide);
+}
