fix(scheduler): a running phase or a full agent does not hide tasks that wait beside room

Callers saw: a job of two phases that may run together has one of them running; the tasks of the other one wait for 12 s and longer although reserved workers with their label are idle. So do jobs in time whose only worker that is not reserved is full. Cause: a job counted as stalled only if nothing of it was placed. A running phase hid the other one. A task that was sent to a full agent to wait there counted as placed too: the agent returns it after 75 ms, it is sent there again in the same turn, and each time the clock starts anew. Ruled out: the reserve alone. The trace of the test shows the orders and returns, one pair every 75 ms for each job, with idle reserved workers beside them. Change: whether tasks are overdue is decided for each phase. Its clock starts anew when a task is sent to a worker with room, not when one is sent to wait at an agent. Overdue tasks prefer any worker with room to a place in the queue of a full one. Why it works: a wait ends with an order that can start, whatever else of the job runs.

--- a/crates/core/src/scheduler/jobs.rs
+++ b/crates/core/src/scheduler/jobs.rs
@@ -61,8 +61,10 @@
     pub(super) unfinished_tasks: u32,
     /// Number of tasks in [`TaskState::Waiting`].
     pub(super) waiting_tasks: u32,
-    /// Since when tasks have waited and none was placed although workers that suit them had room, as of the
-    /// last search for stalled jobs.
+    /// Whether the last order was sent to an agent without room, where it waits or from where it is returned.
+    pub(super) queued: bool,
+    /// Since when tasks have waited, here or at an agent, although workers that suit them had room, as of the
+    /// last search for stalled jobs. Starts anew when a task is sent to a worker with room.
     pub(super) stalled_since: Option<Duration>,
 }
 
@@ -177,6 +179,7 @@
                 tasks: vec![task; spec.count as usize],
                 unfinished_tasks: spec.count,
                 waiting_tasks,
+                queued: false,
                 stalled_since: None,
             });
         }
@@ -258,10 +261,7 @@
                 self.waiting_tasks += 1;
                 phase.waiting_tasks += 1;
             }
-            TaskState::Placed(_) => {
-                self.placed_tasks += 1;
-                phase.stalled_since = None;
-            }
+            TaskState::Placed(_) => self.placed_tasks += 1,
             TaskState::Done => phase.unfinished_tasks -= 1,
             TaskState::Blocked => {}
         }
--- a/crates/core/src/scheduler/orders.rs
+++ b/crates/core/src/scheduler/orders.rs
@@ -41,6 +41,7 @@
         job.idle_since = None;
         job.stall_logged = false;
         job.limited |= hold_ms > 0;
+        job.phases[phase as usize].record_order(waits);
         let spec = &job.request.phases[phase as usize];
         let resources = spec.resources;
         let label = spec.label.clone().unwrap_or_default();
--- a/crates/core/src/scheduler/placement.rs
+++ b/crates/core/src/scheduler/placement.rs
@@ -229,11 +229,10 @@
         let job = self.jobs.get(key)?;
         let choose = |reach| self.choose_worker(now, key, at, (priority, turn.fleet), reach);
         let found = choose(Reach::Open);
-        if found.is_some() {
-            return found;
-        }
-        if job.is_phase_overdue(now, at.0) {
-            choose(Reach::All)
+        if job.is_phase_overdue(now, at.0) && found.is_none_or(|(_, waits)| waits) {
+            choose(Reach::All).or(found)
+        } else if found.is_some() {
+            found
         } else if self.needs_reserved(now, job, at.0) {
             choose(Reach::Reserved)
         } else {
--- a/crates/core/src/scheduler/stalled_jobs.rs
+++ b/crates/core/src/scheduler/stalled_jobs.rs
@@ -75,6 +75,14 @@
 }
 
 impl Phase {
+    /// Notes that a task is sent to a worker, at whose agent it may have to wait for room.
+    pub(super) fn record_order(&mut self, waits: bool) {
+        self.queued = waits;
+        if !waits {
+            self.stalled_since = None;
+        }
+    }
+
     /// Returns whether tasks have waited beside room for them for too long.
     pub(super) fn is_overdue(&self, now: Now) -> bool {
         let stalled = self.stalled_since;
@@ -83,10 +91,9 @@
 }
 
 impl Job {
-    /// Returns whether tasks of a phase have waited beside room for them for too long, and nothing of the job
-    /// runs.
+    /// Returns whether tasks of a phase have waited beside room for them for too long.
     pub(super) fn is_phase_overdue(&self, now: Now, phase: u32) -> bool {
-        self.placed_tasks == 0 && self.phases[phase as usize].is_overdue(now)
+        self.phases[phase as usize].is_overdue(now)
     }
 }
 
@@ -138,7 +145,8 @@
                     continue;
                 };
                 let phase = &job.phases[at];
-                let since = if job.progress == Progress::Closed || phase.waiting_tasks == 0 {
+                let waits = phase.waiting_tasks > 0 || phase.queued;
+                let since = if job.progress == Progress::Closed || !waits {
                     None
                 } else if phase.stalled_since.is_none() {
                     Some(now.mono)
--- a/crates/core/tests/jobs/unused_room.rs
+++ b/crates/core/tests/jobs/unused_room.rs
@@ -1,5 +1,8 @@
 //! Jobs that wait although workers that suit them have room.
 
+use std::time::Duration;
+
+use knapweedwall_core::job::{PhaseSpec, Resources};
 use knapweedwall_core::scheduler::{Answer, JobState};
 use rstest::rstest;
 
@@ -30,6 +33,21 @@
     fleet
 }
 
+/// One phase of tasks of half a core.
+fn phase(count: u32, run_ms: u64, label: &str) -> PhaseSpec {
+    PhaseSpec {
+        count,
+        resources: Resources {
+            cpu: 500,
+            memory: 64,
+            gpus: 0,
+        },
+        estimate: Duration::from_millis(run_ms),
+        label: Some(label.into()),
+        ..PhaseSpec::default()
+    }
+}
+
 /// Fills workers of a label, or any, with tasks that last.
 fn fill(fleet: &mut Fleet, workers: usize, label: Option<&'static str>) -> Vec<usize> {
     let mut job = Job::new(1, 16_000, 60_000).durable();
@@ -131,7 +149,7 @@
 
 /// Guards against jobs that wait beside idle reserved workers while more than half of the fleet is full.
 #[rstest]
-fn busy_fleets_open_reserved_workers(#[values(1, 5)] full: usize) {
+fn busy_fleets_open_reserved_workers(#[values(1, 5, 6)] full: usize) {
     let mut fleet = reserved_fleet(full);
     let mut jobs = Vec::new();
     for round in 0..6 {
@@ -142,6 +160,25 @@
     assert_completed(&mut fleet, &jobs);
 }
 
+/// Guards against tasks of a phase that wait beside idle reserved workers as long as another phase of their
+/// job runs.
+#[rstest]
+fn waiting_phases_use_reserved_workers(#[values(1, 4)] full: usize) {
+    let mut fleet = reserved_fleet(full);
+    let mut jobs = Vec::new();
+    for round in 0..6 {
+        let job = Job::new(1, 500, 30_000).durable();
+        let phases = vec![phase(1, 30_000, "q"), phase(1, 30_000, "p")];
+        jobs.push(fleet.submit_phases(round % ENTRIES, "checks", job, phases));
+    }
+    fleet.run(WAIT_MS);
+    for caller in jobs {
+        let runs = (0..LAST).filter(|&at| fleet.has_run_of(caller, at));
+        assert_eq!(runs.count(), 2, "caller {caller}");
+    }
+    fleet.assert_rules();
+}
+
 /// Guards against a job of more tasks than ever fit at the same time that waits beside much room.
 #[rstest]
 fn wide_jobs_start_beside_full_workers(#[values(7, 8)] full: usize) {
