fix(scheduler): a full rack or service does not make capacity scarce elsewhere

Callers saw: best-effort jobs are refused with "no room in time" beside a rack with 8 of 16 cores free on each worker, because the other racks are full and nine larger jobs for the same rack find no room. Cause: whether capacity is scarce was one figure over all workers. While it is, a job without room holds back all others with its label, also those that need less, and a job starts only if enough of its tasks fit at the same time. Ruled out: the order of jobs. The larger jobs have started and come first, and each of them needs 12 cores on one worker; without full racks elsewhere the small jobs run (waiting_jobs::large_tasks_block_nobody). Change: scarcity is asked of the workers of a service with the label that a task requires, once a turn for each such pair that occurs. The reserve for jobs in time, and the refusal of late best-effort jobs, go by all workers of the service: jobs for one full rack wait as before as long as there is room elsewhere. Why it works: workers that a task cannot use no longer change how it is placed. For a fleet of one service and tasks without labels the figure is the same as before.

--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -29,6 +29,7 @@
 mod requests;
 mod run_reports;
 mod run_time_model;
+mod scarcity;
 mod shard_claims;
 mod shard_loading;
 mod shard_release;
--- a/crates/core/src/scheduler/placement.rs
+++ b/crates/core/src/scheduler/placement.rs
@@ -11,7 +11,8 @@
 //! and, among equals, workers of its own choice, so that processes do not all place the next task on
 //! the same worker. While capacity is scarce, a job starts only if its tasks fit at the
 //! same time, because it ends no earlier than its last task; the longer it waits, the fewer tasks
-//! have to fit. Late jobs use the remaining capacity.
+//! have to fit. Late jobs use the remaining capacity. Whether capacity is scarce is asked of the workers that
+//! a task can use.
 //!
 //! Tasks that have waited for long although a worker that suits them has room are overdue. They are placed
 //! whatever the room is kept for.
@@ -22,7 +23,8 @@
 
 use super::jobs::{Job, JobKey, Progress, TaskState, to_u32};
 use super::machine::Machine;
-use super::priority::{FleetView, Priority, RUN_TIME_MARGIN, Tier};
+use super::priority::{Priority, RUN_TIME_MARGIN, Tier};
+use super::scarcity::Scarcity;
 use super::shortages::Shortages;
 use super::workers::{Worker, WorkerKey};
 use crate::clock::Now;
@@ -53,12 +55,21 @@
 const MIN_START_SHARE: f64 = 0.5;
 
 /// State of one turn of placement.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Turn {
-    fleet: FleetView,
+    scarcity: Scarcity,
     shortages: Shortages,
 }
 
+/// Whether capacity is scarce for a task.
+#[derive(Debug, Clone, Copy)]
+struct Scarce {
+    /// On all workers of the service.
+    service: bool,
+    /// On those with the label that the task requires.
+    suitable: bool,
+}
+
 /// Workers that a job without a group may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Reach {
@@ -102,10 +113,7 @@
         }
         self.place_isolated_jobs(now, isolated);
         ready.sort_unstable();
-        let mut turn = Turn {
-            fleet,
-            shortages: Shortages::default(),
-        };
+        let mut turn = Turn::default();
         for (priority, key) in ready {
             self.place_job(now, key, priority, &mut turn);
         }
@@ -132,7 +140,7 @@
         let overdue = job.is_phase_overdue(now, first);
         if priority.group.is_unstarted()
             && !overdue
-            && turn.fleet.scarce
+            && self.is_scarce_for(now, key, first, turn)
             && !self.has_room_to_start(now, key, &waiting, priority.tier)
         {
             return self.record_shortage(now, key, first, turn);
@@ -166,12 +174,12 @@
     /// Records that there is no room for the tasks of a phase, unless only the limits of the job itself
     /// keep them from workers with room.
     fn record_shortage(&self, now: Now, key: JobKey, phase: u32, turn: &mut Turn) {
+        let scarce = self.is_scarce_for(now, key, phase, turn);
         let Some(job) = self.jobs.get(key) else {
             return;
         };
         let spec = &job.request.phases[phase as usize];
         let service = &job.queue_config.service;
-        let scarce = turn.fleet.scarce;
         let may_be_limited = !scarce || spec.spread.is_some();
         if may_be_limited && self.has_room(now, service, spec) {
             return;
@@ -185,6 +193,15 @@
         turn.shortages.record(service, spec, resources, overdue);
     }
 
+    /// Returns whether capacity is scarce on the workers with the label that a phase of a job requires.
+    fn is_scarce_for(&self, now: Now, key: JobKey, phase: u32, turn: &mut Turn) -> bool {
+        let Some(job) = self.jobs.get(key) else {
+            return false;
+        };
+        let label = job.request.phases[phase as usize].label.as_ref();
+        self.is_scarce(now, &job.queue_config.service, label, &mut turn.scarcity)
+    }
+
     /// Returns whether a worker that any job may use has room for a task, whatever limit there is on the
     /// tasks of the phase for each worker.
     fn has_room(&self, now: Now, service: &SmolStr, spec: &PhaseSpec) -> bool {
@@ -224,10 +241,14 @@
         key: JobKey,
         at: (u32, u32),
         priority: Priority,
-        turn: &Turn,
+        turn: &mut Turn,
     ) -> Option<(WorkerKey, bool)> {
         let job = self.jobs.get(key)?;
-        let choose = |reach| self.choose_worker(now, key, at, (priority, turn.fleet), reach);
+        let scarce = Scarce {
+            service: self.is_scarce(now, &job.queue_config.service, None, &mut turn.scarcity),
+            suitable: self.is_scarce_for(now, key, at.0, turn),
+        };
+        let choose = |reach| self.choose_worker(now, key, at, (priority, scarce), reach);
         let found = choose(Reach::Open);
         if job.is_phase_overdue(now, at.0) && found.is_none_or(|(_, waits)| waits) {
             choose(Reach::All).or(found)
@@ -289,7 +310,7 @@
         now: Now,
         key: JobKey,
         (phase, index): (u32, u32),
-        (priority, fleet): (Priority, FleetView),
+        (priority, scarce): (Priority, Scarce),
         reach: Reach,
     ) -> Option<(WorkerKey, bool)> {
         let job = self.jobs.get(key)?;
@@ -319,19 +340,19 @@
             if !has_room && (late || grouped || !worker.can_queue(spec.resources)) {
                 continue;
             }
-            let keeps_room = fleet.scarce && worker.free_share() < LATE_JOB_CPU_RESERVE;
+            let keeps_room = scarce.service && worker.free_share() < LATE_JOB_CPU_RESERVE;
             if late && restricted && keeps_room {
                 continue;
             }
             let run_ms = self.run_ms(spec, worker, expected);
             let too_slow = !late && run_ms * RUN_TIME_MARGIN > left_ms;
-            if too_slow && restricted && fleet.scarce {
+            if too_slow && restricted && scarce.suitable {
                 continue;
             }
             let avoided = task.avoided_workers.contains(&worker_key);
             let rank = [avoided, !has_room, grouped, too_slow];
             let affinity = self.affinity(spec, worker);
-            let speed_ms = if fleet.scarce && !too_slow {
+            let speed_ms = if scarce.suitable && !too_slow {
                 -run_ms
             } else {
                 run_ms
--- a/crates/core/src/scheduler/priority.rs
+++ b/crates/core/src/scheduler/priority.rs
@@ -13,9 +13,6 @@
 /// Margin on expected run times, as estimates are off by 40% on average.
 pub(super) const RUN_TIME_MARGIN: f64 = 1.4;
 
-/// Capacity is scarce while the free fraction of the fleet's CPU is below this.
-const SCARCE_CPU_SHARE: f64 = 0.35;
-
 /// Whether a job can meet its objective. Lower tiers are placed first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Tier {
@@ -74,8 +71,6 @@
 pub(super) struct FleetView {
     /// Speed factor of the fastest usable worker.
     pub(super) fastest_speed: f64,
-    /// Whether free CPU is below [`SCARCE_CPU_SHARE`].
-    pub(super) scarce: bool,
     /// Total CPU of the usable workers, in cores.
     pub(super) cores: f64,
 }
@@ -83,17 +78,15 @@
 impl Machine {
     /// Computes the state of the fleet from the usable workers.
     pub(super) fn fleet_view(&self, now: Now) -> FleetView {
-        let (mut fastest, mut free, mut capacity) = (0.0_f64, 0.0, 0.0);
+        let (mut fastest, mut capacity) = (0.0_f64, 0.0);
         for (_, worker) in self.workers.iter() {
             if worker.is_usable(now.mono) {
                 fastest = fastest.max(worker.speed.factor());
-                free += f64::from(worker.free().cpu);
                 capacity += f64::from(worker.capacity.cpu);
             }
         }
         FleetView {
             fastest_speed: if fastest > 0.0 { fastest } else { 1.0 },
-            scarce: free < capacity * SCARCE_CPU_SHARE,
             cores: capacity / 1_000.0,
         }
     }
--- a/crates/core/src/scheduler/requests.rs
+++ b/crates/core/src/scheduler/requests.rs
@@ -11,6 +11,7 @@
 use super::jobs::{Job, JobKey, Progress, Resubmission};
 use super::machine::{Machine, log, ms};
 use super::priority::Tier;
+use super::scarcity::Scarcity;
 use super::stored_job::JobEnd;
 use crate::clock::Now;
 use crate::job::{JobRequest, QueueConfig};
@@ -298,6 +299,7 @@
     pub(super) fn expire_jobs(&mut self, now: Now, out: &mut Vec<Action>) {
         let mut expired: Vec<(JobKey, &'static str)> = Vec::new();
         let fleet = self.fleet_view(now);
+        let mut scarcity = Scarcity::default();
         for (key, job) in self.jobs.iter_open() {
             if job.progress == Progress::Closed || job.durable.is_some() {
                 continue;
@@ -313,7 +315,10 @@
             // refused only while capacity is scarce.
             let left = (job.objective * EXPIRY_FACTOR).saturating_sub(age);
             let too_late = left < MIN_TIME_FOR_LATE_START && late(job.submitted_at);
-            if job.is_unstarted() && (too_late || fleet.scarce && late(job.requested_at)) {
+            let service = &job.queue_config.service;
+            let mut no_room =
+                || late(job.requested_at) && self.is_scarce(now, service, None, &mut scarcity);
+            if job.is_unstarted() && (too_late || no_room()) {
                 // The cause means: not enough free capacity before the job expires.
                 expired.push((key, "no room in time"));
             }
--- a/crates/core/src/scheduler/stalled_jobs.rs
+++ b/crates/core/src/scheduler/stalled_jobs.rs
@@ -1,7 +1,8 @@
-//! Jobs that wait with nothing running, and what they wait for.
+//! Jobs that wait with nothing running, and tasks that wait beside room for them.
 //!
 //! The log of such a job tells apart that no worker suits it, that those that suit it are full or kept
-//! for other jobs, and that placement has not come to it.
+//! for other jobs, and that placement has not come to it. Tasks that have waited beside room for long are
+//! overdue, and are placed whatever the room is kept for.
 
 use std::time::Duration;
 
--- a/crates/core/tests/jobs/unused_room.rs
+++ b/crates/core/tests/jobs/unused_room.rs
@@ -5,6 +5,7 @@
 use knapweedwall_core::job::{PhaseSpec, Resources};
 use knapweedwall_core::scheduler::{Answer, JobState};
 use rstest::rstest;
+use smallvec::smallvec;
 
 use crate::callers::Job;
 use crate::fleet::Fleet;
@@ -191,6 +192,47 @@
     assert_completed(&mut fleet, &[wide]);
 }
 
+/// Guards against small jobs that are held back by larger ones on a rack with room, because other racks are
+/// full.
+#[rstest]
+fn full_racks_hold_back_nobody_elsewhere(#[values(false, true)] durable: bool) {
+    let mut fleet = fleet();
+    for at in 8..WORKERS.len() {
+        fleet.hosts[at].labels = vec!["b".into(), "p".into()];
+    }
+    fleet.run(LABELS_MS);
+    fill(&mut fleet, 8, Some("a"));
+    fleet.submit(
+        0,
+        "patient",
+        Job::new(3, 6_000, 60_000).spread(1).label("p").durable(),
+    );
+    fleet.run(500);
+    for round in 0..3 * ENTRIES {
+        // Started jobs come before others.
+        let mut large = phase(1, 4_000, "p");
+        large.resources.cpu = 12_000;
+        large.after = smallvec![0];
+        let job = Job::new(1, 500, 50).durable();
+        fleet.submit_phases(
+            round % ENTRIES,
+            "patient",
+            job,
+            vec![phase(1, 50, "p"), large],
+        );
+    }
+    fleet.run(100);
+    let mut jobs = Vec::new();
+    for round in 0..24 {
+        let mut job = Job::new(1, 500, 100).label("p");
+        job.durable = durable;
+        jobs.push(fleet.submit(round % ENTRIES, "checks", job));
+        fleet.run(15);
+    }
+    fleet.run(1_000);
+    assert_completed(&mut fleet, &jobs);
+}
+
 /// Guards against a job that is shown as running although its only order was returned by an agent without
 /// room.
 #[rstest]
