fix(runtime): only a second SIGINT ends a process at once

Callers saw: requests that an entry process had accepted were cut off after 41 to 163 ms, without an answer, when its stop was asked for twice. Cause: a second SIGTERM ended the process at once, as its command line said. Ruled out: the graceful stop itself. Change: SIGTERM asks for a graceful stop however often it comes. A second SIGINT, which a person sends, ends the process at once with exit code 1, as before. The handlers stay installed for the life of the process. Why it works: a process that is asked to stop ends when its calls are answered, or at its time limit.

--- a/crates/agent/src/cli.rs
+++ b/crates/agent/src/cli.rs
@@ -20,7 +20,7 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
-    /// Runs the agent until SIGTERM or SIGINT; a second signal terminates it immediately
+    /// Runs the agent until SIGTERM or SIGINT; a second SIGINT terminates it immediately
     Run(SettingsArgs),
     /// Validates a settings file
     Check(SettingsArgs),
--- a/crates/entry/src/cli.rs
+++ b/crates/entry/src/cli.rs
@@ -25,7 +25,7 @@
   knapweedwall-entry run --settings entry.yaml
 
 The log goes to standard error. SIGTERM or SIGINT starts a graceful stop: nothing new is accepted, \
-and open jobs are handed over or completed. A second signal ends the process at once."
+and open jobs are handed over or completed. A second SIGINT ends the process at once."
 )]
 pub struct Args {
     /// Subcommand to run.
--- a/crates/lab/tests/soak/short_soak.rs
+++ b/crates/lab/tests/soak/short_soak.rs
@@ -47,6 +47,9 @@
 // with the one before, and ran twice. Later, ends of the new lifetime were acknowledged by the numbers of
 // the one before, and their tasks ran again.
 #[case::restart_with_id(5031)]
+// A second SIGTERM ended an entry process at once and cut off requests that it had accepted.
+#[case::second_stop(49002)]
+#[case::second_stop_later(37033)]
 fn failed_seeds_hold(#[case] seed: u64) {
     let outcome = play(seed, FULL_SIZES);
     assert!(outcome.violations.is_empty(), "{outcome}");
--- a/crates/runtime/src/signals.rs
+++ b/crates/runtime/src/signals.rs
@@ -12,31 +12,29 @@
 /// Signals that stop the process.
 const STOP_SIGNALS: [i32; 2] = [SIGTERM, SIGINT];
 
-/// Exit code of a process that is ended by a second stop signal.
-const SECOND_SIGNAL_EXIT_CODE: i32 = 1;
+/// Exit code of a process that is ended by a second SIGINT.
+const INTERRUPTED_EXIT_CODE: i32 = 1;
 
-/// Calls `stop` on the first SIGTERM or SIGINT. A second one ends the process at once.
+/// Calls `stop` on the first SIGTERM or SIGINT. A second SIGINT ends the process at once. Further SIGTERMs do
+/// nothing: supervisors repeat them, and requests that the process has accepted must not be cut off by that.
 ///
 /// # Errors
 /// The error of the operating system if the handlers cannot be installed.
 pub fn spawn_stop_handler(stop: impl FnOnce() + Send + 'static) -> io::Result<()> {
-    let stop_requested = Arc::new(AtomicBool::new(false));
-    for signal in STOP_SIGNALS {
-        // The actions run in the order of registration: the first signal finds the flag unset and
-        // sets it, the second one finds it set and ends the process.
-        flag::register_conditional_shutdown(
-            signal,
-            SECOND_SIGNAL_EXIT_CODE,
-            Arc::clone(&stop_requested),
-        )?;
-        flag::register(signal, Arc::clone(&stop_requested))?;
-    }
+    let interrupted = Arc::new(AtomicBool::new(false));
+    // The actions run in the order of registration: the first SIGINT finds the flag unset and sets it, the
+    // second one finds it set and ends the process.
+    flag::register_conditional_shutdown(SIGINT, INTERRUPTED_EXIT_CODE, Arc::clone(&interrupted))?;
+    flag::register(SIGINT, interrupted)?;
     let mut signals = Signals::new(STOP_SIGNALS)?;
     thread::Builder::new()
         .name("signals".into())
         .spawn(move || {
-            if signals.forever().next().is_some() {
-                stop();
+            let mut stop = Some(stop);
+            for _ in signals.forever() {
+                if let Some(stop) = stop.take() {
+                    stop();
+                }
             }
         })?;
     Ok(())
