--- a/crates/core/tests/jobs/kept_jobs.rs
+++ b/crates/core/tests/jobs/kept_jobs.rs
@@ -254,6 +254,8 @@
 #[case::crashes("4..6", 1, false, false)]
 #[case::losses("0..2", 1, true, false)]
 #[case::constraints("3..5", 3, true, true)]
+// Suspects of a confined queue found no idle worker.
+#[case::no_idle_worker("22..23", 3, true, true)]
 fn free_workers_are_used(
     #[case] range: &str,
     #[case] zones: usize,
