test(jobs): best-effort jobs wider than the room are refused

Ruled out: a wait until they are overdue: they expire before (objective 220 ms, three times that at most). Measured: unused_room::wide_best_effort_jobs_run_in_waves fails: NotRun, "no room in time". It needs waves in the objective, and in the condition to start while capacity is scarce.

--- a/crates/core/tests/jobs/unused_room.rs
+++ b/crates/core/tests/jobs/unused_room.rs
@@ -281,3 +281,15 @@
     fleet.run(1_000);
     assert_completed(&mut fleet, &wide);
 }
+
+/// Guards against best-effort jobs that are refused because they are wider than the room, although they
+/// could run in waves while their answers are of use.
+#[rstest]
+fn wide_best_effort_jobs_run_in_waves() {
+    let mut fleet = fleet();
+    fill(&mut fleet, 8, Some("a"));
+    // 96 of the tasks fit at the same time.
+    let wide = fleet.submit(0, "checks", Job::new(400, 500, 100));
+    fleet.run(1_000);
+    assert_completed(&mut fleet, &[wide]);
+}
